--- /dev/null
+++ b/heathglade/interface.py
@@ -0,0 +1,277 @@
+"""The interface of heathglade: what a gateway tells the decision module, and what it is told to do.
+
+An embedding gateway makes one ``heathglade.policy.Gateway(settings, seed)`` at start and calls
+``handle(now_ms, event)`` for each event below, in the order in which they happened, from one thread.
+The call returns a list of actions, which the gateway carries out in that order.
+
+The gateway owes the module: a clock that never goes backwards and that all gateways have in common to a tenth
+of a second (the windows of quotas start by it), a `ServerList` of kind SAVED or FULL first, exactly one
+`AttemptEnded` for each `Send`, one `CountReply` for each `Count`, one `TimerFired` for each `SetTimer` (never
+inside the same call), and `RequestGone` when a client leaves.
+
+Times are milliseconds. Units are what a request takes from a quota. Nothing here decides anything.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Repeat(Enum):
+    """Whether a request may be carried out more than once."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Scope(Enum):
+    """Which servers drop repeats of one keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Ending(Enum):
+    """How an attempt, or a call to the counter, ended."""
+
+    OK = "ok"
+    ERROR = "error"  # an error answer; may have run
+    FULL = "full"  # turned away unseen; did not run
+    TIMEOUT = "timeout"  # no answer in time; may have run
+    UNREACHABLE = "unreachable"  # no connection; did not run
+    RESET = "reset"  # the connection broke; may have run
+    CANCELLED = "cancelled"  # called off; may have run
+    UNSENT = "unsent"  # never sent; did not run
+
+
+class ServerState(Enum):
+    """What the list of servers says of a server."""
+
+    ACTIVE = "active"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    """What a `ServerList` holds."""
+
+    FULL = "full"  # every server; absent ones are gone
+    CHANGES = "changes"  # changed entries only
+    SAVED = "saved"  # a full list from before the start, perhaps old
+    FAILED = "failed"  # a subscription or a fetch failed; no entries
+
+
+# --- settings, handed over once at start ---------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """One class of requests."""
+
+    name: str
+    aim_ms: float  # an answer within this time earns the full worth
+    worth: float
+    repeat: Repeat
+    scope: Scope = Scope.ALL  # keyed only
+    memory_ms: float = 0.0  # keyed only: how long servers remember a key
+    late_worth: float = 0.0  # share of the worth that a later answer earns
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """One plan; its quotas hold for each customer over all gateways together. 0 means no such limit."""
+
+    name: str
+    price: float = 1.0
+    rate: float = 0.0  # units a second
+    burst: float = 0.0  # units that the customer's store holds at most
+    max_open: int = 0  # attempts out at once
+    ceiling_rate: float = 0.0  # units a second
+    ceiling_burst: float = 0.0
+    ceiling_slack: float = 0.0
+    beyond_worth: float = 0.0  # share of its worth that a request beyond the quota earns
+    beyond_cost: float = 0.0  # share of its worth that one costs
+
+
+@dataclass(frozen=True, slots=True)
+class Safety:
+    """Figures of the rules."""
+
+    cold_share: float = 0.2  # least share of its capacity that a server starts with
+    warm_ms: float = 20000.0  # it is warm after this time at most
+    overload_factor: float = 2.0  # sent more than this many times what it can do ...
+    overload_ms: float = 1000.0  # ... for this long, a cold server falls over
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What a gateway knows at start."""
+
+    zone: str
+    gateways: int
+    classes: tuple[RequestClass, ...]
+    plans: tuple[Plan, ...]
+    safety: Safety
+    max_attempts: int = 3
+    max_requests: int = 20000  # requests a gateway may hold at once
+    max_retry_after_ms: float = 1000.0
+    counter: bool = False  # a shared counter may be called
+    counter_timeout_ms: float = 50.0  # a call to it is given up after this
+    subscribe: bool = False  # changes to the server list come only when asked for
+    sizes_known: bool = False  # `ServerEntry.size` says how large a server is
+    cross_zone_price: float = 0.0
+
+
+# --- events --------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class ServerEntry:
+    """One server in a list."""
+
+    server: str
+    zone: str
+    cell: int = 0
+    size: float = 1.0
+    started_ms: float = 0.0  # its last start; 0: long ago
+    state: ServerState = ServerState.ACTIVE
+
+
+@dataclass(frozen=True, slots=True)
+class ServerList:
+    """News of the servers."""
+
+    kind: ListKind
+    entries: tuple[ServerEntry, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A client's request; the module owes it exactly one final answer within `time_left_ms`."""
+
+    request_id: str
+    class_name: str
+    plan: str
+    customer: str
+    time_left_ms: float
+    units: float = 1.0
+    spread: int = 1  # gateways through which this customer's requests come
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerBegan:
+    """A streamed answer has begun: the attempt is the client's from now on."""
+
+    request_id: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """An attempt ended. `final`: the client has its answer; else one is still owed, unless given before."""
+
+    request_id: str
+    attempt: int
+    server: str
+    ending: Ending
+    took_ms: float
+    final: bool
+    queue: float | None = None  # requests waiting at the server, if it said so
+    active: float | None = None  # requests that it holds, if it said so
+
+
+@dataclass(frozen=True, slots=True)
+class RequestGone:
+    """The client left; no answer is owed."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    """A timer set by `SetTimer` is due."""
+
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class CountReply:
+    """The answer to one `Count`; answers for one name come in the order of the calls."""
+
+    name: int
+    total: float
+    ending: Ending
+    took_ms: float = 0.0
+
+
+Event = ServerList | Request | AnswerBegan | AttemptEnded | RequestGone | TimerFired | CountReply
+
+
+# --- actions -------------------------------------------------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Start an attempt, numbered 0, 1, 2 ... for each request. `timeout_ms` 0: until the client leaves."""
+
+    request_id: str
+    server: str
+    timeout_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Stop waiting for an attempt."""
+
+    request_id: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Final answer: turned away; trying again is harmless."""
+
+    request_id: str
+    retry_after_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """Final answer: failed, with no promise about the effect."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    """Ask for a `TimerFired` at or after `at_ms`."""
+
+    token: int
+    at_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    """Add `amount` to the shared number `name`, which is forgotten `ttl_ms` after its first call."""
+
+    name: int
+    amount: float
+    ttl_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """Ask for changes to the server list from now on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    """A line for the operators."""
+
+    message: str
+
+
+Action = Send | Cancel | Refuse | Fail | SetTimer | Count | Subscribe | Log
--- /dev/null
+++ b/heathglade/policy.py
@@ -0,0 +1,718 @@
+"""The decisions of heathglade. The types it takes and returns are in `heathglade/interface.py`.
+
+A gateway serves many customers, whose quotas hold over all gateways together. `Quota` decides how much of a
+customer's demand goes on, `Fleet` which server gets it, and `Gateway` follows each request to its one final
+answer. Times are milliseconds, rates are units a second. docs/design.md says why things are as they are.
+"""
+
+from __future__ import annotations  # noqa: I001
+
+import hashlib
+import math
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+from .interface import (
+    Action, AnswerBegan, AttemptEnded, Count, CountReply, Ending, Event, Fail, ListKind, Log, Plan, Refuse,
+    Repeat, Request, RequestClass, RequestGone, Scope, Send, ServerEntry, ServerList, ServerState, SetTimer,
+    Settings, Subscribe, TimerFired,
+)  # fmt: skip
+
+WINDOW_S = 1.0  # the fill's window: what a store holds is offered to the demand of this long
+SPEND_S = 0.4
+IDLE_MS = 60_000.0  # a customer unseen for this long is forgotten, by the counter too
+CALL_GAP_MS = 100.0  # least time between two calls for one customer
+MUTE_AFTER = 3  # calls in a row without an answer after which the counter counts as mute
+LEAST_SHARE = 0.1  # of the unsure requests, at least this share asks
+COUNTED = 0.5  # share of a ceiling's burst that the counter holds; gateways' even parts hold the rest
+OPEN_FILL = 0.6  # share of an open cap that a steady flow fills at most: what is out comes in clumps
+LEAST_PART = 2.0  # requests that a part of a store holds at least, however many share it
+MUTE_RETRY_MS = 500.0  # a mute counter is tried this often
+MUTE_SPACING_MS = 5.0  # and by all gateways together no more often than this
+FEW = 4.0  # attempts out below which they tell nothing of the fleet
+ANSWERS = 8  # answers that a judgement of V needs ...
+TOLERATED = 0.5  # median time of answers against their aims that V settles at in overload
+MOST_SPAN_S = 4.0  # ... or this long
+RATE_S = 3.0  # the rate of answers is taken over this long
+COLD_S = 3.0  # see Fleet.turn
+TICK_MS = 250.0  # how often pressure is judged and held requests are looked at
+DID_NOT_RUN = (Ending.FULL, Ending.UNREACHABLE, Ending.UNSENT)
+
+
+@dataclass(slots=True)
+class Customer:
+    """What this gateway knows of one customer."""
+
+    key: str
+    plan: Plan
+    spread: int
+    at: float  # when the stores were last brought up to date
+    store: float  # what the customer's global store is thought to hold
+    part: float  # what this gateway's part of it holds; counts while the counter is mute
+    guard: float  # this gateway's part of the ceiling's store
+    seen: float
+    credit: float = 1.0  # a trickle's share adds up here until it makes a request
+    own: float = 0.0  # own demand, units a second
+    others: float = 0.0  # the other gateways' use, units a second
+    drained: float = 0.0  # units taken from the store for that since the last word
+    open: int = 0  # own attempts out
+    size: float = 1.0  # its largest request, units
+    phase: float = 0.0  # where its windows start; customers differ, or all would be asked for at once
+    span: float = 1000.0  # length of its windows
+    window: float = -math.inf  # start of the window whose name on the counter is in use
+    name: int = 0  # the counter's name for that window: units sent on or asked for, by all gateways
+    fresh: float = 0.0  # own units not yet added
+    under_way: int = 0  # calls without an answer so far
+    mine: float = 0.0  # own units added since the last answer
+    total: float = 0.0  # the last total
+    total_at: float = -1e9
+    called_at: float = -1e9
+
+
+class Quota:
+    """Which requests go on: stores, fill, the ceiling's guard, the cap on open attempts, the counter."""
+
+    def __init__(self, settings: Settings, rng: random.Random) -> None:
+        self.settings = settings
+        self.rng = rng
+        self.plans = {plan.name: plan for plan in settings.plans}
+        self.customers: dict[str, Customer] = {}  # the longest unseen first
+        self.due: dict[str, Customer] = {}  # those with units to tell
+        # Calls without an answer, by name: customer, window, amount, the request that waits for it.
+        self.calls_out: dict[int, deque[tuple[Customer, float, float, str | None]]] = {}
+        self.started = math.inf  # when this gateway heard its first event
+        self.missed = 0  # calls in a row without an answer
+        self.share = 1.0  # share of the wished calls that are made; falls while the counter is crowded
+        self.probe_at = 0.0  # when a mute counter may next be called
+        self.hold_s = 0.2  # mean time that an attempt is out, seconds
+
+    @property
+    def mute(self) -> bool:
+        """No word from the counter: each gateway keeps to its part of the quota."""
+        return not self.settings.counter or self.missed >= MUTE_AFTER
+
+    def customer(self, now: float, request: Request) -> Customer | None:
+        """The customer's record; None where the plan is not known, which is read as no quota."""
+        if (plan := self.plans.get(request.plan)) is None:
+            return None
+        found = self.customers.pop(request.customer, None)
+        spread = max(1, min(request.spread, self.settings.gateways))
+        if found is None:
+            # The ceiling's store takes no notice of a restart. While quotas are kept it never holds less than
+            # its burst less the quota's, as it fills faster; half of that and the slack are thus there if all
+            # gateways restart at once, and once more before the store has filled again.
+            spare = 0.5 * max(0.0, plan.ceiling_burst - plan.burst) if plan.burst else 0.0
+            spare += plan.ceiling_slack + plan.ceiling_rate * (now - self.started) / 1000.0
+            guard = min(plan.ceiling_burst * (1.0 - COUNTED), spare) / spread
+            found = Customer(request.customer, plan, spread, now, plan.burst, 0.0, guard, now)
+            found.part = self.part(found)
+            found.phase = stable(request.customer) / 2.0**63
+        self.customers[request.customer] = found
+        found.spread, found.seen, found.size = spread, now, max(found.size, request.units)
+        self.refresh(now, found)
+        return found
+
+    def refresh(self, now: float, c: Customer) -> None:
+        """Brings the stores and rates up to the present, and the counter's names to the window in force."""
+        plan = c.plan
+        c.span = min(IDLE_MS, 1000.0 * max(WINDOW_S, plan.burst / plan.rate if plan.rate else 0.0))
+        start = now - (now + c.phase * c.span) % c.span
+        if start > c.window:
+            # A name holds one window's use, so that a gateway's first word in it says how much of the store
+            # is gone, however long ago the last word was.
+            self.elapse(start, c)
+            c.window, c.name = start, stable(f"{c.key}/{start:.0f}")
+            c.drained = c.total = c.mine = 0.0
+            c.fresh = max(0.0, c.fresh)
+            c.under_way = 0
+        self.elapse(now, c)
+
+    def elapse(self, now: float, c: Customer) -> None:
+        """Fills and drains the stores up to a moment."""
+        dt = (now - c.at) / 1000.0
+        if dt <= 0:
+            return
+        plan = c.plan
+        # The others' use is expected to go on as last heard, less surely as that grows old: a surge of
+        # theirs that has ended must not keep the store empty for customers who can't renew the word.
+        age = max(0.0, c.at - c.total_at) / 1000.0
+        drain = 0.0 if self.mute else c.others * math.exp(min(0.0, 1.5 - age))
+        drain = min(drain * min(dt, WINDOW_S), c.store)
+        c.drained += drain
+        c.store = min(max(c.store, plan.burst), c.store - drain + plan.rate * dt)
+        rate = (plan.rate or OPEN_FILL * plan.max_open / self.hold_s) / c.spread
+        c.part = min(max(c.part, self.part(c)), c.part + rate * dt)
+        most = max(plan.ceiling_burst * (1.0 - COUNTED) / c.spread, c.guard)
+        c.guard = min(most, c.guard + plan.ceiling_rate * (1.0 - 0.5 * COUNTED) / c.spread * dt)
+        c.own *= math.exp(-dt / WINDOW_S)
+        c.at = now
+
+    def part(self, c: Customer) -> float:
+        """The most that this gateway's part of a store holds."""
+        return max((c.plan.burst or c.plan.max_open) / c.spread, LEAST_PART * c.size)
+
+    def room(self, c: Customer) -> float:
+        """What the customer's quotas are thought to let in at once, in units or attempts."""
+        left = c.store if c.plan.rate else math.inf
+        if c.plan.max_open:
+            left = min(left, c.plan.max_open - c.open - c.others * self.hold_s)
+        return left
+
+    def unsure(self, now: float, c: Customer, units: float) -> bool:
+        """Whether a request needs a word of the moment: the others may have used what is left. Few gateways
+        hear often and seldom need one; of hundreds, each sees a customer once in a window or never."""
+        room = self.room(c)
+        if self.mute or room == math.inf or c.under_way or now - c.called_at < CALL_GAP_MS / self.share:
+            return False
+        empty = room < units and now - c.total_at < 1000.0 * WINDOW_S  # and known to be
+        return (max(0.0, c.fresh) + units) * c.spread >= 0.5 * room and not empty
+
+    def ask(self, now: float, c: Customer, request: Request) -> Count | None:
+        """The call that an unsure request waits for; of a crowd only a share ask, each for its likes."""
+        if self.rng.random() > self.share:
+            return None
+        return self.call(now, c, request.units / self.share, request.request_id)
+
+    def assured(self, c: Customer, asked: bool) -> bool:
+        """Whether the count alone keeps a request under the ceiling: two windows may touch, so each holds
+        half of the counted share, of the burst and of what the ceiling's rate fills in a window."""
+        least = min(c.plan.ceiling_burst, c.plan.ceiling_rate * c.span / 1e3)
+        return asked and c.total <= 0.5 * COUNTED * least
+
+    def admit(self, now: float, c: Customer, units: float, asked: bool, blind: bool) -> float | None:
+        """None to send the request on, else the time in which a refused client should stay away."""
+        blind = (
+            blind or self.mute
+        )  # without a word it keeps to its part: else each would spend all of a quota
+        c.own += units / WINDOW_S
+        plan = c.plan
+        wait: float | None = None
+        if plan.ceiling_rate and c.guard < units and not self.assured(c, asked):
+            wait = (units - c.guard) / plan.ceiling_rate * c.spread * 1000.0
+        elif plan.rate:
+            store = min(c.part, c.store) if blind else c.store
+            fraction = min(1.0, (plan.rate + max(0.0, store) / SPEND_S) / max(c.own + c.others, 1e-9))
+            c.credit = min(c.credit + fraction * units, 2.0 * units)
+            # A word of the moment puts the requests of all gateways in a row; no share is needed then.
+            if store < units or (c.credit < units and not asked):
+                wait = max(0.0, units - store) / plan.rate * 1000.0
+        if wait is None and plan.max_open:
+            # The cap, as a rate: what leaves as fast as answers come. Of more demand its share goes on.
+            fraction = OPEN_FILL * plan.max_open / max((c.own + c.others) * self.hold_s, 1e-9)
+            full = c.open >= max(1, plan.max_open // c.spread) and self.room(c) < 1.0
+            if blind:
+                full = c.part < units and c.open >= plan.max_open // c.spread
+            if self.rng.random() > fraction if asked else full:
+                wait = self.hold_s * 1000.0
+        if asked and wait is not None:
+            c.fresh -= units / self.share  # it was counted in advance; the next call takes it off
+        return wait
+
+    def take(self, c: Customer, units: float, counted: bool, asked: bool) -> None:
+        """Books a request that goes on."""
+        c.credit -= units
+        c.store = max(0.0, c.store - units)
+        c.part = max(0.0, c.part - units)
+        if not self.assured(c, asked):
+            c.guard -= units
+        if self.settings.counter and not counted:
+            c.fresh += units
+            self.due[c.key] = c
+
+    def call(self, now: float, c: Customer, extra: float = 0.0, waits: str | None = None) -> Count:
+        """A call that tells what is new of a customer."""
+        amount = round(c.fresh + extra, 3)
+        self.calls_out.setdefault(c.name, deque()).append((c, c.window, amount, waits))
+        c.fresh, c.called_at = 0.0, now
+        c.under_way += 1
+        if self.missed >= MUTE_AFTER:
+            self.probe_at = now + max(MUTE_RETRY_MS, self.settings.gateways * MUTE_SPACING_MS)
+        return Count(c.name, amount, IDLE_MS)
+
+    def calls(self, now: float, c: Customer) -> list[Action]:
+        """Tells the counter what is new of a customer, the sooner the nearer its store is to empty."""
+        self.refresh(now, c)
+        if c.fresh <= 0:
+            self.due.pop(c.key, None)
+        if c.under_way or c.fresh <= 0:
+            return []
+        urgent = c.fresh * c.spread >= 0.5 * self.room(c)
+        calm = c.store - c.fresh * c.spread > 0.5 * c.plan.burst > 0
+        gap = (CALL_GAP_MS if urgent else 2000.0 if calm else 1000.0) / self.share
+        if now < self.probe_at if self.mute else now - c.called_at < gap:
+            return []
+        return [self.call(now, c)]
+
+    def counted(self, now: float, reply: CountReply) -> str | None:
+        """An answer: the total's rise beyond the own part is the others' use. Returns who waits for it."""
+        if not (calls := self.calls_out.get(reply.name)):
+            return None
+        c, window, amount, waits = calls.popleft()
+        if not calls:
+            del self.calls_out[reply.name]
+        self.refresh(now, c)
+        current = window == c.window
+        if current:
+            c.under_way -= 1
+        if reply.ending is not Ending.OK:
+            if self.missed < MUTE_AFTER:  # a mute counter is no crowd; it is tried at a pace of its own
+                self.share = max(LEAST_SHARE, 0.8 * self.share)
+            self.missed += 1
+            if current and reply.ending is Ending.TIMEOUT:
+                c.mine += amount  # it may have been added, and adding it twice would be worse
+            elif current and waits is None:
+                c.fresh += amount
+            return waits
+        self.missed = 0
+        # A slow answer tells of a crowd before any call is turned away; work on unheard answers is wasted.
+        factor = 1.02 if reply.took_ms < 0.5 * self.settings.counter_timeout_ms else 0.92
+        self.share = min(1.0, max(LEAST_SHARE, factor * self.share))
+        if current:
+            c.mine += amount
+            rise = reply.total - c.total - c.mine
+            dt = max(now - max(c.total_at, c.window), 1.0) / 1000.0
+            if rise >= -0.5:  # else counts were lost, not demand: the last known demand stands
+                weight = 1.0 - math.exp(-max(now - c.total_at, 1.0) / 1000.0 / WINDOW_S)
+                c.others += (max(rise, 0.0) / (dt + 0.1) - c.others) * weight
+                c.store = min(c.plan.burst, max(0.0, c.store + c.drained - max(rise, 0.0)))
+                c.drained = 0.0
+            c.total, c.total_at, c.mine = reply.total, now, 0.0
+        return waits
+
+    def forget_idle(self, now: float) -> None:
+        """Ages out customers with nothing open."""
+        while self.customers:
+            c = next(iter(self.customers.values()))
+            if now - c.seen < IDLE_MS or c.open or c.under_way:
+                return
+            del self.customers[c.key]
+            self.due.pop(c.key, None)
+
+
+def stable(text: str) -> int:
+    """A name for the counter: the same in every process, below 2^63."""
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big") >> 1
+
+
+@dataclass(slots=True)
+class Server:
+    """What this gateway knows of one server."""
+
+    entry: ServerEntry
+    out: int = 0  # own attempts under way
+    pace: float = 1.0  # time of answers against the fleet's mean for the same kind of request
+    fails: float = 0.0  # recent share of failures, fading
+    fails_at: float = 0.0
+    silent_since: float | None = None  # first sending since the last answer
+    queue: float = 0.0  # its last report
+    queue_at: float = -1e9
+    next_cold: float = 0.0  # a cold server's next turn
+
+
+class Fleet:
+    """Which server: the list, its health as own outcomes show it, cold starts."""
+
+    def __init__(self, settings: Settings, rng: random.Random) -> None:
+        self.settings = settings
+        self.rng = rng
+        self.servers: dict[str, Server] = {}
+        self.means: dict[tuple[str, int], float] = {}
+        self.usual = 0.0  # the median share of failures
+        self.load = 1.0  # time of the last answers, all kinds, against their means, which are slow to learn
+        self.rate, self.rated_at = 0.0, 0.0  # answers of warm servers, a second and server; the last one
+
+    def update(self, news: ServerList, now: float) -> None:
+        """Follows the list. A server that drains or is gone gets nothing new from this moment on."""
+        if news.kind in (ListKind.FULL, ListKind.SAVED):
+            listed = {entry.server for entry in news.entries}
+            for name in [name for name in self.servers if name not in listed]:
+                del self.servers[name]
+        for entry in news.entries:
+            old = self.servers.get(entry.server)
+            if entry.state is not ServerState.ACTIVE:
+                self.servers.pop(entry.server, None)
+            elif old is None or old.entry.started_ms != entry.started_ms:
+                # A new process: what was learned of the old one says nothing of it.
+                new = self.servers[entry.server] = Server(entry, out=old.out if old else 0)
+                # The gateways hear of it at once; first turns in the same moment would push it over.
+                new.next_cold = now + self.rng.random() * self.turn(self.warmth(new, now))
+            else:
+                old.entry = entry
+
+    def warmth(self, server: Server, now: float) -> float:
+        """The least share of its capacity that a server has by now."""
+        rules = self.settings.safety
+        age = max(0.0, now - server.entry.started_ms) / max(1.0, rules.warm_ms)
+        cold = server.entry.started_ms > 0
+        return min(1.0, rules.cold_share + (1.0 - rules.cold_share) * age) if cold else 1.0
+
+    def mean(self, cls: RequestClass, units: float) -> float:
+        """Mean time of such answers, over the fleet."""
+        return self.means.get((cls.name, round(units)), cls.aim_ms * 0.15)
+
+    def pick(self, now: float, opened: Open) -> Server | None:
+        """The server with the least expected delay; None if there is none to send to."""
+        cls = opened.cls
+        home = opened.home if cls.repeat is Repeat.KEYED and cls.scope is not Scope.ALL else None
+        best: Server | None = None
+        least = math.inf
+        mean = self.mean(cls, opened.request.units)
+        for server in self.servers.values():
+            entry = server.entry
+            if home and (entry.zone != home.zone or (cls.scope is Scope.CELL and entry.cell != home.cell)):
+                continue
+            warmth = self.warmth(server, now)
+            if warmth < 1.0 and (now < server.next_cold or server.out >= 2):
+                continue
+            cost = self.delay(server, now, mean) / warmth
+            if entry.server in opened.tried:
+                cost += 10.0
+            if entry.zone != self.settings.zone:
+                cost *= 1.0 + 10.0 * self.settings.cross_zone_price
+            cost *= self.rng.uniform(0.9, 1.1)
+            if cost < least:
+                best, least = server, cost
+        return best
+
+    def delay(self, server: Server, now: float, mean: float) -> float:
+        """Expected delay at a server in mean service times; failures count as a long delay."""
+        queue = server.queue * math.exp((server.queue_at - now) / 1000.0)
+        wait = server.pace * (1.0 + server.out + 0.5 * queue)
+        if server.silent_since is not None:
+            # An answer overdue says hung, slow, or cut off, before any time-out does.
+            wait = max(wait, (now - server.silent_since) / mean)
+        return wait + 20.0 * max(0.0, server.fails * math.exp((server.fails_at - now) / 5000.0) - self.usual)
+
+    def sent(self, now: float, server: Server) -> None:
+        """Books an attempt."""
+        server.out += 1
+        if server.silent_since is None:
+            server.silent_since = now
+        server.next_cold = now + self.turn(self.warmth(server, now))
+
+    def turn(self, warmth: float) -> float:
+        """Time between a cold server's turns here: all gateways together send it no more than its share of
+        what warm ones do, and those that know no rate one request in COLD_S."""
+        return 1000.0 / max(self.rate * warmth, 1.0 / COLD_S / self.settings.gateways)
+
+    def ended(self, now: float, event: AttemptEnded, cls: RequestClass, units: float) -> None:
+        """Learns from an outcome."""
+        if (server := self.servers.get(event.server)) is None:
+            return
+        server.out = max(0, server.out - 1)
+        if event.queue is not None:
+            server.queue, server.queue_at = event.queue, now
+        if event.ending in (Ending.UNSENT, Ending.CANCELLED):
+            return
+        if event.ending is not Ending.TIMEOUT or not server.out:
+            server.silent_since = now if server.out else None
+        faded = server.fails * math.exp((server.fails_at - now) / 5000.0)
+        if event.ending in (Ending.OK, Ending.TIMEOUT):
+            # A time-out tells the least that the answer would have taken. Leaving it out would make a busy
+            # server look quick by the answers that got through, and shorten the time-outs as load grows.
+            key = (cls.name, round(units))
+            mean = self.mean(cls, units)
+            self.means[key] = mean + 0.03 * (event.took_ms - mean)
+            self.load += 0.12 * (event.took_ms / mean - self.load)
+            server.pace += 0.12 * (event.took_ms / mean - server.pace)
+        if event.ending is Ending.OK:
+            server.fails = faded * 0.7
+            if self.warmth(server, now) >= 1.0:
+                # What warm servers answer tells what one can bear, overdriven or not; with all cold, the last
+                # word stands: counting cold ones would raise the rate by itself and push all of them over.
+                fade = math.exp((self.rated_at - now) / 1000.0 / RATE_S)
+                self.rate, self.rated_at = self.rate * fade + 1.0 / RATE_S / len(self.servers), now
+        else:
+            weight = 0.5 if event.ending in (Ending.TIMEOUT, Ending.UNREACHABLE) else 0.3
+            server.fails = faded + weight * (1.0 - faded)
+        server.fails_at = now
+
+    def judge(self, now: float) -> list[str]:
+        """Names the servers that fail far more than most. What fails everywhere (a poisoned class, a full
+        fleet) says nothing of one server; held against all, it would drown their queues in the choice."""
+        faded = {k: s.fails * math.exp((s.fails_at - now) / 5000.0) for k, s in self.servers.items()}
+        self.usual = sorted(faded.values())[len(faded) // 2] if faded else 0.0
+        return [name for name, fails in faded.items() if fails - self.usual > 0.5]
+
+
+class Pressure:
+    """V: what the back end can take, and who gives way when it binds."""
+
+    def __init__(self) -> None:
+        self.backlog = 0.0  # own work out, in ms of mean service
+        self.done = self.peak = 0.0  # own work answered, ms a second, and the most of it lately
+        self.done_at, self.born = 0.0, math.inf
+        self.capacity = math.inf  # units a second
+        self.at: float | None = None
+        self.times: list[float] = []  # the window's answers, time against aim
+        self.demand: dict[float, float] = {}  # units in this window, by what a unit earns
+        self.last: dict[float, float] = {}
+        self.credit: dict[float, float] = {}
+
+    def window(self, now: float, ages: list[float]) -> None:
+        """At a window's end: V shrinks while answers come late, else grows by a fifth. The median tells, so
+        that a few sick servers don't count; requests out count by age, or a hung fleet would look idle."""
+        if self.at is None:
+            self.at = now
+        span = (now - self.at) / 1000.0
+        if span < WINDOW_S or (len(self.times) < ANSWERS and span < MOST_SPAN_S):
+            return
+        seen = sorted(self.times + ages)
+        lateness = seen[len(seen) // 2] if seen else 0.0
+        if lateness > TOLERATED:
+            self.capacity = min(self.capacity, sum(self.demand.values()) / span)
+        # A smooth answer: what many gateways hear differs by chance, their sum should not. Three tenths off
+        # at most, as one bad window says little of what the back end can do in the next.
+        self.capacity *= min(1.2, max(0.7, 1.0 + TOLERATED - lateness))
+        weight = min(1.0, len(self.times) / (2.0 * ANSWERS))
+        for value in dict.fromkeys([*self.last, *self.demand]):
+            new = self.demand.pop(value, 0.0) / span
+            self.last[value] = self.last.get(value, new) * (1.0 - weight) + new * weight
+        if self.capacity > 3.0 * sum(self.last.values()):
+            self.capacity = math.inf
+        self.times, self.at = [], now
+
+    def answered(self, now: float, work: float) -> None:
+        """Books work that an answer brought back."""
+        dt = (now - self.done_at) / 1000.0
+        self.done = self.done * math.exp(-dt / 2.0) + work / 2.0
+        self.born = min(self.born, now)
+        grown = 1.0 - math.exp(-(now - self.born + 200.0) / 2000.0)  # a mean that began at nothing
+        self.peak = max(self.done / grown, self.peak * math.exp(-dt / 8.0))
+        self.done_at = now
+
+    def admit(self, value: float, units: float, aim: float, many: bool) -> bool:
+        """Greedy fill: the dearest units first, the share of the marginal kind by its credit."""
+        self.demand[value] = self.demand.get(value, 0.0) + units
+        dearer = sum(n for v, n in self.last.items() if v > value)
+        if self.peak > 0 and many:
+            # A surge fills the servers' queues long before late answers show it. What is out, at the pace at
+            # which answers come, tells how late a new one would be; the cheap give way first.
+            rank = dearer / max(sum(self.last.values()), 1e-9)
+            if self.backlog / self.peak * 1000.0 > aim * (0.5 - 0.2 * rank):
+                return False
+        if self.capacity == math.inf:
+            return True
+        share = min(1.0, max(0.0, (self.capacity - dearer) / max(self.last.get(value, 0.0), 1e-9)))
+        credit = min(2.0 * units, self.credit.get(value, units) + share * units)
+        admitted = credit >= units
+        self.credit[value] = credit - units if admitted else credit
+        return admitted
+
+
+@dataclass(slots=True)
+class Open:
+    """A request that awaits its final answer."""
+
+    request: Request
+    cls: RequestClass
+    customer: Customer | None
+    came: float
+    deadline: float
+    attempts: int = 0
+    out: int = 0
+    counted: bool = False  # its call has told the counter of it
+    tried: list[str] = field(default_factory=list)
+    may_run_at: float | None = None  # when the first attempt was sent that may have run
+    home: ServerEntry | None = None  # where that one went
+
+
+@dataclass(slots=True)
+class Attempt:
+    """An attempt under way; it may outlive its request."""
+
+    opened: Open
+    server: ServerEntry
+    sent: float
+    work: float  # mean time of such a request by then
+
+
+class Gateway:
+    """Follows each request to its one final answer."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.rng = random.Random(seed)
+        self.classes = {cls.name: cls for cls in settings.classes}
+        self.quota = Quota(settings, self.rng)
+        self.fleet = Fleet(settings, self.rng)
+        self.pressure = Pressure()
+        self.requests: dict[str, Open] = {}
+        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.held: list[str] = []
+        self.retries = 5.0  # further attempts that may be made; each request adds a fifth
+        self.told: dict[str, tuple[bool, float]] = {}  # states told to the operators, and when
+        self.actions: list[Action] = []
+
+    def handle(self, now_ms: float, event: Event) -> list[Action]:
+        """Takes one event, returns what to do."""
+        self.actions = []
+        if self.quota.started == math.inf:
+            self.quota.started = now_ms
+            self.actions.append(SetTimer(0, now_ms + TICK_MS * self.rng.uniform(0.5, 1.5)))
+        match event:
+            case Request():
+                self.accept(now_ms, event)
+            case AttemptEnded():
+                self.ended(now_ms, event)
+            case ServerList():
+                self.fleet.update(event, now_ms)
+                if event.kind in (ListKind.SAVED, ListKind.FAILED) and self.settings.subscribe:
+                    self.actions.append(Subscribe())
+                self.resume(now_ms)
+            case TimerFired():
+                self.tick(now_ms)
+            case CountReply():
+                if waiting := self.requests.get(self.quota.counted(now_ms, event) or ""):
+                    self.decide(now_ms, waiting, event.ending is Ending.OK)
+            case RequestGone(request_id) | AnswerBegan(request_id):
+                self.requests.pop(request_id, None)
+        return self.actions
+
+    def tick(self, now: float) -> None:
+        """Judges pressure, ages out customers, looks at held requests."""
+        self.actions.append(SetTimer(0, now + TICK_MS))
+        self.pressure.window(now, [(now - a.sent) / a.opened.cls.aim_ms for a in self.attempts.values()])
+        self.tell(now, "counter mute", self.settings.counter and self.quota.mute)
+        self.tell(now, "calls to the counter slowed", self.quota.share < 0.5)
+        self.tell(now, "V binds", self.pressure.capacity < math.inf)
+        self.tell(now, "no server to send to", not self.fleet.servers)
+        self.tell(now, "requests fail on most servers", self.fleet.usual > 0.2)
+        self.tell(now, "servers avoided", ", ".join(self.fleet.judge(now)))
+        self.quota.forget_idle(now)
+        for customer in list(self.quota.due.values()):
+            self.actions += self.quota.calls(now, customer)
+        self.resume(now)
+
+    def tell(self, now: float, what: str, state: bool | str) -> None:
+        """Logs a state's start and end, each state once in five seconds at most."""
+        was, at = self.told.get(what, (False, -math.inf))
+        if bool(state) != was and now - at >= 5000.0:
+            self.told[what] = (bool(state), now)
+            detail = f" ({state})" if state and isinstance(state, str) else ""
+            self.actions.append(Log(f"{what}: {'begins' if state else 'ends'}{detail}"))
+
+    def accept(self, now: float, request: Request) -> None:
+        """A new request: quota first, then V, then a server."""
+        left = request.time_left_ms
+        cls = self.classes.get(request.class_name) or RequestClass("", left, 1.0, Repeat.UNSAFE)
+        if left <= 0 or len(self.requests) >= self.settings.max_requests - 1:
+            self.actions.append(Refuse(request.request_id, self.settings.max_retry_after_ms))
+            return
+        self.retries = min(10.0, self.retries + 0.2)
+        customer = self.quota.customer(now, request)
+        opened = Open(request, cls, customer, now, now + left)
+        self.requests[request.request_id] = opened
+        hasty = left < 2.0 * self.settings.counter_timeout_ms + TICK_MS  # no time to ask
+        if customer is not None and not hasty and self.quota.unsure(now, customer, request.units):
+            opened.counted = True
+            if (call := self.quota.ask(now, customer, request)) is not None:
+                self.actions.append(call)
+                return
+        self.decide(now, opened, False)
+
+    def decide(self, now: float, opened: Open, asked: bool) -> None:
+        """Lets a request go on or refuses it."""
+        request, cls, customer = opened.request, opened.cls, opened.customer
+        if customer is not None:
+            value = cls.worth * customer.plan.price
+            wait = self.quota.admit(now, customer, request.units, asked, opened.counted and not asked)
+            many = len(self.attempts) > max(FEW, 2.0 * len(self.fleet.servers) / self.settings.gateways)
+            if wait is None and not self.pressure.admit(value, request.units, cls.aim_ms, many):
+                wait = self.settings.max_retry_after_ms
+            if wait is not None:
+                del self.requests[request.request_id]
+                wait = max(1.0, min(wait, self.settings.max_retry_after_ms))
+                self.actions.append(Refuse(request.request_id, wait))
+                return
+            # Booked now and not at the sending, so that held requests don't pass a ceiling together.
+            self.quota.take(customer, request.units, opened.counted, asked)
+            self.actions += self.quota.calls(now, customer)
+        self.send(now, opened)
+
+    def send(self, now: float, opened: Open) -> None:
+        """Starts an attempt; holds or refuses the request where there is no server for it."""
+        request, cls = opened.request, opened.cls
+        server = self.fleet.pick(now, opened)
+        if server is None:
+            if now - opened.came < 0.3 * cls.aim_ms and now < opened.deadline - 2 * TICK_MS:
+                self.held.append(request.request_id)  # a server may come up, or a cold one's turn
+            else:
+                self.finish(opened)
+            return
+        if opened.customer is not None:
+            opened.customer.open += 1
+        mean = self.fleet.mean(cls, request.units)
+        patience = max(0.5 * cls.aim_ms, 5.0 * mean * max(1.0, self.fleet.load))
+        late = patience > 0.75 * cls.aim_ms or opened.deadline - now - patience < mean
+        if late or cls.repeat is Repeat.UNSAFE or opened.attempts >= min(2, self.settings.max_attempts - 1):
+            patience = 0.0  # a second try would come too late: a busy fleet is left to finish its work
+        self.actions.append(Send(request.request_id, server.entry.server, patience))
+        self.attempts[request.request_id, opened.attempts] = Attempt(opened, server.entry, now, mean)
+        opened.attempts += 1
+        opened.out += 1
+        opened.tried.append(server.entry.server)
+        self.fleet.sent(now, server)
+        self.pressure.backlog += mean
+
+    def resume(self, now: float) -> None:
+        """Tries held requests again."""
+        held, self.held = self.held, []
+        for request_id in held:
+            opened = self.requests.get(request_id)
+            if opened is None or opened.out:
+                continue
+            if opened.may_run_at is None or self.may_repeat(now, opened, None):
+                self.send(now, opened)
+            else:
+                self.finish(opened)  # what may have run is not sent once the servers may have forgotten it
+
+    def ended(self, now: float, event: AttemptEnded) -> None:
+        """An attempt's outcome: learn from it, then try again where that is allowed, else answer."""
+        if (attempt := self.attempts.pop((event.request_id, event.attempt), None)) is None:
+            return
+        opened = attempt.opened
+        self.fleet.ended(now, event, opened.cls, opened.request.units)
+        if opened.customer is not None:
+            opened.customer.open -= 1
+            self.quota.hold_s += 0.02 * (event.took_ms / 1000.0 - self.quota.hold_s)
+        self.pressure.backlog = max(0.0, self.pressure.backlog - attempt.work)
+        if event.ending is Ending.OK:
+            self.pressure.answered(now, attempt.work)
+        if event.ending in (Ending.OK, Ending.TIMEOUT):
+            self.pressure.times.append(event.took_ms / opened.cls.aim_ms)
+        if event.request_id not in self.requests:
+            return
+        if event.final:
+            del self.requests[event.request_id]
+            return
+        opened.out -= 1
+        if event.ending not in DID_NOT_RUN and opened.may_run_at is None:
+            opened.may_run_at = attempt.sent
+            opened.home = attempt.server
+        if opened.out > 0:
+            return
+        if self.may_repeat(now, opened, event) and self.retries >= 1.0:
+            self.retries -= 1.0
+            self.send(now, opened)
+        else:
+            self.finish(opened)
+
+    def may_repeat(self, now: float, opened: Open, event: AttemptEnded | None) -> bool:
+        """Whether another attempt is allowed and of use."""
+        cls = opened.cls
+        useful = opened.deadline if cls.late_worth > 0 else min(opened.deadline, opened.came + cls.aim_ms)
+        if opened.attempts >= self.settings.max_attempts or (event and event.ending is Ending.UNSENT):
+            return False
+        if now + 0.5 * self.fleet.mean(cls, opened.request.units) > useful:
+            return False
+        if opened.may_run_at is None or cls.repeat is Repeat.SAFE:
+            return True
+        return cls.repeat is Repeat.KEYED and now < opened.may_run_at + cls.memory_ms - 5.0
+
+    def finish(self, opened: Open) -> None:
+        """The final answer of a request that was not served: refused only if that promises nothing false."""
+        name, clear = opened.request.request_id, opened.may_run_at is None
+        del self.requests[name]
+        self.actions.append(Refuse(name, self.settings.max_retry_after_ms) if clear else Fail(name))
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions, from scripted events."""
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,164 @@
+"""A scripted gateway: feeds events, keeps what comes back. It models no server, network or clock."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import replace
+from typing import TypeVar
+
+from heathglade.interface import (
+    Action,
+    AttemptEnded,
+    Count,
+    CountReply,
+    Ending,
+    Event,
+    Fail,
+    ListKind,
+    Plan,
+    Refuse,
+    Repeat,
+    Request,
+    RequestClass,
+    Safety,
+    Scope,
+    Send,
+    ServerEntry,
+    ServerList,
+    SetTimer,
+    Settings,
+    TimerFired,
+)
+from heathglade.policy import Gateway
+
+A = TypeVar("A")
+
+SETTINGS = Settings(
+    zone="a",
+    gateways=2,
+    classes=(
+        RequestClass("read", 1000.0, 1.0, Repeat.SAFE),
+        RequestClass("order", 1000.0, 2.0, Repeat.KEYED, Scope.ALL, 2000.0),
+        RequestClass("bid", 1000.0, 2.0, Repeat.KEYED, Scope.ZONE, 2000.0),
+        RequestClass("charge", 1000.0, 2.0, Repeat.UNSAFE),
+    ),
+    plans=(
+        Plan("rate", rate=2.0, burst=6.0, beyond_cost=0.5),
+        Plan("hard", rate=2.0, burst=6.0, ceiling_rate=4.0, ceiling_burst=12.0, ceiling_slack=2.0),
+        Plan("open", max_open=2),
+        Plan("wide", rate=1000.0, burst=4000.0),
+    ),
+    safety=Safety(cold_share=0.25, warm_ms=10_000.0, overload_factor=2.0, overload_ms=1000.0),
+    max_attempts=4,
+    max_retry_after_ms=500.0,
+    counter=True,
+)
+
+
+def entries(count: int, zones: str = "a", started: float = 0.0) -> tuple[ServerEntry, ...]:
+    """Servers s0, s1, ... spread over the zones."""
+    return tuple(ServerEntry(f"s{i}", zones[i % len(zones)], started_ms=started) for i in range(count))
+
+
+class Rig:
+    """One gateway under script."""
+
+    def __init__(
+        self, servers: Sequence[ServerEntry] = (), settings: Settings = SETTINGS, seed: int = 1
+    ) -> None:
+        self.gateway = Gateway(settings, seed)
+        self.now = 1000.0
+        self.log: list[tuple[float, Action]] = []
+        self.serial = 0
+        self.timers: list[tuple[float, int]] = []
+        self.sent: dict[str, list[str]] = {}
+        self.ending: Ending = Ending.OK  # how calls to the counter end
+        self.others = 0.0  # units that the other gateways add between two calls
+        self._answered = 0
+        self._totals: dict[int, float] = {}
+        if servers:
+            self.feed(ServerList(ListKind.SAVED, tuple(servers)))
+
+    def feed(self, event: Event) -> list[Action]:
+        """Hands over one event."""
+        actions = self.gateway.handle(self.now, event)
+        for action in actions:
+            self.log.append((self.now, action))
+            if isinstance(action, SetTimer):
+                self.timers.append((action.at_ms, action.token))
+            if isinstance(action, Send):
+                self.sent.setdefault(action.request_id, []).append(action.server)
+        return actions
+
+    def advance(self, ms: float) -> list[Action]:
+        """Lets time pass; due timers fire in order."""
+        end, out = self.now + ms, []
+        while self.timers and min(self.timers)[0] <= end:
+            at, token = min(self.timers)
+            self.timers.remove((at, token))
+            self.now = max(self.now, at)
+            out += self.feed(TimerFired(token))
+        self.now = end
+        return out
+
+    def ask(
+        self,
+        cls: str = "read",
+        plan: str = "wide",
+        customer: str = "c",
+        units: float = 1.0,
+        left: float = 3000.0,
+        spread: int = 2,
+        name: str = "",
+    ) -> tuple[str, list[Action]]:
+        """A client's request; where it waits for the counter, that answers at once."""
+        self.serial += 1
+        name = name or f"r{self.serial}"
+        actions = self.feed(Request(name, cls, plan, customer, left, units, spread))
+        if only(actions, Count) and not only(actions, Send) and not finals(actions):
+            actions = actions + self.answer_calls()
+        return name, actions
+
+    def end(
+        self, name: str, attempt: int, ending: Ending, took: float = 20.0, final: bool | None = None
+    ) -> list[Action]:
+        """An attempt's outcome."""
+        server = self.sent[name][attempt]
+        done = ending is Ending.OK if final is None else final
+        return self.feed(AttemptEnded(name, attempt, server, ending, took, done))
+
+    def answer_calls(self) -> list[Action]:
+        """Answers every call to the counter that was not answered yet; returns what that brought about."""
+        calls = [action for _, action in self.log if isinstance(action, Count)]
+        fresh, self._answered = calls[self._answered :], len(calls)
+        actions: list[Action] = []
+        for call in fresh:
+            if self.ending is Ending.OK:
+                self._totals[call.name] = self._totals.get(call.name, 0.0) + call.amount + self.others
+            actions += self.feed(CountReply(call.name, self._totals.get(call.name, 0.0), self.ending))
+        return actions
+
+    def warm_up(self, seconds: float = 4.0) -> None:
+        """Ordinary traffic, each request served at once, so that means and rates are learned."""
+        for _ in range(int(seconds * 20)):
+            name, actions = self.ask(customer="warm-up")
+            self.now += 20.0
+            if only(actions, Send):
+                self.end(name, 0, Ending.OK)
+            self.advance(30.0)
+            self.answer_calls()
+
+
+def only(actions: Sequence[Action], kind: type[A]) -> list[A]:
+    """The actions of one kind."""
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def finals(actions: Sequence[Action]) -> list[Refuse | Fail]:
+    """The final answers."""
+    return [action for action in actions if isinstance(action, Refuse | Fail)]
+
+
+def with_(settings: Settings, **changes: object) -> Settings:
+    """Settings with other values."""
+    return replace(settings, **changes)  # type: ignore[arg-type]
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,364 @@
+"""Failures met so far, each by the events that showed it."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from heathglade.interface import (
+    AttemptEnded,
+    Count,
+    Ending,
+    ListKind,
+    Log,
+    Refuse,
+    Send,
+    ServerEntry,
+    ServerList,
+)
+
+from .rig import SETTINGS, Rig, entries, finals, only, with_
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def sends(rig: Rig, count: int, gap_ms: float, plan: str = "rate", units: float = 1.0) -> int:
+    """One customer asks; how many requests went on, each served at once."""
+    done = 0
+    for _ in range(count):
+        name, actions = rig.ask(plan=plan, units=units)
+        if only(actions, Send):
+            done += 1
+            rig.end(name, 0, Ending.OK, 1.0)
+        rig.answer_calls()
+        rig.advance(gap_ms)
+    return done
+
+
+# --- quotas --------------------------------------------------------------------------------------------
+
+
+def test_burst_then_rate() -> None:
+    rig = Rig(entries(4))
+    assert 5 <= sends(rig, 100, 1.0) <= 7
+    rig.advance(500.0)
+    assert 15 <= sends(rig, 400, 25.0) <= 26
+
+
+def test_use_of_the_other_gateways_takes_from_the_store() -> None:
+    alone, shared = Rig(entries(4)), Rig(entries(4))
+    for rig, others in ((alone, 0.0), (shared, 1.0)):
+        rig.others = others
+        for _ in range(200):
+            name, actions = rig.ask(plan="rate")
+            if only(actions, Send):
+                rig.end(name, 0, Ending.OK, 1.0)
+            rig.answer_calls()
+            rig.advance(100.0)
+    went = [len({r for r in rig.sent}) for rig in (alone, shared)]
+    assert went[1] < 0.8 * went[0]
+
+
+def test_trickle_gets_its_turn() -> None:
+    rig = Rig(entries(4))
+    assert sends(rig, 20, 1500.0) == 20
+
+
+def test_mute_counter_keeps_to_this_gateways_part() -> None:
+    rig = Rig(entries(4), with_(SETTINGS, counter=True))
+    rig.ending, done = Ending.UNREACHABLE, 0
+    for _ in range(600):
+        name, actions = rig.ask(plan="rate")
+        if only(actions, Send):
+            done += 1
+            rig.end(name, 0, Ending.OK, 1.0)
+        rig.answer_calls()
+        rig.advance(25.0)
+    assert 10 <= done <= 6 / 2 + 2.0 / 2 * 15 + 5
+
+
+def test_mute_counter_is_called_rarely_and_recovers() -> None:
+    rig = Rig(entries(4))
+    rig.ending = Ending.TIMEOUT
+    for _ in range(100):
+        rig.ask(plan="rate")
+        rig.answer_calls()
+        rig.advance(25.0)
+    assert rig.gateway.quota.mute
+    before = len(rig.log)
+    for _ in range(100):
+        rig.ask(plan="rate")
+        rig.answer_calls()
+        rig.advance(25.0)
+    assert len([a for _, a in rig.log[before:] if isinstance(a, Count)]) <= 6
+    rig.ending = Ending.OK
+    rig.advance(600.0)
+    rig.ask(plan="rate")
+    rig.answer_calls()
+    assert not rig.gateway.quota.mute
+
+
+def test_flush_is_no_fall_in_demand() -> None:
+    rig = Rig(entries(4))
+    rig.others = 0.5
+    for _ in range(70):
+        name, actions = rig.ask(plan="rate")
+        if only(actions, Send):
+            rig.end(name, 0, Ending.OK, 1.0)
+        rig.answer_calls()
+        rig.advance(50.0)
+    customer = rig.gateway.quota.customers["c"]
+    before, window = customer.others, customer.window
+    rig._totals.clear()
+    rig.others = -1.0
+    heard = rig._answered
+    while rig._answered == heard:
+        rig.ask(plan="rate")
+        rig.advance(20.0)
+        rig.answer_calls()
+    assert customer.window == window and before > 0 and customer.others >= 0.5 * before
+
+
+def test_refusing_gateway_hears_that_the_others_stopped() -> None:
+    # A gateway with nothing new to report asked for no total and drained the store by an old rate.
+    rig = Rig(entries(4))
+    rig.others = 3.0
+    for _ in range(40):
+        name, actions = rig.ask(plan="rate")
+        if only(actions, Send):
+            rig.end(name, 0, Ending.OK, 1.0)
+        rig.answer_calls()
+        rig.advance(100.0)
+    rig.others = 0.0
+    assert sends(rig, 60, 100.0) >= 6
+
+
+def test_calls_ease_off_while_they_are_turned_away() -> None:
+    def calls(ending: Ending) -> int:
+        rig = Rig(entries(4))
+        for i in range(400):
+            rig.ending = ending if i % 3 else Ending.OK
+            rig.ask(plan="rate", customer=f"c{i % 20}")
+            rig.answer_calls()
+            rig.advance(20.0)
+        return len([a for _, a in rig.log if isinstance(a, Count)])
+
+    assert calls(Ending.FULL) < 0.5 * calls(Ending.OK)
+
+
+def test_open_cap_counts_attempts_out() -> None:
+    rig = Rig(entries(4))
+    went = [bool(only(rig.ask(plan="open")[1], Send)) for _ in range(6)]
+    assert went == [True, True, False, False, False, False]
+    rig.end("r1", 0, Ending.OK)
+    assert only(rig.ask(plan="open")[1], Send)
+
+
+def test_refused_with_advice_within_what_clients_heed() -> None:
+    rig = Rig(entries(4))
+    refusals = [a for _ in range(30) for a in only(rig.ask(plan="rate")[1], Refuse)]
+    assert refusals and all(1.0 <= a.retry_after_ms <= SETTINGS.max_retry_after_ms for a in refusals)
+
+
+def test_forgotten_customer_meets_no_empty_guard() -> None:
+    rig = Rig(entries(4))
+    rig.advance(30_000.0)
+    assert only(rig.ask(plan="hard", customer="new", units=2.0)[1], Send)
+
+
+# --- capacity ------------------------------------------------------------------------------------------
+
+
+def overload(rig: Rig, seconds: float, took: float) -> int:
+    """More comes than is answered; returns how many were out at once at most."""
+    out: list[str] = []
+    most = 0
+    for step in range(int(seconds * 100)):
+        name, actions = rig.ask(customer=f"c{step % 7}", left=4000.0)
+        if only(actions, Send):
+            out.append(name)
+        most = max(most, len(out))
+        rig.now += 10.0
+        if out and step % 4 == 0:
+            rig.end(out.pop(0), 0, Ending.OK, took)
+        rig.advance(0.0)
+        rig.answer_calls()
+    return most
+
+
+def test_backlog_is_bounded_before_answers_are_late() -> None:
+    rig = Rig(entries(4))
+    rig.warm_up()
+    assert overload(rig, 3.0, 100.0) <= 40
+
+
+def test_first_requests_of_a_gateway_are_not_taken_for_a_backlog() -> None:
+    rig = Rig(entries(10))
+    served = sends(rig, 10, 20.0, plan="wide")
+    assert served == 10
+
+
+def test_capacity_comes_back_after_a_bad_second() -> None:
+    rig = Rig(entries(4))
+    rig.warm_up()
+    for _ in range(40):
+        name, actions = rig.ask(customer="w")
+        if only(actions, Send):
+            rig.end(name, 0, Ending.OK, 2500.0)
+        rig.advance(50.0)
+    rig.advance(8000.0)
+    assert sends(rig, 100, 50.0, plan="wide") >= 90
+
+
+def test_time_outs_lengthen_the_next_ones() -> None:
+    rig = Rig(entries(4))
+    rig.warm_up()
+    first = only(rig.ask()[1], Send)[0].timeout_ms
+    for _ in range(60):
+        name, actions = rig.ask()
+        while only(actions, Send) and not finals(actions):
+            rig.now += 20.0
+            actions = rig.end(name, len(rig.sent[name]) - 1, Ending.TIMEOUT, 500.0)
+        rig.advance(20.0)
+    rig.advance(9000.0)
+    sent = [a for _ in range(3) for a in only(rig.ask()[1], Send)]
+    assert first > 0 and sent and all(a.timeout_ms == 0 or a.timeout_ms > first for a in sent)
+
+
+# --- servers -------------------------------------------------------------------------------------------
+
+
+def share_of(rig: Rig, server: str, count: int, other: Ending, took: float, classes: str = "read") -> float:
+    """Share of first attempts that a server gets while it ends them in another way than the rest."""
+    hits = total = 0
+    for _ in range(count):
+        name, actions = rig.ask(classes)
+        if only(actions, Send):
+            total += 1
+            at = rig.sent[name][0]
+            hits += at == server
+            rig.end(name, 0, other if at == server else Ending.OK, took if at == server else 20.0)
+        rig.advance(20.0)
+    return hits / total
+
+
+@pytest.mark.parametrize(
+    ("ending", "took"), [(Ending.ERROR, 1.0), (Ending.FULL, 1.0), (Ending.UNREACHABLE, 250.0)]
+)
+def test_quickly_failing_server_does_not_attract_requests(ending: Ending, took: float) -> None:
+    rig = Rig(entries(5))
+    rig.warm_up()
+    assert share_of(rig, "s0", 200, ending, took) < 0.1
+
+
+def test_slow_server_gets_less() -> None:
+    rig = Rig(entries(5))
+    rig.warm_up()
+    assert share_of(rig, "s0", 300, Ending.OK, 200.0) < 0.12
+
+
+def test_silent_server_gets_nothing_more_before_any_time_out() -> None:
+    rig = Rig(entries(5))
+    rig.warm_up()
+    hung = 0
+    for _ in range(200):
+        name, actions = rig.ask("charge")
+        if rig.sent[name][0] == "s0":
+            hung += 1
+        elif only(actions, Send):
+            rig.end(name, 0, Ending.OK)
+        rig.advance(5.0)
+    assert hung <= 6
+
+
+def test_failures_everywhere_do_not_hide_the_queues() -> None:
+    # A class that fails on every server must leave the choice to the queues.
+    rig = Rig(entries(4))
+    rig.warm_up()
+    for i in range(80):
+        name, _ = rig.ask("charge")
+        rig.end(name, 0, Ending.ERROR if i % 2 else Ending.OK, 20.0)
+        rig.advance(20.0)
+    rig.advance(300.0)
+    for server in rig.gateway.fleet.servers.values():
+        server.queue, server.queue_at = (0.0 if server.entry.server == "s1" else 30.0), rig.now
+    names = [rig.ask("charge")[0] for _ in range(3)]
+    assert [rig.sent[name][0] for name in names].count("s1") >= 2
+
+
+def test_restarted_server_starts_with_a_clean_slate() -> None:
+    rig = Rig(entries(3))
+    rig.warm_up()
+    share_of(rig, "s0", 100, Ending.ERROR, 1.0)
+    rig.feed(ServerList(ListKind.CHANGES, (ServerEntry("s0", "a", started_ms=rig.now),)))
+    assert rig.gateway.fleet.servers["s0"].fails == 0.0
+
+
+def test_load_report_is_heeded() -> None:
+    rig = Rig(entries(2))
+    rig.warm_up()
+    name, _ = rig.ask()
+    at = rig.sent[name][0]
+    rig.feed(AttemptEnded(name, 0, at, Ending.OK, 20.0, True, queue=40.0))
+    names = [rig.ask()[0] for _ in range(3)]
+    assert all(rig.sent[n][0] != at for n in names)
+
+
+def test_retries_are_kept_to_a_budget() -> None:
+    rig = Rig(entries(6))
+    attempts = 0
+    for _ in range(100):
+        name, actions = rig.ask("read")
+        while only(actions, Send) and not finals(actions):
+            actions = rig.end(name, len(rig.sent[name]) - 1, Ending.FULL, 1.0)
+        attempts += len(rig.sent.get(name, []))
+        rig.advance(10.0)
+    assert attempts <= 100 * 1.3 + 10
+
+
+def test_states_are_logged_once_when_they_begin_and_end() -> None:
+    rig = Rig(entries(1))
+    rig.feed(ServerList(ListKind.FULL))
+    rig.advance(20_000.0)
+    rig.feed(ServerList(ListKind.FULL, entries(1)))
+    rig.advance(20_000.0)
+    lines = [a.message for _, a in rig.log if isinstance(a, Log)]
+    assert lines == ["no server to send to: begins", "no server to send to: ends"]
+
+
+# --- the module as a whole -----------------------------------------------------------------------------
+
+SCRIPT = """
+from tests.rig import Rig, entries
+from heathglade.interface import Ending
+rig = Rig(entries(7, "abc"), seed=5)
+rig.warm_up(2.0)
+for i in range(200):
+    cls, plan = ("read", "order", "bid", "charge")[i % 4], ("rate", "hard", "open")[i % 3]
+    name, _ = rig.ask(cls, plan, f"c{i % 9}")
+    if name in rig.sent:
+        rig.end(name, 0, (Ending.OK, Ending.FULL, Ending.TIMEOUT, Ending.ERROR)[i % 4])
+    rig.answer_calls()
+    rig.advance(15.0)
+print(rig.log)
+"""
+
+
+def test_same_events_and_seed_give_the_same_actions_in_any_process() -> None:
+    logs = [
+        subprocess.run(
+            [sys.executable, "-c", SCRIPT], cwd=ROOT, env={"PYTHONHASHSEED": seed, "PYTHONPATH": str(ROOT)},
+            capture_output=True, text=True, check=True,
+        ).stdout
+        for seed in ("0", "1", "12345")
+    ]  # fmt: skip
+    assert len(logs[0]) > 1000 and logs[0] == logs[1] == logs[2]
+
+
+def test_policy_keeps_its_limits() -> None:
+    lines = (ROOT / "heathglade" / "policy.py").read_text().splitlines()
+    assert sum(1 for line in lines if line.strip()) <= 650
+    assert max(len(line) for line in lines) <= 110
--- /dev/null
+++ b/tests/test_hundreds.py
@@ -0,0 +1,229 @@
+"""Many gateways before one fleet: each sees a customer seldom, and what each may do alone adds up."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from heathglade.interface import Count, CountReply, Ending, ListKind, Refuse, Send, ServerEntry, ServerList
+
+from .rig import SETTINGS, Rig, entries, finals, only, with_
+
+MANY = with_(SETTINGS, gateways=300)
+
+
+def test_one_of_hundreds_asks_and_lets_in_what_the_store_holds() -> None:
+    # A store over its spread never holds a request; all were refused.
+    rig = Rig(entries(4), MANY)
+    for i in range(20):
+        name, actions = rig.ask(plan="rate", customer=f"c{i}", spread=200)
+        assert only(actions, Count)
+        assert only(actions, Send)
+        rig.end(name, 0, Ending.OK)
+
+
+def test_a_word_of_the_moment_refuses_what_the_others_have_used() -> None:
+    rig = Rig(entries(4), MANY)
+    rig.others = 7.0
+    _, actions = rig.ask(plan="rate", spread=200)
+    assert only(actions, Refuse) and not only(actions, Send)
+
+
+def test_a_request_waits_for_its_own_word_and_is_answered_once() -> None:
+    rig = Rig(entries(4), MANY)
+    rig.ending = Ending.TIMEOUT
+    name, actions = rig.ask(plan="rate", spread=200)
+    assert [a.request_id for a in only(actions, Send)] == [name]
+    call = only(actions, Count)[0]
+    assert not rig.feed(CountReply(call.name, 3.0, Ending.OK))
+
+
+def test_no_word_is_waited_for_with_little_time_left() -> None:
+    rig = Rig(entries(4), MANY)
+    _, actions = rig.ask(plan="rate", spread=200, left=60.0)
+    assert only(actions, Send) or finals(actions)
+
+
+def test_a_name_holds_one_window() -> None:
+    rig = Rig(entries(4), MANY)
+    rig.ask(plan="rate", spread=200)
+    rig.advance(10_000.0)
+    rig.ask(plan="rate", spread=200)
+    names = [a.name for _, a in rig.log if isinstance(a, Count)]
+    assert len(names) == 2 and len(set(names)) == 2
+
+
+def test_a_refused_request_is_taken_off_the_count() -> None:
+    rig = Rig(entries(4), MANY)
+    rig.others = 7.0
+    rig.ask(plan="rate", spread=200)
+    rig.others = 0.0
+    rig.advance(1050.0)
+    rig.ask(plan="rate", spread=200)
+    amounts = [a.amount for _, a in rig.log if isinstance(a, Count)]
+    assert amounts in ([1.0, 0.0], [1.0, 1.0])  # the second where a new window began
+
+
+def test_asking_falls_while_calls_are_turned_away_and_comes_back() -> None:
+    rig = Rig(entries(4), MANY)
+
+    def asked(count: int, turned_away: bool = False) -> int:
+        before = sum(isinstance(a, Count) for _, a in rig.log)
+        for i in range(count):
+            rig.ending = Ending.FULL if turned_away and i % 2 else Ending.OK
+            name, actions = rig.ask(plan="rate", customer=f"{rig.serial}", spread=200)
+            if only(actions, Send):
+                rig.end(name, 0, Ending.OK)
+            rig.advance(5.0)
+        return sum(isinstance(a, Count) for _, a in rig.log) - before
+
+    most = asked(50)
+    asked(40, turned_away=True)
+    least = asked(50)
+    asked(400)
+    assert most == 50 and least < 0.7 * most and asked(50) > 0.8 * most
+
+
+def test_a_mute_counter_lets_two_requests_in_then_the_part() -> None:
+    rig = Rig(entries(4), MANY)
+    rig.ending = Ending.UNREACHABLE
+    for i in range(6):
+        rig.end(rig.ask(plan="rate", customer=f"x{i}", spread=200)[0], 0, Ending.OK)
+    assert rig.gateway.quota.mute
+    went = 0
+    for _ in range(40):
+        name, actions = rig.ask(plan="rate", spread=200)
+        if only(actions, Send):
+            went += 1
+            rig.end(name, 0, Ending.OK, 1.0)
+        rig.advance(500.0)
+    assert went == 2  # 20 s of a two-hundredth of two a second make no third
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+def test_hundreds_do_not_push_a_cold_server_over_together(restarted: bool) -> None:
+    """Each gateway's first turn was free: as many requests as gateways in one moment."""
+    gateways, total = 60, 0
+    for seed in range(gateways):
+        settings = with_(SETTINGS, gateways=gateways)
+        cold = ServerEntry("cold", "a", started_ms=1000.0)
+        rig = Rig([*entries(2), cold] if restarted else entries(2), settings, seed=seed)
+        if not restarted:
+            rig.feed(ServerList(ListKind.CHANGES, (cold,)))
+        for _ in range(2):  # more than the two warm servers get at ease
+            for server in rig.gateway.fleet.servers.values():
+                server.out += 0 if server.entry.server == "cold" else 8
+        _, actions = rig.ask()
+        total += sum(send.server == "cold" for send in only(actions, Send))
+    # Warm at ten a second, it starts at a quarter and falls at twice that, over a second.
+    assert total <= 5
+
+
+def test_late_answers_bind_capacity_where_few_are_heard() -> None:
+    # The median over servers, most of them not heard of lately, called a late fleet early.
+    rig = Rig(entries(60), MANY)
+    for i in range(16):
+        name, actions = rig.ask(customer=f"c{i}", left=4000.0)
+        rig.advance(500.0)
+        if only(actions, Send):
+            rig.end(name, 0, Ending.OK, 1500.0)
+        rig.answer_calls()
+    assert rig.gateway.pressure.capacity < math.inf
+
+
+def test_a_handful_out_is_no_backlog() -> None:
+    # Two attempts a server over all gateways is less than one here; half of all was refused.
+    rig = Rig(entries(60), MANY)
+    rig.warm_up()
+    went = [bool(only(rig.ask(customer=f"c{i}")[1], Send)) for i in range(4)]
+    assert all(went)
+
+
+def test_a_spread_beyond_the_gateways_is_read_as_all_of_them() -> None:
+    rig = Rig(entries(4), SETTINGS)
+    rig.ask(plan="rate", spread=5000)
+    assert rig.gateway.quota.customers["c"].spread == SETTINGS.gateways
+
+
+@pytest.mark.parametrize("counter", [Ending.OK, Ending.FULL, Ending.UNREACHABLE])
+def test_a_ceiling_holds_over_its_gateways_whatever_the_counter_does(counter: Ending) -> None:
+    """Half of it is held by the count, half by even parts; a flood comes through all gateways at once."""
+    rigs = [Rig(entries(4), MANY, seed=i) for i in range(6)]
+    shared: dict[int, float] = {}
+    sent = 0.0
+    for rig in rigs:
+        rig._totals, rig.ending = shared, counter
+        rig.advance(20_000.0)
+    start = rigs[0].now
+    for _ in range(60):
+        for rig in rigs:
+            name, actions = rig.ask(plan="hard", spread=6)
+            if only(actions, Send):
+                sent += 1.0
+                rig.end(name, 0, Ending.OK, 1.0)
+            rig.answer_calls()
+            rig.advance(50.0)
+    assert 4.0 <= sent <= 12.0 + 4.0 * (rigs[0].now - start) / 1000.0 + 2.0
+
+
+def test_the_count_lets_a_busy_gateway_past_its_even_part_of_a_ceiling() -> None:
+    rig = Rig(entries(4), with_(SETTINGS, gateways=40))
+    rig.advance(20_000.0)
+    sent = 0
+    for _ in range(3):
+        name, actions = rig.ask(plan="hard", spread=12)
+        if only(actions, Send):
+            sent += 1
+            rig.end(name, 0, Ending.OK, 1.0)
+        rig.advance(110.0)
+    assert sent == 3
+
+
+def test_time_outs_lengthen_with_the_load_of_all_kinds() -> None:
+    # Each kind's mean takes half a minute to learn among hundreds; second attempts buried the fleet.
+    rig = Rig(entries(60), MANY)
+    for i in range(12):
+        name, actions = rig.ask(cls="order", customer=f"c{i}", left=4000.0)
+        if only(actions, Send):
+            rig.advance(600.0)
+            rig.end(name, 0, Ending.OK, 600.0)
+    sends = only(rig.ask(cls="read", left=4000.0)[1], Send)
+    assert sends and sends[0].timeout_ms == 0.0
+
+
+def test_unsure_requests_without_a_word_keep_to_the_part() -> None:
+    # Each gateway took a flooding customer's whole quota for its own until a call of its got through.
+    rig = Rig(entries(4), MANY)
+    rig.gateway.quota.share = 0.0001
+    went = 0
+    for _ in range(20):
+        name, actions = rig.ask(plan="rate", spread=200)
+        if only(actions, Send):
+            went += 1
+            rig.end(name, 0, Ending.OK, 1.0)
+        rig.advance(50.0)
+    assert went == 2
+
+
+def test_own_use_does_not_run_a_part_into_debt() -> None:
+    # The busiest gateway of a customer refused it for long once the counter fell silent.
+    rig = Rig(entries(4))
+    for _ in range(60):
+        name, actions = rig.ask(plan="rate")
+        if only(actions, Send):
+            rig.end(name, 0, Ending.OK, 1.0)
+        rig.answer_calls()
+        rig.advance(250.0)
+    assert rig.gateway.quota.customers["c"].part >= 0.0
+
+
+def test_an_overdriven_fleet_does_not_raise_a_cold_servers_turns() -> None:
+    # Turns followed what warm servers were sent, three times what they could do; a cold one fell with them.
+    rig = Rig(entries(4), MANY)
+    for i in range(40):
+        name, actions = rig.ask(customer=f"c{i}")
+        if only(actions, Send):
+            rig.end(name, 0, Ending.FULL, 1.0)
+        rig.advance(10.0)
+    assert rig.gateway.fleet.rate == 0.0
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,316 @@
+"""The five rules, from scripted events."""
+
+from __future__ import annotations
+
+import pytest
+
+from heathglade.interface import (
+    AnswerBegan,
+    AttemptEnded,
+    CountReply,
+    Ending,
+    Fail,
+    ListKind,
+    Refuse,
+    Repeat,
+    Request,
+    RequestClass,
+    RequestGone,
+    Scope,
+    Send,
+    ServerEntry,
+    ServerList,
+    ServerState,
+    TimerFired,
+)
+
+from .rig import SETTINGS, Rig, entries, finals, only, with_
+
+NOT_RUN = (Ending.FULL, Ending.UNREACHABLE)
+MAY_HAVE_RUN = (Ending.ERROR, Ending.TIMEOUT, Ending.RESET, Ending.CANCELLED)
+
+
+def gone(server: str, state: ServerState = ServerState.DRAINING) -> ServerList:
+    return ServerList(ListKind.CHANGES, (ServerEntry(server, "a", state=state),))
+
+
+# --- rule 1: exactly one final answer, in time ---------------------------------------------------------
+
+
+@pytest.mark.parametrize("left", [0.0, -5.0])
+def test_no_time_left_is_answered_at_once(left: float) -> None:
+    rig = Rig(entries(3))
+    _, actions = rig.ask(left=left)
+    assert len(finals(actions)) == 1 and not only(actions, Send)
+
+
+def test_no_server_holds_briefly_then_refuses_in_time() -> None:
+    rig = Rig(entries(1))
+    rig.feed(gone("s0"))
+    name, actions = rig.ask(left=900.0)
+    assert not finals(actions)
+    later = rig.advance(900.0)
+    assert [a.request_id for a in finals(later)] == [name]
+
+
+def test_held_request_goes_to_a_server_that_comes_up() -> None:
+    rig = Rig(entries(1))
+    rig.feed(gone("s0"))
+    name, _ = rig.ask()
+    actions = rig.feed(ServerList(ListKind.CHANGES, (ServerEntry("s9", "a"),)))
+    assert [(s.request_id, s.server) for s in only(actions, Send)] == [(name, "s9")]
+
+
+def test_timeout_at_the_deadline_is_answered_at_once() -> None:
+    rig = Rig(entries(3))
+    name, _ = rig.ask("charge", left=800.0)
+    rig.now += 800.0
+    assert [type(a) for a in finals(rig.end(name, 0, Ending.TIMEOUT, 800.0))] == [Fail]
+
+
+@pytest.mark.parametrize("cls", ["read", "order", "bid", "charge", "unknown"])
+@pytest.mark.parametrize("ending", [*NOT_RUN, *MAY_HAVE_RUN, Ending.UNSENT])
+def test_one_final_answer_however_attempts_end(cls: str, ending: Ending) -> None:
+    rig = Rig(entries(6))
+    name, actions = rig.ask(cls)
+    attempt, answers = 0, finals(actions)
+    while not answers and attempt < 20:
+        rig.now += 10.0
+        actions = rig.end(name, attempt, ending, 10.0)
+        answers += finals(actions)
+        attempt += 1
+    assert len(answers) == 1 and attempt <= SETTINGS.max_attempts
+    assert not finals(rig.advance(5000.0))
+
+
+def test_late_duplicate_and_unasked_events_are_ignored() -> None:
+    rig = Rig(entries(3))
+    name, _ = rig.ask()
+    rig.end(name, 0, Ending.OK)
+    assert not finals(rig.end(name, 0, Ending.ERROR))
+    rig.feed(RequestGone(name))
+    rig.feed(RequestGone("never-seen"))
+    rig.feed(AttemptEnded("never-seen", 3, "nowhere", Ending.OK, 1.0, True))
+    rig.feed(CountReply(12345, 7.0, Ending.OK))
+    rig.feed(TimerFired(999))
+    rig.feed(AnswerBegan("never-seen", 0))
+    assert not finals([action for _, action in rig.log])
+
+
+def test_gone_client_gets_no_further_attempt() -> None:
+    rig = Rig(entries(3))
+    name, _ = rig.ask()
+    rig.feed(RequestGone(name))
+    assert not only(rig.end(name, 0, Ending.FULL, final=False), Send)
+
+
+def test_unknown_plan_and_class_are_served_as_unsafe_without_quota() -> None:
+    rig = Rig(entries(3))
+    actions = rig.feed(Request("x", "no-such-class", "no-such-plan", "c", 1000.0))
+    assert only(actions, Send)
+    assert [type(a) for a in finals(rig.end("x", 0, Ending.TIMEOUT))] == [Fail]
+
+
+def test_more_requests_than_may_be_open_are_refused() -> None:
+    rig = Rig(entries(3), with_(SETTINGS, max_requests=4))
+    answers = [finals(rig.ask()[1]) for _ in range(6)]
+    assert [len(a) for a in answers] == [0, 0, 0, 1, 1, 1]
+
+
+# --- rule 2: no effect twice ---------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("ending", MAY_HAVE_RUN)
+def test_unsafe_request_that_may_have_run_fails(ending: Ending) -> None:
+    rig = Rig(entries(4))
+    name, _ = rig.ask("charge")
+    actions = rig.end(name, 0, ending)
+    assert [type(a) for a in finals(actions)] == [Fail] and not only(actions, Send)
+
+
+@pytest.mark.parametrize("ending", NOT_RUN)
+def test_unsafe_request_that_did_not_run_is_tried_elsewhere(ending: Ending) -> None:
+    rig = Rig(entries(4))
+    name, _ = rig.ask("charge")
+    sends = only(rig.end(name, 0, ending, 5.0), Send)
+    assert len(sends) == 1 and sends[0].server != rig.sent[name][0]
+
+
+def test_unsafe_request_is_refused_only_if_no_attempt_ran() -> None:
+    rig = Rig(entries(4))
+    name, _ = rig.ask("charge")
+    rig.end(name, 0, Ending.FULL, 5.0)
+    assert [type(a) for a in finals(rig.end(name, 1, Ending.RESET, 5.0))] == [Fail]
+
+
+def test_zone_keyed_request_stays_in_its_zone_once_it_may_have_run() -> None:
+    for seed in range(20):
+        rig = Rig(entries(6, "abc"), seed=seed)
+        name, _ = rig.ask("bid")
+        first = rig.sent[name][0]
+        rig.now += 100.0
+        rig.end(name, 0, Ending.TIMEOUT, 100.0)
+        zones = {int(server[1:]) % 3 for server in rig.sent[name]}
+        assert zones == {int(first[1:]) % 3} and len(rig.sent[name]) == 2
+
+
+def test_zone_keyed_request_without_a_server_in_its_zone_fails() -> None:
+    rig = Rig((ServerEntry("s0", "a"),))
+    name, _ = rig.ask("bid")
+    rig.feed(ServerList(ListKind.FULL, (ServerEntry("s1", "b"),)))
+    actions = rig.end(name, 0, Ending.TIMEOUT, 100.0) + rig.advance(4000.0)
+    assert not only(actions, Send)
+    assert [type(a) for a in finals(actions)] == [Fail]
+
+
+def test_keyed_request_is_not_repeated_after_servers_forget() -> None:
+    rig = Rig(entries(4))
+    name, _ = rig.ask("order", left=6000.0)
+    rig.now += 2100.0
+    actions = rig.end(name, 0, Ending.RESET, 2100.0)
+    assert not only(actions, Send) and [type(a) for a in finals(actions)] == [Fail]
+
+
+def test_held_keyed_request_is_not_sent_after_servers_forget() -> None:
+    order = RequestClass("order", 5000.0, 2.0, Repeat.KEYED, Scope.ALL, 1200.0)
+    classes = (order,)
+    rig = Rig(entries(1), with_(SETTINGS, classes=classes))
+    name, _ = rig.ask("order", left=6000.0)
+    rig.now += 1000.0
+    rig.feed(gone("s0"))
+    rig.end(name, 0, Ending.RESET, 1000.0)
+    rig.now += 400.0
+    actions = rig.feed(ServerList(ListKind.CHANGES, (ServerEntry("s9", "a"),))) + rig.advance(6000.0)
+    assert not only(actions, Send) and [type(a) for a in finals(actions)] == [Fail]
+
+
+# --- rule 3: drains ------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("state", [ServerState.DRAINING, ServerState.GONE])
+def test_nothing_new_to_a_draining_or_gone_server(state: ServerState) -> None:
+    rig = Rig(entries(3))
+    rig.feed(gone("s1", state))
+    for _ in range(60):
+        rig.ask()
+    assert {s for sent in rig.sent.values() for s in sent} == {"s0", "s2"}
+
+
+def test_absent_from_a_full_list_is_gone() -> None:
+    rig = Rig(entries(3))
+    rig.feed(ServerList(ListKind.FULL, entries(2)))
+    for _ in range(60):
+        rig.ask()
+    assert "s2" not in {s for sent in rig.sent.values() for s in sent}
+
+
+def test_failed_list_keeps_the_old_one() -> None:
+    rig = Rig(entries(2))
+    rig.feed(ServerList(ListKind.FAILED))
+    assert only(rig.ask()[1], Send)
+
+
+def test_held_request_is_not_sent_to_a_server_told_to_drain() -> None:
+    rig = Rig(entries(1))
+    name, _ = rig.ask()
+    rig.feed(gone("s0"))
+    actions = rig.end(name, 0, Ending.FULL, 5.0) + rig.advance(3000.0)
+    assert not only(actions, Send) and len(finals(actions)) == 1
+
+
+# --- rule 4: cold servers ------------------------------------------------------------------------------
+
+
+def test_cold_server_gets_less_than_its_share_of_warm_traffic() -> None:
+    rig = Rig(entries(4))
+    rig.warm_up()
+    rig.feed(ServerList(ListKind.CHANGES, (ServerEntry("cold", "a", started_ms=rig.now),)))
+    start = rig.now
+    sent: dict[str, int] = {}
+    for _ in range(100):
+        name, _ = rig.ask()
+        server = rig.sent[name][0]
+        sent[server] = sent.get(server, 0) + 1
+        rig.now += 5.0
+        rig.end(name, 0, Ending.OK)
+        rig.now += 5.0
+    warm = sum(n for s, n in sent.items() if s != "cold") / 4
+    assert rig.now - start <= 1000.0 and sent.get("cold", 0) <= max(1.0, 0.5 * warm)
+
+
+def test_three_gateways_together_stay_under_a_cold_servers_share() -> None:
+    total = {"cold": 0, "warm": 0}
+    for seed in range(3):
+        rig = Rig(entries(4), with_(SETTINGS, gateways=3), seed=seed)
+        rig.warm_up()
+        rig.feed(ServerList(ListKind.CHANGES, (ServerEntry("cold", "a", started_ms=rig.now),)))
+        for _ in range(100):
+            name, actions = rig.ask()
+            if only(actions, Send):
+                total["cold" if rig.sent[name][0] == "cold" else "warm"] += 1
+                rig.now += 5.0
+                rig.end(name, 0, Ending.OK)
+            rig.now += 5.0
+    # It starts at a quarter of its capacity and bears twice that: half of what a warm one gets, at most.
+    assert total["warm"] > 200 and total["cold"] <= 0.5 * total["warm"] / 4
+
+
+def test_fresh_gateway_is_shy_with_a_fleet_of_cold_servers() -> None:
+    rig = Rig(entries(3, started=1000.0))
+    sends = sum(len(only(rig.ask()[1], Send)) for _ in range(200))
+    assert sends <= 6
+
+
+def test_sends_to_cold_servers_do_not_raise_their_own_rate() -> None:
+    # With every server cold, each turn once counted as warm traffic and the turns came ever faster.
+    rig = Rig(entries(6, started=1000.0))
+    sends = 0
+    for _ in range(400):
+        name, actions = rig.ask()
+        if only(actions, Send):
+            sends += 1
+            rig.end(name, 0, Ending.OK, 10.0)
+        rig.advance(10.0)
+    assert sends <= 6
+
+
+# --- rule 5: ceilings ----------------------------------------------------------------------------------
+
+
+def send_through(rigs: list[Rig], ms: float, each_ms: float, units: float) -> float:
+    """All gateways get one customer's requests as fast as they come; the units that went on."""
+    total, elapsed = 0.0, 0.0
+    while elapsed < ms:
+        for rig in rigs:
+            name, actions = rig.ask(plan="hard", units=units)
+            if only(actions, Send):
+                total += units
+                rig.now += 1.0
+                rig.end(name, 0, Ending.OK, 1.0)
+            rig.advance(each_ms)
+        elapsed += each_ms
+    return total
+
+
+@pytest.mark.parametrize("counter", [True, False])
+@pytest.mark.parametrize("units", [1.0, 2.0])
+def test_ceiling_holds_with_a_mute_or_empty_counter(counter: bool, units: float) -> None:
+    rigs = [Rig(entries(4), with_(SETTINGS, counter=counter), seed=i) for i in range(2)]
+    seconds = 8.0
+    sent = send_through(rigs, seconds * 1000.0, 50.0, units)
+    assert sent <= 12.0 + 4.0 * (rigs[0].now - 1000.0) / 1000.0 + 2.0
+
+
+def test_restarted_gateways_do_not_spend_the_ceiling_again() -> None:
+    rigs = [Rig(entries(4), seed=i) for i in range(2)]
+    for rig in rigs:
+        rig.advance(10_000.0)
+    sent = send_through(rigs, 500.0, 20.0, 1.0)
+    sent += send_through([Rig(entries(4), seed=i) for i in range(2)], 500.0, 20.0, 1.0)
+    assert sent <= 12.0 + 4.0 * 1.1 + 2.0
+
+
+def test_unknown_refuse_kinds_carry_advice() -> None:
+    rig = Rig(entries(4))
+    refused = [a for _ in range(60) for a in only(rig.ask(plan="rate")[1], Refuse)]
+    assert refused and all(0 < a.retry_after_ms <= 500.0 for a in refused)
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,188 @@
+"""The wire adapter: every event and action, odd input, and the command that the deploy file starts."""
+
+from __future__ import annotations
+
+import io
+import json
+import shlex
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from heathglade import interface as api
+from heathglade.simhost import Host, WireError, encode, serve, settings
+
+ROOT = Path(__file__).resolve().parent.parent
+PARAMS: dict[str, Any] = {
+    "my_zone": "a",
+    "balancers": 2,
+    "me": 0,
+    "no_such_key": {"x": [1]},
+    "domain": {"counter": True},
+    "limits": {"attempts_cap": 3, "retry_after": True, "max_retry_after_ms": 500.0, "max_open": None},
+    "membership_mode": "subscribe",
+    "packages": [{"name": "basic", "per_second": 2.0, "most_at_once": 9.0, "price": None, "odd": 1}],
+    "profiles": [{"name": "read", "repeat": "read_like", "aim_ms": 500.0, "hard_limit_ms": 1000.0}],
+    "reporting": {"fields": ["x0", "waiting", "active"], "how": "piggyback"},
+    "safety": {"cold_from": 0.22, "warm_after_ms": 18000.0},
+}
+
+
+def entry(server: str, state: str = "active", started: float | None = None) -> list[Any]:
+    return [1, started, "a", 0, "std", server, state]
+
+
+def line(now: float, *events: list[Any]) -> str:
+    return json.dumps({"moment_ms": now, "inbox": events})
+
+
+def accept(gid: int, ref: str) -> list[Any]:
+    return ["accept", gid, ref, "read", "basic", "c1", 900.0, 1, 2, 0, False, False]
+
+
+def started(*gids: int) -> Host:
+    host = Host()
+    events: list[list[Any]] = []
+    for gid in gids:
+        events += [["create", gid, 7 + gid, PARAMS], ["directory", 0, [entry(f"s{gid}:1")]]]
+        events += [["topology", gid, "warm_copy", 1, 0]]
+    host.batch(line(10.0, *events))
+    return host
+
+
+def actions(host: Host, now: float, *events: list[Any]) -> list[list[Any]]:
+    found: list[list[Any]] = json.loads(host.batch(line(now, *events)))["actions"]
+    return found
+
+
+def test_directory_numbers_are_reused_within_a_batch() -> None:
+    host = started(3, 5)
+    sent = [a for a in actions(host, 20.0, accept(3, "r3"), accept(5, "r5")) if a[0] == "hand_off"]
+    assert [(a[1], a[2], a[4]) for a in sent] == [(3, "r3", "s3:1"), (5, "r5", "s5:1")]
+
+
+def test_every_event_is_taken() -> None:
+    host = started(3)
+    actions(host, 20.0, accept(3, "r"))
+    pressure = [9, 4.0, None]
+    events: list[list[Any]] = [
+        ["ended", 3, "r", 0, "s3:1", "pass", 18.5, True, 86, 3, pressure],
+        ["ended", 3, "r", 0, "s3:1", "pass", 18.5, True, None, None, None],
+        ["ended", 3, "r", 0, "s3:1", "pass", 18.5, True],
+        ["streaming", 3, "r", 0, "s3:1", 5.0],
+        ["gone", 3, "other"],
+        ["alarm", 3, 77],
+        ["echo", 3, "s3:1", "pass", 1.0, pressure],
+        ["whisper", 3, 1, "aGkgNw=="],
+        ["ledger_reply", 3, 2.15, 9041552, 38, "pass"],
+        ["topology", 3, "lost", 0, 0],
+        ["directory", 4, [entry("s4:1", started=15.0)]],
+        ["topology", 3, "incr", 2, 4],
+        ["shutdown", 3],
+    ]
+    for event in events:
+        assert all(a[0] != "die" for a in actions(host, 30.0, event)), event
+    assert 3 not in host.gateways
+
+
+@pytest.mark.parametrize(
+    "word", ["pass", "fault", "no_room", "too_slow", "no_route", "cut", "undone", "stale_send"]
+)
+def test_every_outcome_is_taken(word: str) -> None:
+    host = started(3)
+    actions(host, 20.0, accept(3, "r"))
+    answer = actions(host, 30.0, ["ended", 3, "r", 0, "s3:1", word, 10.0, word == "pass", 0, 0, [1, 2, 3]])
+    assert all(a[0] != "die" for a in answer)
+
+
+def test_every_action_is_written() -> None:
+    made: list[tuple[api.Action, list[Any]]] = [
+        (api.Send("r", "s", 5.0), ["hand_off", 1, "r", 5.0, "s"]),
+        (api.Refuse("r", 9.0), ["bounce", 1, "r", 9.0]),
+        (api.Fail("r"), ["give_up", 1, "r"]),
+        (api.Cancel("r", 2), ["recall", 1, "r", 2]),
+        (api.SetTimer(4, 8.0), ["remind", 1, 4, 8.0]),
+        (api.Count(6, 2.0, 60.0), ["incr", 1, 6, 2.0, 60.0]),
+        (api.Subscribe(), ["tail", 1, True]),
+        (api.Log("x"), ["say_log", 1, "x"]),
+    ]
+    assert [encode(1, action) for action, _ in made] == [wire for _, wire in made]
+
+
+def test_missing_settings_get_the_safest_reading() -> None:
+    bare = settings({"profiles": [{"name": "x"}, None], "packages": None, "limits": None})
+    assert bare.classes[0].repeat is api.Repeat.UNSAFE and bare.max_attempts == 1
+    assert bare.gateways == 1 and not bare.counter and bare.plans == ()
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "not json",
+        "[]",
+        '{"inbox": []}',
+        '{"moment_ms": 1, "inbox": 3}',
+        '{"moment_ms": 1, "inbox": [["no_such_event", 1]]}',
+        '{"moment_ms": 1, "inbox": [["alarm", 9, 1]]}',
+        '{"moment_ms": 1, "inbox": [7]}',
+    ],
+)
+def test_malformed_line_is_said_and_ends(text: str, capsys: pytest.CaptureFixture[str]) -> None:
+    out = io.StringIO()
+    assert serve([text], out) == 1
+    assert out.getvalue() == "" and "heathglade.simhost: " in capsys.readouterr().err
+    with pytest.raises(WireError):
+        Host().batch(text)
+
+
+def test_failing_decision_is_reported(monkeypatch: pytest.MonkeyPatch) -> None:
+    host = started(3)
+
+    def broken(now_ms: float, event: api.Event) -> list[api.Action]:
+        raise RuntimeError("out of luck")
+
+    monkeypatch.setattr(host.gateways[3], "handle", broken)
+    assert actions(host, 20.0, ["alarm", 3, 1]) == [["die", 3, "RuntimeError: out of luck"]]
+
+
+def test_gateways_of_one_process_share_nothing() -> None:
+    alone, together = started(3), started(3, 5)
+    for now in range(20, 400, 20):
+        first = actions(alone, now, accept(3, f"r{now}"))
+        second = actions(together, now, accept(5, f"q{now}"), accept(3, f"r{now}"))
+        assert first == [a for a in second if a[1] == 3]
+
+
+def test_deploy_file_starts_the_adapter() -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    assert deploy["policy"] == ["heathglade/policy.py"]
+    command = deploy["sim"].replace(".venv/bin/python", shlex.quote(sys.executable))
+    session = [
+        line(0.0),
+        line(
+            10.0,
+            ["create", 3, 7, PARAMS],
+            ["directory", 0, [entry("s:1")]],
+            ["topology", 3, "warm_copy", 1, 0],
+        ),
+        line(20.0, accept(3, "r")),
+        line(40.0, ["ended", 3, "r", 0, "s:1", "pass", 18.0, True, 0, 0, [1, 2, 3]]),
+    ]
+    done = subprocess.run(
+        ["/bin/sh", "-c", command], input="\n".join(session) + "\n", cwd=ROOT,
+        capture_output=True, text=True, timeout=60, check=True,
+    )  # fmt: skip
+    replies = [json.loads(reply)["actions"] for reply in done.stdout.splitlines()]
+    assert len(replies) == 4 and replies[0] == []
+    assert [a[2] for a in replies[2] if a[0] == "hand_off"] == ["r"]
+
+
+def test_readme_example_runs() -> None:
+    text = (ROOT / "README.md").read_text()
+    code = text.split("```python\n")[1].split("```")[0]
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout == "10.0.0.1:80\n"
