--- /dev/null
+++ b/glenchute/counter.py
@@ -0,0 +1,176 @@
+"""The shared counter: pipelined calls, replies matched in order, each call with a time-out.
+
+Calls for one name always go over the same connection, so that their answers come in the order of the calls.
+A call that was written and has no answer may have been added: it ends as a time-out and is never repeated.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from heathglade.interface import Ending
+
+from . import resp
+
+LINKS = 2  # connections; the parts of the counter answer at their own pace
+PING_S = 3.0  # the counter closes what has stood idle for about 10 s
+SILENT_S = 1.5  # an answer this late means a peer that vanished; the connection is opened anew
+CONNECT_S = 0.5
+BACKOFF_S = (0.05, 1.0)
+
+Done = Callable[[float, Ending, float], None]
+
+
+class Call:
+    """One call; `done` takes the total, the ending and the milliseconds that it took, once."""
+
+    __slots__ = ("done", "sent", "timer")
+
+    def __init__(self, done: Done | None, sent: float) -> None:
+        self.done = done
+        self.sent = sent
+        self.timer: asyncio.TimerHandle | None = None
+
+    def end(self, now: float, ending: Ending, total: float = 0.0) -> None:
+        """Tells the ending, if it has not been told."""
+        done, self.done = self.done, None
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if done is not None:
+            done(total, ending, 1000.0 * (now - self.sent))
+
+
+class Link(asyncio.Protocol):
+    """One connection to the counter, opened anew whenever it is lost."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int]) -> None:
+        self.loop = loop
+        self.address = address
+        self.transport: asyncio.Transport | None = None
+        self.parser = resp.Parser()
+        self.calls: deque[Call] = deque()  # written and unanswered, late ones too, so that replies pair
+        self.backoff = BACKOFF_S[0]
+        self.closed = False
+        self.last_used = 0.0
+        self.task: asyncio.Task[None] | None = None
+        self.heart = loop.call_later(PING_S, self.beat)
+        self.connect()
+
+    def connect(self) -> None:
+        """Opens the connection in the background."""
+        if not self.closed:
+            self.task = self.loop.create_task(self.open())
+
+    async def open(self) -> None:
+        """One try; a failed one is followed by another after a pause."""
+        try:
+            await asyncio.wait_for(self.loop.create_connection(lambda: self, *self.address), CONNECT_S)
+        except (OSError, TimeoutError):
+            self.again()
+
+    def again(self) -> None:
+        """Another try, later each time."""
+        self.loop.call_later(self.backoff, self.connect)
+        self.backoff = min(BACKOFF_S[1], 2.0 * self.backoff)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        self.parser = resp.Parser()
+        self.write(resp.command(b"PING"), Call(None, self.loop.time()))
+
+    def write(self, data: bytes, call: Call) -> None:
+        """Writes one call and waits for its answer in turn."""
+        assert self.transport is not None
+        self.calls.append(call)
+        self.transport.write(data)
+
+    def ready(self) -> bool:
+        """Whether a call can be written."""
+        return self.transport is not None and not self.transport.is_closing()
+
+    def data_received(self, data: bytes) -> None:
+        try:
+            self.parser.feed(data)
+            while (reply := self.parser.next()) is not False:
+                self.answered(reply)
+        except (resp.ProtocolError, IndexError):
+            if self.transport is not None:
+                self.transport.abort()  # replies no longer pair with calls
+
+    def answered(self, reply: object) -> None:
+        """The reply to the oldest call."""
+        call, now = self.calls.popleft(), self.loop.time()
+        self.backoff = BACKOFF_S[0]
+        if isinstance(reply, bytes):
+            try:
+                call.end(now, Ending.OK, float(reply))
+            except ValueError:
+                call.end(now, Ending.TIMEOUT)
+        elif isinstance(reply, resp.ReplyError):
+            call.end(now, Ending.FULL)  # -BUSY and -ERR alike: nothing was added
+        else:
+            call.end(now, Ending.TIMEOUT)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        calls, self.calls = self.calls, deque()
+        if not self.closed:
+            self.again()
+        for call in calls:
+            call.end(self.loop.time(), Ending.TIMEOUT)  # it may have been added
+
+    def beat(self) -> None:
+        """Keeps the connection from standing idle, and gives up one that has gone silent."""
+        self.heart = self.loop.call_later(0.5, self.beat)
+        if self.transport is None:
+            return
+        now = self.loop.time()
+        if self.calls:
+            if now - self.calls[0].sent > SILENT_S:
+                self.transport.abort()
+        elif now - self.last_used > PING_S:
+            self.last_used = now
+            self.write(resp.command(b"PING"), Call(None, now))
+
+    def close(self) -> None:
+        """The end of the process."""
+        self.closed = True
+        self.heart.cancel()
+        if self.task is not None:
+            self.task.cancel()
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Counter:
+    """Calls to the counter."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], timeout_s: float) -> None:
+        self.loop = loop
+        self.timeout_s = timeout_s
+        self.links = [Link(loop, address) for _ in range(LINKS)]
+
+    def call(self, name: int, amount: float, ttl_ms: float, done: Done) -> None:
+        """Adds an amount to a name; `done` is called once, within the time-out."""
+        link, now = self.links[name % LINKS], self.loop.time()
+        call = Call(done, now)
+        if not link.ready():
+            call.end(now, Ending.UNREACHABLE)  # nothing was written, so nothing was added
+            return
+        call.timer = self.loop.call_later(self.timeout_s, self.expire, call)
+        link.last_used = now
+        ttl = max(1, min(60_000, round(ttl_ms)))
+        # A name in decimal is the same at every gateway; the module rounds amounts to three places.
+        link.write(resp.command(b"INCRTTL", b"%d" % name, b"%.3f" % amount, b"%d" % ttl), call)
+
+    def expire(self, call: Call) -> None:
+        """No answer in time. The call keeps its place in the line: its reply will still come."""
+        call.end(self.loop.time(), Ending.TIMEOUT)
+
+    def close(self) -> None:
+        """The end of the process."""
+        for link in self.links:
+            link.close()
--- /dev/null
+++ b/glenchute/discovery.py
@@ -0,0 +1,251 @@
+"""Discovery: the list of servers and the watch on its changes, over one HTTP/1.1 connection.
+
+A watch goes on only while the next call follows the last answer at once. Whatever goes wrong (silence, an
+error, a body that is no list) closes the connection and begins anew with the whole list.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import h11
+
+from heathglade.interface import ListKind, ServerEntry, ServerList, ServerState
+
+WAIT_S = 4.0  # a watch waits this long for news; what it waits for counts as told 2 s after that
+QUIET_S = 1.0  # an answer later than this past its wait means an agent that has gone silent
+CONNECT_S = 1.0
+BACKOFF_S = (0.1, 1.0)
+IDLE_GAP_S = 0.1  # pause after an answer with no news that came at once; a watch lasts over 0.2 s
+MOST_BODY = 4 * 1024 * 1024
+
+STATES = {
+    "Ready": ServerState.ACTIVE,
+    "Terminating": ServerState.DRAINING,
+    "Gone": ServerState.GONE,
+}
+
+
+class ListError(ValueError):
+    """A list that can't be read."""
+
+
+@dataclass(slots=True)
+class News:
+    """A list or changes to it, with the addresses, which only the transport needs."""
+
+    version: int
+    event: ServerList
+    addresses: dict[str, tuple[str, int]] = field(default_factory=dict)
+
+
+def address(text: Any) -> tuple[str, int]:
+    """`host:port`."""
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ListError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+def entry(row: dict[str, Any]) -> ServerEntry:
+    """One server. A state that is not known is read as draining: nothing new goes there."""
+    return ServerEntry(
+        server=str(row["id"]),
+        zone=str(row.get("zone", "")),
+        cell=int(row.get("cell") or 0),
+        size=float(row.get("weight") or 1.0),
+        started_ms=float(row.get("started_ms") or 0.0),
+        state=STATES.get(str(row.get("state")), ServerState.DRAINING),
+    )
+
+
+def read_list(raw: Any, saved: bool = False) -> News:
+    """Discovery's form of the list, in the module's terms."""
+    try:
+        kind = ListKind.SAVED if saved else ListKind.FULL if raw["full"] else ListKind.CHANGES
+        rows = raw["servers"]
+        entries = tuple(entry(row) for row in rows)
+        addresses = {str(row["id"]): address(row["addr"]) for row in rows if row.get("addr")}
+        for one in entries:
+            if one.state is ServerState.ACTIVE and one.server not in addresses:
+                raise ListError(f"no address for {one.server}")
+        return News(int(raw["version"]), ServerList(kind, entries), addresses)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ListError(f"not a list of servers ({error!r})") from None
+
+
+class Exchange(asyncio.Protocol):
+    """One HTTP connection: a request at a time, each answer handed on whole."""
+
+    def __init__(self, answered: Callable[[int, bytes], None], lost: Callable[[], None]) -> None:
+        self.answered = answered
+        self.lost = lost
+        self.http = h11.Connection(h11.CLIENT)
+        self.transport: asyncio.Transport | None = None
+        self.status = 0
+        self.body = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+
+    def get(self, host: str, target: str) -> None:
+        """Sends a request."""
+        assert self.transport is not None
+        head = h11.Request(
+            method="GET", target=target, headers=[("Host", host), ("Accept", "application/json")]
+        )
+        self.transport.write((self.http.send(head) or b"") + (self.http.send(h11.EndOfMessage()) or b""))
+
+    def data_received(self, data: bytes) -> None:
+        self.take(data)
+
+    def eof_received(self) -> None:
+        self.take(b"")  # ends a body that has no length
+
+    def take(self, data: bytes) -> None:
+        """Feeds the parser and hands on what is whole."""
+        try:
+            self.http.receive_data(data)
+            while self.event():
+                pass
+        except h11.RemoteProtocolError:
+            self.abort()
+
+    def event(self) -> bool:
+        """One step of the parser; False when it needs more bytes."""
+        event = self.http.next_event()
+        if isinstance(event, h11.Response):
+            self.status, self.body = event.status_code, b""
+        elif isinstance(event, h11.Data):
+            self.body += bytes(event.data)
+            if len(self.body) > MOST_BODY:
+                self.abort()
+                return False
+        elif isinstance(event, h11.EndOfMessage):
+            status, body = self.status, self.body
+            if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+                self.http.start_next_cycle()
+                self.answered(status, body)
+            else:
+                self.answered(status, body)
+                self.abort()
+            return False
+        elif isinstance(event, h11.ConnectionClosed):
+            self.abort()
+            return False
+        return event is not h11.NEED_DATA and event is not h11.PAUSED
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self.lost()
+
+    def usable(self) -> bool:
+        """Whether another request may be sent."""
+        idle = self.http.our_state is h11.IDLE
+        return idle and self.transport is not None and not self.transport.is_closing()
+
+    def abort(self) -> None:
+        """Closes the connection."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Discovery:
+    """Fetches the list, then watches it for as long as the process runs."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, where: tuple[str, int], tell: Callable[[News], None]
+    ) -> None:
+        self.loop = loop
+        self.where = where
+        self.tell = tell
+        self.since: int | None = None  # the version of the list held; None asks for the whole list
+        self.exchange: Exchange | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None  # of the answer awaited or of the next call
+        self.backoff = BACKOFF_S[0]
+        self.asked = 0.0
+        self.first = asyncio.Event()  # set with the first answer
+        self.closed = False
+
+    def start(self) -> None:
+        """Begins with the whole list."""
+        self.task = self.loop.create_task(self.open())
+
+    async def open(self) -> None:
+        """Opens a connection and asks."""
+        exchange = Exchange(self.answered, lambda: self.lost(exchange))
+        self.exchange = exchange
+        try:
+            await asyncio.wait_for(self.loop.create_connection(lambda: exchange, *self.where), CONNECT_S)
+        except (OSError, TimeoutError):
+            self.lost(exchange)
+            return
+        self.ask()
+
+    def ask(self) -> None:
+        """The next call; an answer that does not come ends the connection."""
+        if self.closed or self.exchange is None:
+            return
+        if not self.exchange.usable():
+            self.exchange.abort()
+            self.lost(self.exchange)
+            return
+        self.asked = self.loop.time()
+        target, wait = "/v1/servers", QUIET_S
+        if self.since is not None:
+            target += f"?since={self.since}&timeout_ms={WAIT_S * 1000.0:.0f}"
+            wait += WAIT_S
+        self.expect(wait, self.exchange.abort)
+        self.exchange.get(f"{self.where[0]}:{self.where[1]}", target)
+
+    def expect(self, seconds: float, then: Callable[[], None]) -> None:
+        """One timer at a time."""
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.loop.call_later(seconds, then)
+
+    def answered(self, status: int, body: bytes) -> None:
+        """An answer: told on if it is a list, else asked for anew and whole, after a pause."""
+        try:
+            if status != 200:
+                raise ListError(f"status {status}")
+            news = read_list(json.loads(body))
+            if self.since is None and news.event.kind is not ListKind.FULL:
+                raise ListError("changes to no list")
+        except (ListError, ValueError, RecursionError):
+            self.since = None
+            self.expect(self.pause(), self.ask)
+            return
+        if self.since is None or news.event.entries or news.event.kind is ListKind.FULL:
+            self.tell(news)
+        at_once = not news.event.entries and self.loop.time() - self.asked < IDLE_GAP_S
+        self.since, self.backoff = news.version, BACKOFF_S[0]
+        self.first.set()
+        self.expect(IDLE_GAP_S if at_once else 0.0, self.ask)
+
+    def pause(self) -> float:
+        """The time before another try, longer after each."""
+        pause, self.backoff = self.backoff, min(BACKOFF_S[1], 2.0 * self.backoff)
+        return pause
+
+    def lost(self, exchange: Exchange) -> None:
+        """The connection is gone or never came up."""
+        if exchange is not self.exchange or self.closed:
+            return
+        self.exchange, self.since = None, None
+        self.expect(self.pause(), self.start)
+
+    def close(self) -> None:
+        """The end of the process."""
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.task is not None:
+            self.task.cancel()
+        if self.exchange is not None:
+            self.exchange.abort()
--- /dev/null
+++ b/glenchute/gateway.py
@@ -0,0 +1,314 @@
+"""The life of each request: events go to the decision module, its actions are carried out in order.
+
+Nothing that carries out an action calls the module: endings, answers and timers are queued and handed over
+one by one, each after the actions of the one before it. Whatever the module does, a request gets one final
+answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from heathglade import interface as api
+
+from . import resp
+from .counter import Counter
+from .discovery import News
+from .servers import Attempt, Result, Servers
+
+log = logging.getLogger("glenchute")
+
+ANSWER_MARGIN_S = 0.01  # attempts end this long before the client's time does, so that the answer is in time
+DID_NOT_RUN = (api.Ending.FULL, api.Ending.UNREACHABLE, api.Ending.UNSENT)
+QUEUE_WORDS = ("queue", "waiting")
+ACTIVE_WORDS = ("inflight", "active")
+
+
+class Clock:
+    """Unix milliseconds, read once and carried on by the monotonic clock: it never goes back."""
+
+    def __init__(self) -> None:
+        self._offset = time.time() * 1000.0 - time.monotonic() * 1000.0
+
+    def now(self) -> float:
+        """The present."""
+        return self._offset + time.monotonic() * 1000.0
+
+
+class Decisions(Protocol):
+    """The decision module, as far as the gateway needs it."""
+
+    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]: ...
+
+
+@dataclass(slots=True)
+class Call:
+    """A client's command, parsed and checked once. `fields` has a gap where the time left goes."""
+
+    class_name: str
+    plan: str
+    customer: str
+    time_left_ms: float
+    units: float
+    spread: int
+    before: bytes  # the command up to the field list
+    fields: tuple[bytes, bytes]  # the list up to and with "d=", and what follows the number
+    after: bytes  # the body, encoded, or nothing
+
+    def encode(self, left_ms: int) -> bytes:
+        """The command for a server: the client's own, but for the time left."""
+        fields = b"%b%d%b" % (self.fields[0], left_ms, self.fields[1])
+        return b"%b%b%b" % (self.before, resp.bulk(fields), self.after)
+
+
+class Live:
+    """A request that has been taken."""
+
+    __slots__ = ("answer", "attempts", "call", "current", "deadline", "may_have_run", "ref", "timer")
+
+    def __init__(self, ref: str, call: Call, deadline: float, answer: Callable[[bytes], None]) -> None:
+        self.ref = ref
+        self.call = call
+        self.deadline = deadline  # the loop's time
+        self.answer = answer
+        self.attempts = 0
+        self.current: Attempt | None = None
+        self.may_have_run = False
+        self.timer: asyncio.TimerHandle | None = None
+
+
+def report(text: bytes | None) -> tuple[float | None, float | None]:
+    """Queue and requests held, from a load report; figures that can't be read count as not told."""
+    queue = active = None
+    for part in text.split(b",") if text else ():
+        name, _, value = part.decode("ascii", "replace").partition("=")
+        try:
+            if name in QUEUE_WORDS:
+                queue = float(value)
+            elif name in ACTIVE_WORDS:
+                active = float(value)
+        except ValueError:
+            continue
+    return queue, active
+
+
+class Gateway:
+    """Ties the sockets to the decisions."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, decisions: Decisions, servers: Servers, counter: Counter | None
+    ) -> None:
+        self.loop = loop
+        self.clock = Clock()
+        self.decisions = decisions
+        self.servers = servers
+        self.counter = counter
+        self.live: dict[str, Live] = {}
+        self.out: dict[tuple[str, int], Attempt] = {}  # attempts may outlive their requests
+        self.started_ms: dict[str, float] = {}
+        self.serial = 0
+        self.events: deque[api.Event] = deque()
+        self.draining = False
+
+    # --- events in ---------------------------------------------------------------------------------------
+
+    def post(self, event: api.Event) -> None:
+        """Queues an event; hands it over unless one is being handled."""
+        self.events.append(event)
+        if self.draining:
+            return
+        self.draining = True
+        try:
+            while self.events:
+                self.hand_over(self.events.popleft())
+        finally:
+            self.draining = False
+
+    def hand_over(self, event: api.Event) -> None:
+        """One event and its actions. A fault in either is logged and must not cost anybody the answer."""
+        try:
+            actions = self.decisions.handle(self.clock.now(), event)
+        except Exception:
+            log.exception("the decisions failed on %s", type(event).__name__)
+            if isinstance(event, api.Request | api.AttemptEnded):
+                self.close_request(event.request_id)
+            elif isinstance(event, api.TimerFired):
+                self.set_timer(event.token, self.clock.now() + 250.0)  # or the module would never tick again
+            return
+        for action in actions:
+            try:
+                self.perform(action)
+            except Exception:
+                log.exception("carrying out %s failed", type(action).__name__)
+                if isinstance(action, api.Send | api.Refuse | api.Fail):
+                    self.close_request(action.request_id)
+
+    def take(self, call: Call, answer: Callable[[bytes], None]) -> Live:
+        """A client's request has come whole; `answer` is called once, with the encoded reply."""
+        self.serial += 1
+        # Ids of our own: a client that reuses one must not mix up two requests here.
+        ref = str(self.serial)
+        live = Live(ref, call, self.loop.time() + call.time_left_ms / 1000.0, answer)
+        self.live[ref] = live
+        live.timer = self.loop.call_at(live.deadline, self.overdue, ref)
+        self.post(
+            api.Request(
+                ref, call.class_name, call.plan, call.customer, call.time_left_ms, call.units, call.spread
+            )
+        )
+        return live
+
+    def client_left(self, live: Live) -> None:
+        """Nobody waits for the answer any more."""
+        if self.forget(live):
+            self.post(api.RequestGone(live.ref))
+
+    def overdue(self, ref: str) -> None:
+        """The client's time is up and the module has not answered: the gateway does."""
+        self.close_request(ref)
+
+    def news(self, news: News) -> None:
+        """The list changed: the pools first, so that nothing is written where nothing may go."""
+        event = news.event
+        for entry in event.entries:
+            if entry.state is api.ServerState.ACTIVE:
+                anew = self.started_ms.get(entry.server, entry.started_ms) != entry.started_ms
+                self.started_ms[entry.server] = entry.started_ms
+                self.servers.listed(entry.server, news.addresses[entry.server], anew)
+            elif entry.state is api.ServerState.DRAINING:
+                self.servers.stopped(entry.server)
+            else:
+                self.servers.gone(entry.server)
+        if event.kind in (api.ListKind.FULL, api.ListKind.SAVED):
+            listed = {entry.server for entry in event.entries}
+            for server in [name for name in self.servers.pools if name not in listed]:
+                self.servers.gone(server)
+            self.started_ms = {k: v for k, v in self.started_ms.items() if k in listed}
+        self.post(event)
+
+    # --- actions out -------------------------------------------------------------------------------------
+
+    def perform(self, action: api.Action) -> None:
+        """Carries out one action."""
+        match action:
+            case api.Send():
+                self.send(action)
+            case api.Refuse(request_id, retry_after_ms):
+                self.refuse(request_id, retry_after_ms)
+            case api.Fail(request_id):
+                self.answer(request_id, resp.FAILED)
+            case api.Cancel(request_id, number):
+                attempt = self.out.get((request_id, number))
+                if attempt is not None:
+                    attempt.stop(api.Ending.CANCELLED)
+            case api.SetTimer(token, at_ms):
+                self.set_timer(token, at_ms)
+            case api.Count(name, amount, ttl_ms):
+                self.count(name, amount, ttl_ms)
+            case api.Subscribe():
+                pass  # the watch runs from the start
+            case api.Log(message):
+                log.info("%s", message)
+
+    def set_timer(self, token: int, at_ms: float) -> None:
+        """Fires at the time or after; the loop's clock is coarse, and a timer must not come early."""
+        delay = max(0.0, at_ms - self.clock.now()) / 1000.0
+        self.loop.call_later(delay + 0.001, self.post, api.TimerFired(token))
+
+    def count(self, name: int, amount: float, ttl_ms: float) -> None:
+        """Calls the counter."""
+
+        def done(total: float, ending: api.Ending, took_ms: float) -> None:
+            self.post(api.CountReply(name, total, ending, took_ms))
+
+        if self.counter is None:
+            done(0.0, api.Ending.UNREACHABLE, 0.0)
+        else:
+            self.counter.call(name, amount, ttl_ms, done)
+
+    def send(self, action: api.Send) -> None:
+        """Starts an attempt, or ends it unsent where it must not go."""
+        ref, server = action.request_id, action.server
+        live = self.live.get(ref)
+        number = live.attempts if live is not None else 0
+        if live is not None:
+            live.attempts += 1
+        if live is None or live.current is not None:
+            # Over, or another attempt is still out: two at once are not allowed here.
+            self.post(api.AttemptEnded(ref, number, server, api.Ending.UNSENT, 0.0, live is None))
+            return
+        left = live.deadline - ANSWER_MARGIN_S - self.loop.time()
+        wait = min(left, action.timeout_ms / 1000.0) if action.timeout_ms > 0 else left
+        attempt = None
+        if wait > 0:
+
+            def done(result: Result) -> None:
+                self.ended(live, number, server, result)
+
+            attempt = self.servers.attempt(server, live.call.encode, wait, done)
+        if attempt is None:
+            ending = api.Ending.UNREACHABLE if wait > 0 else api.Ending.UNSENT
+            self.post(api.AttemptEnded(ref, number, server, ending, 0.0, False))
+            return
+        live.current = self.out[ref, number] = attempt
+        attempt.start()
+
+    def ended(self, live: Live, number: int, server: str, result: Result) -> None:
+        """An attempt's one ending. A value goes to the client before the module hears of it."""
+        attempt = self.out.pop((live.ref, number))
+        live.current = None
+        if result.ending not in DID_NOT_RUN:
+            live.may_have_run = True
+        took_ms = 1000.0 * (self.loop.time() - attempt.started)
+        if result.ending is api.Ending.OK and result.value is not None:
+            self.answer(live.ref, resp.bulk(result.value))
+        queue, active = report(result.report)
+        final = live.ref not in self.live
+        self.post(api.AttemptEnded(live.ref, number, server, result.ending, took_ms, final, queue, active))
+
+    # --- final answers -----------------------------------------------------------------------------------
+
+    def refuse(self, ref: str, retry_after_ms: float) -> None:
+        """A refusal promises that no try ran; where one may have, it is a failure, whoever asks for it."""
+        live = self.live.get(ref)
+        if live is not None:
+            self.answer(ref, resp.FAILED if self.unsafe(live) else resp.busy(retry_after_ms))
+
+    def unsafe(self, live: Live) -> bool:
+        """Whether a try may have run, or may yet."""
+        return live.may_have_run or (live.current is not None and live.current.written)
+
+    def answer(self, ref: str, reply: bytes) -> None:
+        """The one final answer; a second finds the request gone."""
+        live = self.live.get(ref)
+        if live is not None and self.forget(live):
+            live.answer(reply)
+
+    def close_request(self, ref: str) -> None:
+        """Answers a request that the module did not, and tells the module that it is over."""
+        live = self.live.get(ref)
+        if live is not None:
+            self.refuse(ref, 0.0)
+            if live.current is not None:
+                live.current.stop(api.Ending.CANCELLED)
+            self.post(api.RequestGone(ref))
+
+    def forget(self, live: Live) -> bool:
+        """Takes a request off the books; False if it was off before."""
+        if self.live.pop(live.ref, None) is None:
+            return False
+        if live.timer is not None:
+            live.timer.cancel()
+            live.timer = None
+        return True
+
+    def close_all(self) -> None:
+        """Answers all that is still held, at the end of the process."""
+        for ref in list(self.live):
+            self.close_request(ref)
--- /dev/null
+++ b/glenchute/servers.py
@@ -0,0 +1,354 @@
+"""Connections to the servers: a pool for each, and each attempt's one ending.
+
+A connection carries one request at a time. The pool hands out the most recently used one, so that those a
+burst has opened grow idle and are closed before the server would close them under a request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from heathglade.interface import Ending
+
+from . import resp
+
+GRACE_MARGIN_S = 0.05  # a write this close to a drain's end might leave the machine after it
+IDLE_MARGIN_S = 2.0  # idle connections are closed this long before the server would do so
+SWEEP_S = 1.0
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What the settings allow, in seconds."""
+
+    connect_s: float
+    idle_s: float
+    grace_s: float
+    connections: int
+
+
+@dataclass(slots=True)
+class Result:
+    """How an attempt ended."""
+
+    ending: Ending
+    value: bytes | None = None
+    report: bytes | None = None
+
+
+def classify(reply: Any) -> Result:
+    """A server's reply as PROTOCOL's table reads it. Only a whole array with a value counts as served."""
+    if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
+        report = reply[2] if len(reply) > 2 and isinstance(reply[2], bytes) else None
+        return Result(Ending.OK, reply[0], report)
+    if isinstance(reply, resp.ReplyError):
+        text = str(reply)
+        last = text.rpartition(" ")[2]
+        report = last.encode() if "=" in last else None
+        full = text == "BUSY" or text.startswith("BUSY ")
+        return Result(Ending.FULL if full else Ending.ERROR, None, report)
+    return Result(Ending.ERROR)
+
+
+class Connection(asyncio.Protocol):
+    """One connection; `attempt` is the one whose request is out on it."""
+
+    __slots__ = ("attempt", "idle_since", "parser", "pool", "transport")
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self.parser = resp.Parser()
+        self.attempt: Attempt | None = None
+        self.transport: asyncio.Transport | None = None
+        self.idle_since = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport  # type: ignore[assignment]
+        self.pool.open.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        attempt = self.attempt
+        try:
+            self.parser.feed(data)
+            reply = self.parser.next()
+        except resp.ProtocolError:
+            if attempt is not None:
+                attempt.result = Result(Ending.ERROR)  # it answered, if not in RESP: it may have run
+            self.abort()
+            return
+        if reply is False and attempt is not None:
+            return
+        if attempt is None or attempt.result is not None or self.parser.rest():
+            # Bytes nobody asked for: replies no longer pair with requests here.
+            self.abort()
+            return
+        self.attempt = None
+        self.pool.give_back(self)
+        attempt.finish(classify(reply))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.pool.forget(self)
+        attempt, self.attempt = self.attempt, None
+        if attempt is not None:
+            # uvloop closes the socket only after this call. The ending may start another attempt, which must
+            # not reach a server while this one is still out, so it is told in the loop's next round.
+            # The request was handed to the kernel whole, or may have been: reset, never "did not run".
+            result = attempt.result or Result(Ending.RESET)
+            self.pool.servers.loop.call_soon(attempt.finish, result)
+
+    def abort(self) -> None:
+        """Closes the connection now; what is out on it ends in `connection_lost`."""
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Pool:
+    """The connections to one server."""
+
+    __slots__ = ("address", "idle", "open", "servers", "stop_at")
+
+    def __init__(self, servers: Servers, address: Address) -> None:
+        self.servers = servers
+        self.address = address
+        self.idle: list[Connection] = []  # the most recently used one last
+        self.open: set[Connection] = set()
+        self.stop_at: float | None = None  # nothing may be written from then on: it drains or is gone
+
+    def take(self) -> Connection | None:
+        """The most recently used idle connection that can still be trusted."""
+        oldest = self.servers.loop.time() - self.servers.limits.idle_s
+        while self.idle:
+            conn = self.idle.pop()
+            if conn.transport is None or conn.transport.is_closing():
+                continue
+            if conn.idle_since > oldest:
+                return conn
+            conn.abort()
+        return None
+
+    def give_back(self, conn: Connection) -> None:
+        """Keeps a connection whose request was answered, unless the server takes nothing new."""
+        if self.stop_at is not None or conn.transport is None or conn.transport.is_closing():
+            conn.abort()
+            return
+        conn.idle_since = self.servers.loop.time()
+        self.idle.append(conn)
+
+    def forget(self, conn: Connection) -> None:
+        """Drops a connection that is closed."""
+        self.open.discard(conn)
+        if conn in self.idle:
+            self.idle.remove(conn)
+
+    def close_idle(self, before: float | None = None) -> None:
+        """Closes idle connections, all of them or those unused since a moment."""
+        kept = [] if before is None else [conn for conn in self.idle if conn.idle_since > before]
+        closing = [conn for conn in self.idle if conn not in kept]
+        self.idle = kept
+        for conn in closing:
+            conn.abort()
+
+    def stop(self) -> None:
+        """The server drains or is gone: the grace runs from the first word of it."""
+        if self.stop_at is None:
+            self.stop_at = self.servers.loop.time() + self.servers.limits.grace_s - GRACE_MARGIN_S
+        self.close_idle()
+
+
+class Attempt:
+    """One request on its way to one server, from `Send` to its one ending."""
+
+    __slots__ = (
+        "conn",
+        "connect_timer",
+        "done",
+        "ended",
+        "payload",
+        "pool",
+        "result",
+        "started",
+        "task",
+        "timer",
+        "until",
+        "written",
+    )  # fmt: skip
+
+    def __init__(
+        self, pool: Pool, payload: Callable[[int], bytes], timeout_s: float, done: Callable[[Result], None]
+    ) -> None:
+        loop = pool.servers.loop
+        self.pool = pool
+        self.payload = payload  # makes the command, given the milliseconds left
+        self.done = done
+        self.started = loop.time()
+        self.until = self.started + timeout_s
+        self.result: Result | None = None  # set while the connection closes for a reason of ours
+        self.ended = False
+        self.written = False
+        self.conn: Connection | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.connect_timer: asyncio.TimerHandle | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Writes at once on an idle connection, else opens one."""
+        servers = self.pool.servers
+        self.timer = servers.loop.call_at(self.until, self.stop, Ending.TIMEOUT)
+        conn = self.pool.take()
+        if conn is not None:
+            self.write(conn)
+        elif not servers.make_room():
+            self.finish(Result(Ending.UNREACHABLE))
+        else:
+            servers.connecting += 1
+            self.task = servers.loop.create_task(self.connect())
+            self.connect_timer = servers.loop.call_later(servers.limits.connect_s, self.no_connection)
+
+    async def connect(self) -> None:
+        """Opens a connection; a task, but only where no connection is there to reuse."""
+        servers, pool = self.pool.servers, self.pool
+        host, port = pool.address
+        conn = Connection(pool)
+        try:
+            await servers.loop.create_connection(lambda: conn, host, port)
+        except OSError:
+            self.no_connection()
+            return
+        finally:
+            servers.connecting -= 1
+        self.task = None
+        if self.ended:
+            conn.abort()  # came up too late: its request has an ending already and must not be written
+        elif pool.stop_at is not None and servers.loop.time() > pool.stop_at:
+            conn.abort()  # the drain's grace ended while this connection came up
+            self.finish(Result(Ending.UNREACHABLE))
+        else:
+            self.write(conn)
+
+    def write(self, conn: Connection) -> None:
+        """Writes the request; from here on it may have run."""
+        if self.connect_timer is not None:
+            self.connect_timer.cancel()
+        left = int(1000.0 * (self.until - self.pool.servers.loop.time()))
+        if left < 1 or conn.transport is None or conn.transport.is_closing():
+            conn.abort()
+            self.finish(Result(Ending.UNREACHABLE))
+            return
+        self.conn, self.written = conn, True
+        conn.attempt = self
+        conn.transport.write(self.payload(left))
+
+    def no_connection(self) -> None:
+        """The connection was refused or did not come up in time."""
+        self.drop_connect()
+        self.finish(Result(Ending.UNREACHABLE))
+
+    def drop_connect(self) -> None:
+        """Gives up a connection that is coming up."""
+        if self.task is not None and self.task is not asyncio.current_task(self.pool.servers.loop):
+            self.task.cancel()
+        self.task = None
+
+    def stop(self, ending: Ending) -> None:
+        """A time-out or a cancel. The ending is told once the connection is closed."""
+        if self.ended or self.result is not None:
+            return
+        if self.conn is None:
+            self.drop_connect()
+            self.finish(Result(Ending.UNREACHABLE))  # nothing was written: it can't have run
+        else:
+            self.result = Result(ending)
+            self.conn.abort()
+
+    def finish(self, result: Result) -> None:
+        """The one ending; later ones are dropped."""
+        if self.ended:
+            return
+        self.ended = True
+        for timer in (self.timer, self.connect_timer):
+            if timer is not None:
+                timer.cancel()
+        self.timer = self.connect_timer = None
+        self.conn = None
+        self.done(result)
+
+
+class Servers:
+    """All pools, by the servers' ids."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, limits: Limits) -> None:
+        self.loop = loop
+        self.limits = limits
+        self.pools: dict[str, Pool] = {}
+        self.leaving: set[Pool] = set()  # no longer listed, with connections open
+        self.connecting = 0
+        self.sweeper = loop.call_later(SWEEP_S, self.sweep)
+
+    def listed(self, server: str, address: Address, started_anew: bool) -> None:
+        """A server that takes work."""
+        pool = self.pools.get(server)
+        if pool is None or pool.stop_at is not None or pool.address != address:
+            if pool is not None:
+                self.leaving.add(pool)
+                pool.stop()
+            self.pools[server] = Pool(self, address)
+        elif started_anew:
+            pool.close_idle()  # they lead to the process that ended
+
+    def stopped(self, server: str) -> None:
+        """A server that drains: nothing new, what is out may finish."""
+        pool = self.pools.get(server)
+        if pool is not None:
+            pool.stop()
+
+    def gone(self, server: str) -> None:
+        """A server that left the list."""
+        pool = self.pools.pop(server, None)
+        if pool is not None:
+            pool.stop()
+            self.leaving.add(pool)
+
+    def count(self) -> int:
+        """Sockets in use."""
+        pools = [*self.pools.values(), *self.leaving]
+        return self.connecting + sum(len(pool.open) for pool in pools)
+
+    def make_room(self) -> bool:
+        """Whether one more connection may be opened; the longest idle one is closed for it if need be."""
+        if self.count() < self.limits.connections:
+            return True
+        pools = [pool for pool in self.pools.values() if pool.idle]
+        if not pools:
+            return False
+        pool = min(pools, key=lambda p: p.idle[0].idle_since)
+        pool.idle.pop(0).abort()
+        return True
+
+    def attempt(
+        self, server: str, payload: Callable[[int], bytes], timeout_s: float, done: Callable[[Result], None]
+    ) -> Attempt | None:
+        """Makes an attempt, not started yet; None if the server takes nothing (any more)."""
+        pool = self.pools.get(server)
+        if pool is None or (pool.stop_at is not None and self.loop.time() > pool.stop_at):
+            return None
+        return Attempt(pool, payload, timeout_s, done)
+
+    def sweep(self) -> None:
+        """Closes what has stood idle before the server does, and forgets pools that have emptied."""
+        self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
+        before = self.loop.time() - self.limits.idle_s
+        for pool in self.pools.values():
+            pool.close_idle(before)
+        self.leaving = {pool for pool in self.leaving if pool.open}
+
+    def close(self) -> None:
+        """Closes everything, at the end of the process."""
+        self.sweeper.cancel()
+        for pool in [*self.pools.values(), *self.leaving]:
+            for conn in list(pool.open):
+                conn.abort()
