--- a/glenchute/__main__.py
+++ b/glenchute/__main__.py
@@ -17,14 +17,14 @@
 
 import uvloop
 
-from heathglade import Gateway as Decisions
+from heathglade import Gateway as Policy
 from heathglade.interface import Settings
 from heathglade.simhost import num, settings
 
 from .clients import Catalogue, Listener
 from .counter import Counter
 from .discovery import Discovery, ListError, News, address, read_list
-from .gateway import Gateway
+from .gateway import Decisions, Gateway
 from .servers import Limits, Servers
 
 LIST_WAIT_S = 0.3  # a start waits this long for the list of the day before it serves by the saved one
@@ -124,7 +124,9 @@
 class Program:
     """One gateway process, from start to end."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, config: Config, loop: asyncio.AbstractEventLoop, decisions: Decisions | None = None
+    ) -> None:
         self.config = config
         self.loop = loop
         made = config.settings
@@ -132,7 +134,8 @@
         self.counter = (
             Counter(loop, config.counter, made.counter_timeout_ms / 1000.0) if config.counter else None
         )
-        self.gateway = Gateway(loop, Decisions(made, config.seed), self.servers, self.counter)
+        decisions = decisions or Policy(made, config.seed)
+        self.gateway = Gateway(loop, decisions, self.servers, self.counter)
         self.listener = Listener(loop, self.gateway, Catalogue(made), config.sockets * 6 // 10)
         self.discovery = Discovery(loop, config.discovery, self.gateway.news)
         self.stopping = asyncio.Event()
@@ -141,18 +144,23 @@
         """Serves until told to stop."""
         for sign in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(sign, self.stopping.set)
+        await self.start()
+        gc.collect()
+        gc.freeze()  # what was loaded lives for ever; no collection needs to look at it again
+        gc.set_threshold(20_000, 20, 20)
+        log.info("%s serves", self.config.name)
+        await self.stopping.wait()
+        await self.leave()
+        log.info("%s has ended", self.config.name)
+
+    async def start(self) -> None:
+        """Brings the parts up; clients come last."""
         if self.config.known is not None:
             self.gateway.news(self.config.known)
         self.discovery.start()
         # The saved list may be old: a moment is given for today's, but no start hangs on discovery.
         await wait(self.discovery.first, LIST_WAIT_S)
         await self.listener.start(*self.config.listen)
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(20_000, 20, 20)
-        log.info("%s serves", self.config.name)
-        await self.stopping.wait()
-        await self.leave()
 
     async def leave(self) -> None:
         """A planned end: takes what still comes, finishes what is held, and is gone before the kill."""
@@ -163,13 +171,16 @@
             await asyncio.sleep(0.02)
         self.gateway.close_all()
         await asyncio.sleep(LINGER_S)  # for the last replies to leave
+        await self.close()
+
+    async def close(self) -> None:
+        """Closes all sockets."""
         self.listener.close()
         self.discovery.close()
         if self.counter is not None:
             self.counter.close()
         self.servers.close()
         await asyncio.sleep(0)
-        log.info("%s has ended", self.config.name)
 
 
 async def wait(event: asyncio.Event, seconds: float) -> None:
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,278 @@
+"""The life of a request over loopback sockets: endings, deadlines, order, answers, faults."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from glenchute.gateway import Clock, report
+from heathglade import interface as api
+from heathglade.interface import Ending
+
+from .loopback import (
+    CHARGE,
+    CUSTOMER,
+    GET,
+    ORDER,
+    SERVED,
+    Reply,
+    Script,
+    always,
+    play,
+    send_to,
+    site,
+    until,
+)
+
+
+def test_a_request_is_served_and_goes_on_unchanged_but_for_the_time_left() -> None:
+    async def scenario() -> None:
+        async with site(always(SERVED)) as one:
+            client = await one.client()
+            assert await client.ask(b"PING") == b"PONG"
+            assert await client.ask(b"CALL.POST", CUSTOMER, b"id-1", ORDER, b"body\r\n*1") == b"value"
+            verb, customer, name, fields, body = one.servers[0].calls()[0]
+            assert (verb, customer, name, body) == (b"CALL.POST", CUSTOMER, b"id-1", b"body\r\n*1")
+            before, _, rest = fields.partition(b"d=")
+            left, _, after = rest.partition(b",")
+            assert (before, after) == (b"c=order,t=basic,", b"k=5c0f6e1a2b3d4c59")
+            assert 0 < int(left) < 20000
+
+    play(scenario())
+
+
+async def hang_up(words: list[bytes], writer: asyncio.StreamWriter) -> bytes | None:
+    writer.close()
+    return None
+
+
+ENDINGS: list[tuple[Reply, Ending]] = [
+    (always(SERVED), Ending.OK),
+    (always(b"*1\r\n$0\r\n\r\n"), Ending.OK),
+    (always(b"-ERR failed queue=3,inflight=9\r\n"), Ending.ERROR),
+    (always(b"-SYNTAX no\r\n"), Ending.ERROR),
+    (always(b"-BUSY\r\n"), Ending.FULL),
+    (always(b"*3\r\n$-1\r\n*-1\r\n$-1\r\n"), Ending.ERROR),
+    (always(b"$5\r\nvalue\r\n"), Ending.ERROR),
+    (always(b"what is this?\r\n"), Ending.ERROR),
+    (hang_up, Ending.RESET),
+    (always(None), Ending.TIMEOUT),
+]
+
+
+@pytest.mark.parametrize(("reply", "ending"), ENDINGS)
+def test_each_ending_is_told_once_as_the_protocol_reads_it(reply: Reply, ending: Ending) -> None:
+    async def scenario() -> None:
+        # The time-out is long enough not to cut in where an answer comes, on any machine.
+        script = Script(send_to("s0", 200.0 if ending is Ending.TIMEOUT else 0.0))
+        async with site(reply, decisions=script) as one:
+            client = await one.client()
+            answer = await client.ask(b"CALL.GET", CUSTOMER, b"1", GET)
+            ended = script.of(api.AttemptEnded)
+            assert [event.ending for event in ended] == [ending]
+            assert ended[0].final is (ending is Ending.OK)
+            assert isinstance(answer, bytes) is (ending is Ending.OK)
+            assert ended[0].took_ms >= 0.0
+
+    play(scenario())
+
+
+def test_a_refused_connection_did_not_run() -> None:
+    async def scenario() -> None:
+        script = Script(send_to("s0"))
+        async with site(always(SERVED), decisions=script) as one:
+            await one.servers[0].stop()
+            client = await one.client()
+            assert str(await client.ask(b"CALL.GET", CUSTOMER, b"1", GET)) == "ERR failed"
+            assert [event.ending for event in script.of(api.AttemptEnded)] == [Ending.UNREACHABLE]
+
+    play(scenario())
+
+
+def test_a_second_attempt_goes_only_once_the_first_is_closed() -> None:
+    """Two copies of a request must never be out together: the time-out is told after the closing."""
+
+    async def scenario() -> None:
+        seen: list[str] = []
+
+        def decide(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request):
+                return [api.Send(event.request_id, "s0", 100.0)]
+            if isinstance(event, api.AttemptEnded) and not event.final:
+                first = one.program.servers.pools["s0"].open
+                seen.append(f"{event.ending.value} with {len(first)} open")
+                return [api.Send(event.request_id, "s1", 0.0)]
+            return []
+
+        async with site(always(None), always(SERVED), decisions=Script(decide)) as one:
+            client = await one.client()
+            assert await client.ask(b"CALL.GET", CUSTOMER, b"1", GET) == b"value"
+            assert seen == ["timeout with 0 open"]
+            await until(lambda: ("closed", 1, []) in one.servers[0].log)
+
+    play(scenario())
+
+
+def test_a_cancel_closes_the_connection_and_is_told_once() -> None:
+    async def scenario() -> None:
+        def decide(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request):
+                return [api.Send(event.request_id, "s0"), api.SetTimer(5, 0.0)]
+            if isinstance(event, api.TimerFired):
+                return [api.Cancel("1", 0)] if one.servers[0].calls() else [api.SetTimer(5, 0.0)]
+            return [api.Fail(event.request_id)] if isinstance(event, api.AttemptEnded) else []
+
+        script = Script(decide)
+        async with site(always(None), decisions=script) as one:
+            client = await one.client()
+            assert str(await client.ask(b"CALL.POST", CUSTOMER, b"1", CHARGE)) == "ERR failed"
+            assert [event.ending for event in script.of(api.AttemptEnded)] == [Ending.CANCELLED]
+            await until(lambda: ("closed", 1, []) in one.servers[0].log)
+
+    play(scenario())
+
+
+def test_two_attempts_at_once_are_not_made() -> None:
+    async def scenario() -> None:
+        def decide(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request):
+                return [api.Send(event.request_id, "s0"), api.Send(event.request_id, "s1")]
+            return []
+
+        script = Script(decide)
+        async with site(always(None), always(SERVED), decisions=script) as one:
+            client = await one.client()
+            client.send(b"CALL.GET", CUSTOMER, b"1", GET)
+            await until(lambda: script.of(api.AttemptEnded))
+            assert [(e.attempt, e.ending) for e in script.of(api.AttemptEnded)] == [(1, Ending.UNSENT)]
+            assert one.servers[1].calls() == []
+
+    play(scenario())
+
+
+def test_a_refusal_of_what_may_have_run_becomes_a_failure() -> None:
+    """-BUSY promises that no try ran, whatever the module says."""
+
+    async def scenario() -> None:
+        def decide(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request):
+                return [api.Send(event.request_id, "s0")]
+            return [api.Refuse(event.request_id, 7.0)] if isinstance(event, api.AttemptEnded) else []
+
+        for reply, answer in ((b"-ERR failed\r\n", "ERR failed"), (b"-BUSY\r\n", "BUSY 7")):
+            async with site(always(reply), decisions=Script(decide)) as one:
+                client = await one.client()
+                assert str(await client.ask(b"CALL.POST", CUSTOMER, b"1", CHARGE)) == answer
+
+    play(scenario())
+
+
+@pytest.mark.parametrize(("sent", "answer"), [(False, "BUSY"), (True, "ERR failed")])
+def test_a_request_that_the_module_forgets_is_answered_at_its_deadline(sent: bool, answer: str) -> None:
+    async def scenario() -> None:
+        def decide(event: api.Event) -> list[api.Action]:
+            return [api.Send(event.request_id, "s0")] if sent and isinstance(event, api.Request) else []
+
+        script = Script(decide)
+        async with site(always(None), decisions=script) as one:
+            client = await one.client()
+            fields = CHARGE.replace(b"d=20000", b"d=300")
+            assert str(await client.ask(b"CALL.POST", CUSTOMER, b"1", fields)) == answer
+            assert script.of(api.RequestGone) == [api.RequestGone("1")]
+            assert [e.ending for e in script.of(api.AttemptEnded)] == ([Ending.TIMEOUT] if sent else [])
+
+    play(scenario())
+
+
+def test_a_fault_in_the_decisions_costs_nobody_the_answer() -> None:
+    async def scenario() -> None:
+        def decide(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request) and event.class_name == "read":
+                raise RuntimeError("a fault")
+            return send_to("s0")(event)
+
+        script = Script(decide)
+
+        def handle(now_ms: float, event: api.Event) -> list[api.Action]:
+            script.events.append(event)
+            return decide(event)
+
+        script.handle = handle  # type: ignore[method-assign]
+        async with site(always(SERVED), decisions=script) as one:
+            client = await one.client()
+            assert str(await client.ask(b"CALL.GET", CUSTOMER, b"1", GET)) == "BUSY"
+            assert await client.ask(b"CALL.POST", CUSTOMER, b"2", CHARGE) == b"value"
+
+    play(scenario())
+
+
+def test_replies_come_in_the_order_of_the_commands() -> None:
+    async def scenario() -> None:
+        release = asyncio.Event()
+
+        async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+            if words[2] == b"1":
+                await release.wait()
+            return b"*3\r\n$1\r\n%b\r\n*-1\r\n$-1\r\n" % words[2]
+
+        script = Script(send_to("s0"))
+        async with site(reply, decisions=script) as one:
+            client = await one.client()
+            for name in (b"1", b"2", b"3"):
+                client.send(b"CALL.GET", CUSTOMER, name, GET)
+            client.send(b"PING")
+            await until(lambda: len(script.of(api.AttemptEnded)) == 2)
+            release.set()
+            assert [await client.reply() for _ in range(4)] == [b"1", b"2", b"3", b"PONG"]
+
+    play(scenario())
+
+
+def test_a_client_that_leaves_is_told_to_the_module() -> None:
+    async def scenario() -> None:
+        script = Script(send_to("s0"))
+        async with site(always(None), decisions=script) as one:
+            client = await one.client()
+            client.send(b"CALL.GET", CUSTOMER, b"1", GET)
+            await until(lambda: one.servers[0].calls())
+            client.writer.close()
+            await until(lambda: script.of(api.RequestGone))
+            assert one.program.gateway.live == {}
+
+    play(scenario())
+
+
+def test_timers_fire_at_their_time_or_after() -> None:
+    async def scenario() -> None:
+        fired: list[float] = []
+
+        def decide(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.ServerList) and not script.of(api.ServerList)[1:]:
+                return [api.SetTimer(3, one_clock.now() + 5.0)]
+            if isinstance(event, api.TimerFired):
+                fired.append(one_clock.now())
+            return []
+
+        one_clock, script = Clock(), Script(decide)
+        start = one_clock.now()
+        async with site(decisions=script):
+            await until(lambda: fired)
+            assert fired[0] >= start + 5.0 and script.of(api.TimerFired) == [api.TimerFired(3)]
+
+    play(scenario())
+
+
+def test_the_clock_is_unix_time_and_never_goes_back() -> None:
+    clock = Clock()
+    assert abs(clock.now() - time.time() * 1000.0) < 60_000.0
+    times = [clock.now() for _ in range(1000)]
+    assert times == sorted(times)
+
+
+def test_load_reports_are_read_by_name() -> None:
+    assert report(b"inflight=7,queue=2,util=0.61") == (2.0, 7.0)
+    assert report(b"waiting=1,active=4") == (1.0, 4.0)
+    assert report(b"queue=x,inflight,=,active=3") == (None, 3.0)
+    assert report(None) == (None, None)
