A time-out closes what stood idle meanwhile; a fault at a command keeps the connection

Cause, by reading: servers.Attempt.stop closed only the connection that timed out. Idle ones to a machine that vanished stay open and silent and are reset when it is back, so that an unsafe request written there fails though it never ran. Pool.close_idle(started) now drops what was unused for as long as the attempt. clients.Client.work let an exception reach the loop, which would end the connection and all held on it. Checked: both tests fail without the change (the first after its 60 s limit with the sweeper off).

--- a/glenchute/clients.py
+++ b/glenchute/clients.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 from collections import deque
 from collections.abc import Iterable
@@ -17,6 +18,8 @@
 from . import resp
 from .gateway import Call, Gateway, Live
 
+log = logging.getLogger("glenchute")
+
 MOST_PENDING = 64  # commands of one connection without a reply; more are left unread
 IDLE_S = 300.0  # a connection between requests is closed after this
 STUCK_S = 30.0  # one that leaves a command unfinished or its replies unread is cut off after this
@@ -207,21 +210,27 @@
             raise resp.ProtocolError("expected an array of bulk strings")
         slot = Slot(self)
         self.slots.append(slot)
-        if max(map(len, words)) > resp.MAX_VALUE:
-            slot.reply = resp.error("value too long")
-            return
+        try:
+            if max(map(len, words)) > resp.MAX_VALUE:
+                raise CommandError("value too long")
+            self.carry_out(slot, words)
+        except CommandError as error:
+            slot.reply = resp.error(str(error))
+        except Exception:
+            # A fault of ours would else end the connection with all that is held on it.
+            log.exception("a command failed")
+            slot.reply = slot.reply or resp.FAILED
+
+    def carry_out(self, slot: Slot, words: list[bytes]) -> None:
+        """Takes a request, or answers a command of the connection itself."""
         verb = words[0].upper()
-        if verb in (b"CALL.GET", b"CALL.POST"):
-            try:
-                call = self.listener.catalogue.call(words)
-            except CommandError as error:
-                slot.reply = resp.error(str(error))
-                return
-            live = self.listener.gateway.take(call, slot.fill)
-            if slot.reply is None and self.transport is not None:
-                slot.live = live
-        else:
+        if verb not in (b"CALL.GET", b"CALL.POST"):
             slot.reply = self.plain(verb, words)
+            return
+        call = self.listener.catalogue.call(words)
+        live = self.listener.gateway.take(call, slot.fill)
+        if slot.reply is None:
+            slot.live = live
 
     def plain(self, verb: bytes, words: list[bytes]) -> bytes:
         """Commands of the connection itself."""
--- a/glenchute/servers.py
+++ b/glenchute/servers.py
@@ -262,6 +262,11 @@
             self.drop_connect()
             self.finish(Result(Ending.UNREACHABLE))  # nothing was written: it can't have run
         else:
+            if ending is Ending.TIMEOUT:
+                # A machine that vanished says nothing, and resets what it finds open once it is back. Its
+                # other connections, unused for as long as this attempt, would then turn requests that never
+                # ran into resets, after which an unsafe one can't be tried again.
+                self.pool.close_idle(self.started)
             self.result = Result(ending)
             self.conn.abort()
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -182,6 +182,20 @@
     play(scenario())
 
 
+def test_a_fault_at_a_command_costs_neither_the_answer_nor_the_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        async with site(always(SERVED), decisions=Script(send_to("s0"))) as one:
+            client = await one.client()
+            with monkeypatch.context() as patch:
+                patch.setattr(one.program.gateway, "take", None)
+                assert str(await client.ask(b"CALL.GET", CUSTOMER, b"1", GET)) == "ERR failed"
+            assert await client.ask(b"CALL.GET", CUSTOMER, b"2", GET) == b"value"
+
+    play(scenario())
+
+
 # --- servers ---------------------------------------------------------------------------------------------
 
 
@@ -271,6 +285,35 @@
     play(scenario())
 
 
+def test_a_time_out_closes_what_stood_idle_meanwhile() -> None:
+    """The machine may have vanished; its old connections would be reset under the next requests."""
+
+    async def scenario() -> None:
+        async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> bytes | None:
+            return None if words[2] == b"mute" else SERVED
+
+        def decide(event: api.Event) -> list[api.Action]:
+            quick = isinstance(event, api.Request) and len(script.of(api.Request)) == 3
+            return send_to("s0", 300.0 if quick else 0.0)(event)
+
+        script = Script(decide)
+        async with site(reply, decisions=script) as one:
+            client = await one.client()
+            client.send(b"CALL.GET", CUSTOMER, b"1", GET)
+            client.send(b"CALL.GET", CUSTOMER, b"2", GET)
+            assert [await client.reply(), await client.reply()] == [b"value", b"value"]
+            pool = one.program.servers.pools["s0"]
+            for conn in pool.idle:
+                conn.idle_since -= 1.0  # unused since before the attempt
+            assert len(pool.idle) == 2
+            one.program.servers.sweeper.cancel()  # or the idle limit would close them too, later
+            assert str(await client.ask(b"CALL.GET", CUSTOMER, b"mute", GET)) == "ERR failed"
+            assert script.of(api.AttemptEnded)[-1].ending is Ending.TIMEOUT
+            await until(lambda: not pool.open)
+
+    play(scenario())
+
+
 def test_connections_to_servers_are_bounded() -> None:
     async def scenario() -> None:
         script = Script(send_to("s0"))
