--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -2,7 +2,7 @@
 
 A gateway serves many customers, whose quotas hold over all gateways together. `Quota` decides how much of a
 customer's demand goes on, `Fleet` which server gets it, and `Gateway` follows each request to its one final
-answer. Times are milliseconds, rates are units a second. docs/design.md says why things are as they are.
+answer. Times are milliseconds, rates are units a second. README.md tells the design.
 """
 
 from __future__ import annotations  # noqa: I001
