SIGHUP: the configuration is read again, discovery and counter are followed

Cause: no handler for SIGHUP anywhere (__main__.Program.run sets SIGTERM and SIGINT only); 129 is the signal's default action, not a fault of ours (the logs end without a traceback). Now: a handler stands before all else in main, Discovery.move asks the new address for the whole list and drops what the old one still says, Counter.move opens new links and retires the old ones. Answers for one name keep their order: an old call ends as a time-out when a new one for its name goes out. Tests: three over loopback; the first fails without the handler.

--- a/glenchute/__main__.py
+++ b/glenchute/__main__.py
@@ -12,7 +12,7 @@
 import os
 import signal
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import uvloop
@@ -125,9 +125,14 @@
     """One gateway process, from start to end."""
 
     def __init__(
-        self, config: Config, loop: asyncio.AbstractEventLoop, decisions: Decisions | None = None
+        self,
+        config: Config,
+        loop: asyncio.AbstractEventLoop,
+        decisions: Decisions | None = None,
+        environ: dict[str, str] | None = None,
     ) -> None:
         self.config = config
+        self.environ = environ or {}
         self.loop = loop
         made = config.settings
         self.servers = Servers(loop, config.limits)
@@ -140,11 +145,14 @@
         self.discovery = Discovery(loop, config.discovery, self.gateway.news)
         self.stopping = asyncio.Event()
 
-    async def run(self) -> None:
-        """Serves until told to stop."""
+    async def run(self, hangups: list[int]) -> None:
+        """Serves until told to stop. `hangups` holds the SIGHUPs that came before the loop ran."""
         for sign in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(sign, self.stopping.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self.start()
+        if hangups:
+            self.reload()
         gc.collect()
         gc.freeze()  # what was loaded lives for ever; no collection needs to look at it again
         gc.set_threshold(20_000, 20, 20)
@@ -162,6 +170,22 @@
         await wait(self.discovery.first, LIST_WAIT_S)
         await self.listener.start(*self.config.listen)
 
+    def reload(self) -> None:
+        """Reads the configuration again. Its addresses are followed; the rest holds until a restart."""
+        try:
+            config = load(self.environ)
+        except ConfigError as error:
+            log.error("the configuration in force stays: %s", error)
+            return
+        log.info("the configuration was read again")
+        if replace(config, discovery=self.config.discovery, counter=self.config.counter, known=None,
+                   seed=self.config.seed) != replace(self.config, known=None):  # fmt: skip
+            log.warning("what changed besides the addresses of discovery and counter waits for a restart")
+        self.discovery.move(config.discovery)
+        if self.counter is not None and config.counter is not None:
+            self.counter.move(config.counter)
+        self.config = replace(self.config, discovery=config.discovery, counter=config.counter)
+
     async def leave(self) -> None:
         """A planned end: takes what still comes, finishes what is held, and is gone before the kill."""
         began = self.loop.time()
@@ -191,23 +215,26 @@
         return
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, environ: dict[str, str], hangups: list[int]) -> None:
     """Runs the program in the loop that is running."""
-    await Program(config, asyncio.get_running_loop()).run()
+    await Program(config, asyncio.get_running_loop(), environ=environ).run(hangups)
 
 
 def main() -> int:
     """The exit status."""
+    hangups: list[int] = []  # without a handler a SIGHUP would end the process, however early it comes
+    signal.signal(signal.SIGHUP, lambda number, frame: hangups.append(number))
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(message)s")
     for handler in logging.getLogger().handlers:
         handler.addFilter(LogLimit())
     try:
-        config = load(dict(os.environ))
+        environ = dict(os.environ)
+        config = load(environ)
     except ConfigError as error:
         print(f"glenchute: {error}", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(config))
+        uvloop.run(serve(config, environ, hangups))
     except OSError as error:
         print(f"glenchute: can't start: {error}", file=sys.stderr)
         return 1
--- a/glenchute/counter.py
+++ b/glenchute/counter.py
@@ -26,11 +26,12 @@
 class Call:
     """One call; `done` takes the total, the ending and the milliseconds that it took, once."""
 
-    __slots__ = ("done", "sent", "timer")
+    __slots__ = ("done", "name", "sent", "timer")
 
-    def __init__(self, done: Done | None, sent: float) -> None:
+    def __init__(self, done: Done | None, sent: float, name: int | None = None) -> None:
         self.done = done
         self.sent = sent
+        self.name = name
         self.timer: asyncio.TimerHandle | None = None
 
     def end(self, now: float, ending: Ending, total: float = 0.0) -> None:
@@ -53,7 +54,8 @@
         self.parser = resp.Parser()
         self.calls: deque[Call] = deque()  # written and unanswered, late ones too, so that replies pair
         self.backoff = BACKOFF_S[0]
-        self.closed = False
+        self.retired = False  # takes no new calls, and closes when those that are out have ended
+        self.closed = False  # is not opened anew
         self.last_used = 0.0
         self.task: asyncio.Task[None] | None = None
         self.heart = loop.call_later(PING_S, self.beat)
@@ -78,6 +80,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
+        if self.closed:
+            transport.abort()  # type: ignore[attr-defined]  # retired while it came up
+            return
         self.parser = resp.Parser()
         self.write(resp.command(b"PING"), Call(None, self.loop.time()))
 
@@ -99,6 +104,8 @@
         except (resp.ProtocolError, IndexError):
             if self.transport is not None:
                 self.transport.abort()  # replies no longer pair with calls
+        if self.retired and not self.calls:
+            self.close()
 
     def answered(self, reply: object) -> None:
         """The reply to the oldest call."""
@@ -119,6 +126,8 @@
         calls, self.calls = self.calls, deque()
         if not self.closed:
             self.again()
+        else:
+            self.heart.cancel()
         for call in calls:
             call.end(self.loop.time(), Ending.TIMEOUT)  # it may have been added
 
@@ -135,8 +144,20 @@
             self.last_used = now
             self.write(resp.command(b"PING"), Call(None, now))
 
+    def retire(self) -> None:
+        """No new calls come; those that are out end first. The silence of a peer ends them too."""
+        self.retired = self.closed = True
+        if not self.calls:
+            self.close()
+
+    def give_up(self, name: int) -> None:
+        """A call for this name goes out elsewhere: the answers for one name must keep their order."""
+        for call in self.calls:
+            if call.name == name:
+                call.end(self.loop.time(), Ending.TIMEOUT)
+
     def close(self) -> None:
-        """The end of the process."""
+        """The end of the connection, for good."""
         self.closed = True
         self.heart.cancel()
         if self.task is not None:
@@ -151,12 +172,28 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], timeout_s: float) -> None:
         self.loop = loop
         self.timeout_s = timeout_s
+        self.address = address
         self.links = [Link(loop, address) for _ in range(LINKS)]
+        self.leaving: list[Link] = []  # to addresses of before, with calls that are still out
+
+    def move(self, address: tuple[str, int]) -> None:
+        """The counter has another address: new calls go there."""
+        if address == self.address:
+            return
+        self.address = address
+        self.leaving = [link for link in [*self.leaving, *self.links] if link.calls]
+        for link in self.links:
+            link.retire()
+        self.links = [Link(self.loop, address) for _ in range(LINKS)]
 
     def call(self, name: int, amount: float, ttl_ms: float, done: Done) -> None:
         """Adds an amount to a name; `done` is called once, within the time-out."""
         link, now = self.links[name % LINKS], self.loop.time()
-        call = Call(done, now)
+        if self.leaving:
+            for old in self.leaving:
+                old.give_up(name)
+            self.leaving = [old for old in self.leaving if old.calls]
+        call = Call(done, now, name)
         if not link.ready():
             call.end(now, Ending.UNREACHABLE)  # nothing was written, so nothing was added
             return
@@ -172,5 +209,5 @@
 
     def close(self) -> None:
         """The end of the process."""
-        for link in self.links:
+        for link in [*self.links, *self.leaving]:
             link.close()
--- a/glenchute/discovery.py
+++ b/glenchute/discovery.py
@@ -88,9 +88,12 @@
         self.transport: asyncio.Transport | None = None
         self.status = 0
         self.body = b""
+        self.aborted = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
+        if self.aborted:
+            transport.abort()  # type: ignore[attr-defined]  # given up while it came up
 
     def get(self, host: str, target: str) -> None:
         """Sends a request."""
@@ -150,6 +153,7 @@
 
     def abort(self) -> None:
         """Closes the connection."""
+        self.aborted = True
         if self.transport is not None:
             self.transport.abort()
 
@@ -176,9 +180,24 @@
         """Begins with the whole list."""
         self.task = self.loop.create_task(self.open())
 
+    def move(self, where: tuple[str, int]) -> None:
+        """Discovery has another address: the whole list is asked for there, as versions known from the old
+        one mean nothing to it. The list held stays in force until then."""
+        if where == self.where:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.task is not None:
+            self.task.cancel()
+        left, self.exchange, self.since = self.exchange, None, None
+        if left is not None:
+            left.abort()
+        self.where, self.backoff = where, BACKOFF_S[0]
+        self.start()
+
     async def open(self) -> None:
         """Opens a connection and asks."""
-        exchange = Exchange(self.answered, lambda: self.lost(exchange))
+        exchange = Exchange(lambda *answer: self.answered(exchange, *answer), lambda: self.lost(exchange))
         self.exchange = exchange
         try:
             await asyncio.wait_for(self.loop.create_connection(lambda: exchange, *self.where), CONNECT_S)
@@ -209,8 +228,10 @@
             self.timer.cancel()
         self.timer = self.loop.call_later(seconds, then)
 
-    def answered(self, status: int, body: bytes) -> None:
+    def answered(self, exchange: Exchange, status: int, body: bytes) -> None:
         """An answer: told on if it is a list, else asked for anew and whole, after a pause."""
+        if exchange is not self.exchange:
+            return
         try:
             if status != 200:
                 raise ListError(f"status {status}")
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -548,6 +548,114 @@
     play(scenario())
 
 
+def test_sighup_follows_the_addresses_of_the_file(tmp_path: Path) -> None:
+    """Also several in a row, and a file that can't be read leaves what was in force."""
+
+    async def scenario() -> None:
+        server = RespPeer(always(SERVED))
+        await server.start()
+        rows = [row("s0", server.port)]
+        two = always(b"$1\r\n2\r\n")
+        places = [(DiscoveryPeer(listing(version, rows)), RespPeer(two)) for version in (9, 5, 3)]
+        for discovery, counts in places:
+            await discovery.start()
+            await counts.start()
+        holder = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        listen = int(holder.sockets[0].getsockname()[1])
+        holder.close()
+        await holder.wait_closed()
+        path = tmp_path / "config.json"
+
+        def write(place: int) -> None:
+            discovery, counts = places[place]
+            path.write_text(json.dumps(raw_config(discovery.port, counts.port, rows, listen)))
+
+        write(0)
+        process = await start(path)
+        assert process.stderr is not None
+        client = await patient(listen)
+        assert await client.ask(b"CALL.GET", CUSTOMER, b"1", GET) == b"value"
+        path.write_text("{")
+        process.send_signal(signal.SIGHUP)
+        while b"stays" not in await process.stderr.readline():
+            pass
+        assert await client.ask(b"CALL.GET", CUSTOMER, b"2", GET) == b"value"
+        for place in (1, 2):
+            write(place)
+            process.send_signal(signal.SIGHUP)
+            while b"read again" not in await process.stderr.readline():
+                pass
+        discovery, counts = places[2]
+        await until(lambda: len(discovery.targets) > 1 and len(counts.writers) == counter_module.LINKS)
+        assert discovery.targets[0] == "/v1/servers" and "since=3&" in discovery.targets[1]
+        ids = (b"%016x" % number for number in range(100, 10_000))
+        while not counts.calls():
+            assert await client.ask(b"CALL.GET", CUSTOMER, next(ids), GET) == b"value"
+            await asyncio.sleep(0.01)
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+        for peer in (server, *(peer for place in places for peer in place)):
+            await peer.stop()
+
+    play(scenario())
+
+
+def test_calls_that_are_out_end_on_the_old_links_of_the_counter() -> None:
+    async def scenario() -> None:
+        release = asyncio.Event()
+
+        async def late(words: list[bytes], writer: asyncio.StreamWriter) -> bytes | None:
+            if words[0] == b"INCRTTL":
+                await release.wait()
+            return b"$1\r\n7\r\n"
+
+        old, new = RespPeer(late), RespPeer(always(b"$1\r\n3\r\n"))
+        await old.start()
+        await new.start()
+        made = Counter(asyncio.get_running_loop(), ("127.0.0.1", old.port), 30.0)
+        ends: list[tuple[int, float, Ending]] = []
+
+        def call(name: int) -> None:
+            made.call(name, 1.0, 1.0, lambda total, ending, took: ends.append((name, total, ending)))
+
+        await until(lambda: all(link.ready() for link in made.links))
+        call(2)
+        call(4)
+        await until(lambda: len(old.calls()) == 1)
+        made.move(("127.0.0.1", new.port))
+        await until(lambda: all(link.ready() for link in made.links))
+        call(4)  # its old call ends now: answers for one name keep their order
+        await until(lambda: len(ends) == 2)
+        assert ends == [(4, 0.0, Ending.TIMEOUT), (4, 3.0, Ending.OK)]
+        release.set()
+        await until(lambda: len(ends) == 3 and len([1 for what, *_ in old.log if what == "closed"]) == 2)
+        assert ends[2] == (2, 7.0, Ending.OK) and len(new.calls()) == 1
+        made.close()
+        await old.stop()
+        await new.stop()
+
+    play(scenario())
+
+
+def test_what_discovery_said_at_an_old_address_is_dropped() -> None:
+    async def scenario() -> None:
+        old, new = DiscoveryPeer(listing(9, [row("a", 80)])), DiscoveryPeer()
+        await new.start()
+        script = Script(lambda event: [])
+        async with site(decisions=script, discovery=old) as one:
+            await until(lambda: len(old.targets) == 2)
+            one.program.discovery.move(("127.0.0.1", new.port))
+            old.answers.append(listing(10, [], full=True))
+            await until(lambda: new.targets)
+            assert list(one.program.servers.pools) == ["a"]  # the list held stays until the new one comes
+            new.answers.append(listing(2, [row("b", 81)]))
+            await until(lambda: list(one.program.servers.pools) == ["b"])
+            assert new.targets[0] == "/v1/servers"
+        await new.stop()
+
+    play(scenario())
+
+
 async def patient(port: int) -> Client:
     """A connection to a program that is starting."""
     while True:
