Servers' replies: strict frames, stalled answers ended, good ones with more behind served, settled connections

Checked: hiredis takes any two bytes for a bulk's end and a length that does not fit waits for its end until the deadline (servers.Connection.data_received returned on an unfinished reply and nothing else ended it); a good answer with bytes behind it was ended as a reset; reports of nan or inf reached the module (gateway.report); -BUSY with junk counted as 'never ran' (servers.classify). Ruled out: the descriptor limit (280 of 384), CPU over a second (0.10 of a core). Now: resp.frame finds the end of a message and its faults before hiredis sees it; a reply that has begun and stops for 0.25 s is spoilt; connections rest 30 ms before reuse, so that a copy or a close on its way meets no request; only exact -BUSY forms promise that nothing ran; load figures are decimals up to 100,000.

--- a/glenchute/gateway.py
+++ b/glenchute/gateway.py
@@ -9,6 +9,8 @@
 
 import asyncio
 import logging
+import math
+import re
 import time
 from collections import deque
 from collections.abc import Callable
@@ -26,8 +28,11 @@
 
 ANSWER_MARGIN_S = 0.01  # attempts end this long before the client's time does, so that the answer is in time
 DID_NOT_RUN = (api.Ending.FULL, api.Ending.UNREACHABLE, api.Ending.UNSENT)
-QUEUE_WORDS = ("queue", "waiting")
-ACTIVE_WORDS = ("inflight", "active")
+QUEUE_WORDS = (b"queue", b"waiting")
+ACTIVE_WORDS = (b"inflight", b"active")
+FIGURE = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
+MOST_HELD = 100_000.0  # requests at one server; a report of more is absurd
+MOST_REPORT = 256
 
 
 class Clock:
@@ -84,17 +89,18 @@
 
 
 def report(text: bytes | None) -> tuple[float | None, float | None]:
-    """Queue and requests held, from a load report; figures that can't be read count as not told."""
+    """Queue and requests held, from a load report. What can't be read or can't be true counts as not told: a
+    single `nan` would stay in the module's means for ever."""
     queue = active = None
-    for part in text.split(b",") if text else ():
-        name, _, value = part.decode("ascii", "replace").partition("=")
-        try:
-            if name in QUEUE_WORDS:
-                queue = float(value)
-            elif name in ACTIVE_WORDS:
-                active = float(value)
-        except ValueError:
+    for part in text.split(b",") if text and len(text) <= MOST_REPORT else ():
+        name, _, digits = part.partition(b"=")
+        value = float(digits) if FIGURE.fullmatch(digits) else math.inf
+        if value > MOST_HELD:
             continue
+        if name in QUEUE_WORDS:
+            queue = value
+        elif name in ACTIVE_WORDS:
+            active = value
     return queue, active
 
 
--- a/glenchute/resp.py
+++ b/glenchute/resp.py
@@ -1,55 +1,121 @@
-"""RESP2: encoding, and limits round hiredis' parser, which has none of its own on what it buffers."""
+"""RESP2: encoding, and strictness round hiredis' parser.
+
+hiredis takes any two bytes for the end of a bulk string, makes room for whatever number of elements an array
+announces, and has no limit on what it buffers. A message is thus handed to it only once it is known to be
+whole, well-formed and within the limits.
+"""
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 import hiredis
 
 MAX_VALUE = 64 * 1024  # the longest value that the protocol allows
 MAX_PENDING = 2 * MAX_VALUE  # bytes of one message that may wait for its end
-MAX_FRAMES = 99  # elements of a message; the protocol's own have five at most
+MAX_LINE = 1024  # of a status or an error
+MAX_HEAD = 24  # of the line that tells a length, or a number
+MAX_FRAMES = 99  # elements of an array; the protocol's own have five at most
+MAX_DEPTH = 2  # arrays in an array: figures on use
 
 PONG = b"+PONG\r\n"
 OK = b"+OK\r\n"
 FAILED = b"-ERR failed\r\n"
 ReplyError = hiredis.ReplyError
+INTEGER = re.compile(rb"-?(0|[1-9][0-9]{0,17})")
+STATUS, ERROR, NUMBER, BULK, ARRAY = b"+-:$*"
 
 
 class ProtocolError(Exception):
     """Bytes that are not RESP, or more of them than a message may have."""
 
 
+def line(raw: bytes, at: int, most: int) -> int:
+    """Where the line at `at` ends, its line break included; 0 if that has not come."""
+    end = raw.find(b"\n", at, at + most + 2)
+    if end < 0:
+        if len(raw) - at > most:
+            raise ProtocolError("line too long")
+        return 0
+    if raw.find(b"\r", at, end) != end - 1:
+        raise ProtocolError("bad end of a line")
+    return end + 1
+
+
+def integer(raw: bytes, at: int, end: int) -> int:
+    """The number of a line."""
+    if INTEGER.fullmatch(raw, at + 1, end - 2) is None:
+        raise ProtocolError("bad number")
+    return int(raw[at + 1 : end - 2])
+
+
+def frame(raw: bytes, at: int, depth: int = 0) -> int:
+    """Where the message at `at` ends; 0 if its end has not come."""
+    if at >= len(raw):
+        return 0
+    kind = raw[at]
+    if kind in (STATUS, ERROR) and not depth:
+        return line(raw, at, MAX_LINE)
+    if kind not in (NUMBER, BULK, ARRAY):
+        raise ProtocolError("not RESP")
+    end = line(raw, at, MAX_HEAD)
+    if not end:
+        return 0
+    count = integer(raw, at, end)
+    if kind == NUMBER or count == -1:
+        return end
+    if kind == ARRAY:
+        if not 0 <= count <= MAX_FRAMES or depth >= MAX_DEPTH:
+            raise ProtocolError("too many elements")
+        for _ in range(count):
+            end = frame(raw, end, depth + 1)
+            if not end:
+                return 0
+        return end
+    if not 0 <= count <= MAX_VALUE:
+        raise ProtocolError("value too long")
+    end += count
+    if raw[end : end + 2] not in (b"\r\n", b"\r", b""):
+        raise ProtocolError("a value that is longer than announced")
+    return end + 2 if len(raw) >= end + 2 else 0
+
+
 class Parser:
     """One direction of a connection: bytes in, whole messages out."""
 
-    __slots__ = ("_reader",)
+    __slots__ = ("_at", "_raw")
 
     def __init__(self) -> None:
-        self._reader = hiredis.Reader()
+        self._raw, self._at = b"", 0
 
     def feed(self, data: bytes) -> None:
-        """Takes bytes as they came; an absurd array is turned down before the parser makes room for it."""
-        if data[:1] == b"*" and not self._reader.has_data():
-            digits = data[1:12].split(b"\r", 1)[0]
-            if digits.isdigit() and int(digits) > MAX_FRAMES:
-                raise ProtocolError("too many elements")
-        self._reader.feed(data)
+        """Takes bytes as they came."""
+        self._raw = self._raw[self._at :] + data if self._at < len(self._raw) else data
+        self._at = 0
 
     def next(self) -> Any:
-        """The next whole message, or False if its end has not come yet."""
+        """The next whole message, or False if its end has not come yet. A status is a `str`."""
+        start, end = self._at, frame(self._raw, self._at)
+        if not end:
+            if len(self._raw) - start > MAX_PENDING:
+                raise ProtocolError("message too large")
+            return False
+        self._at = end
+        if self._raw[start] == STATUS:
+            return self._raw[start + 1 : end - 2].decode("ascii", "replace")
+        reader = hiredis.Reader()
+        reader.feed(self._raw, start, end - start)
+        if end == len(self._raw):
+            self._raw, self._at = b"", 0  # an idle connection holds on to nothing
         try:
-            message = self._reader.gets()
-        except (hiredis.ProtocolError, MemoryError, RecursionError) as error:
-            raise ProtocolError(str(error) or "message too large") from None
-        if message is False and self._reader.len() > MAX_PENDING:
-            # A length that is announced and never sent would otherwise fill the memory.
-            raise ProtocolError("message too large")
-        return message
+            return reader.gets()
+        except hiredis.ProtocolError as error:
+            raise ProtocolError(str(error)) from None
 
     def rest(self) -> bool:
         """Whether bytes wait behind the last message."""
-        return bool(self._reader.has_data())
+        return self._at < len(self._raw)
 
 
 def bulk(value: bytes) -> bytes:
--- a/glenchute/servers.py
+++ b/glenchute/servers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -19,6 +20,10 @@
 IDLE_MARGIN_S = 2.0  # idle connections are closed this long before the server would do so
 SWEEP_S = 1.0
 
+SETTLE_S = 0.03  # an answered connection is not used again before this: see `Pool.take`
+STALL_S = 0.25  # an answer that has begun and stops for this long does not go on
+LOAD = re.compile(r"[a-z_0-9]+=[0-9.]+(,[a-z_0-9]+=[0-9.]+)*")
+
 Address = tuple[str, int]
 
 
@@ -34,31 +39,34 @@
 
 @dataclass(slots=True)
 class Result:
-    """How an attempt ended."""
+    """How an attempt ended; `sound` where the connection can be used again."""
 
     ending: Ending
     value: bytes | None = None
     report: bytes | None = None
+    sound: bool = False
 
 
 def classify(reply: Any) -> Result:
-    """A server's reply as PROTOCOL's table reads it. Only a whole array with a value counts as served."""
-    if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
-        report = reply[2] if len(reply) > 2 and isinstance(reply[2], bytes) else None
-        return Result(Ending.OK, reply[0], report)
+    """A server's reply as PROTOCOL's table reads it. Only the exact forms count: what was spoilt on its way
+    has run, so it must neither be served nor pass for a request that never ran."""
+    if isinstance(reply, list) and len(reply) == 3 and isinstance(reply[0], bytes):
+        return Result(Ending.OK, reply[0], reply[2] if isinstance(reply[2], bytes) else None, True)
     if isinstance(reply, resp.ReplyError):
-        text = str(reply)
-        last = text.rpartition(" ")[2]
-        report = last.encode() if "=" in last else None
-        full = text == "BUSY" or text.startswith("BUSY ")
-        return Result(Ending.FULL if full else Ending.ERROR, None, report)
+        text, _, last = str(reply).rpartition(" ")
+        report = last.encode() if LOAD.fullmatch(last) else None
+        if report is None:
+            text = str(reply)
+        if text == "BUSY":
+            return Result(Ending.FULL, None, report, True)
+        return Result(Ending.ERROR, None, report, text == "ERR failed")
     return Result(Ending.ERROR)
 
 
 class Connection(asyncio.Protocol):
     """One connection; `attempt` is the one whose request is out on it."""
 
-    __slots__ = ("attempt", "idle_since", "parser", "pool", "transport")
+    __slots__ = ("attempt", "idle_since", "parser", "pool", "stall", "transport")
 
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
@@ -66,6 +74,7 @@
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.idle_since = 0.0
+        self.stall: asyncio.TimerHandle | None = None  # runs while an answer has come in part
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
@@ -73,25 +82,43 @@
 
     def data_received(self, data: bytes) -> None:
         attempt = self.attempt
+        if attempt is None or attempt.result is not None:
+            self.abort()  # bytes that nobody asked for: replies no longer pair with requests here
+            return
+        if self.stall is not None:
+            self.stall.cancel()
+            self.stall = None
         try:
             self.parser.feed(data)
             reply = self.parser.next()
         except resp.ProtocolError:
-            if attempt is not None:
-                attempt.result = Result(Ending.ERROR)  # it answered, if not in RESP: it may have run
-            self.abort()
+            self.spoilt()
             return
-        if reply is False and attempt is not None:
+        if reply is False:
+            # A length that does not fit leaves an answer without an end, on a connection that stays open.
+            self.stall = self.pool.servers.loop.call_later(STALL_S, self.spoilt)
             return
-        if attempt is None or attempt.result is not None or self.parser.rest():
-            # Bytes nobody asked for: replies no longer pair with requests here.
-            self.abort()
+        result = classify(reply)
+        sound = result.sound and not self.parser.rest()
+        if not sound and result.ending is not Ending.OK:
+            self.spoilt()
             return
         self.attempt = None
-        self.pool.give_back(self)
-        attempt.finish(classify(reply))
+        if sound:
+            self.pool.give_back(self)
+        else:
+            self.abort()  # a good answer with more behind it is served, but nothing pairs here any more
+        attempt.finish(result)
+
+    def spoilt(self) -> None:
+        """What came is no answer, but the request may have run."""
+        if self.attempt is not None and self.attempt.result is None:
+            self.attempt.result = Result(Ending.ERROR)
+        self.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if self.stall is not None:
+            self.stall.cancel()
         self.pool.forget(self)
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
@@ -120,13 +147,18 @@
         self.stop_at: float | None = None  # nothing may be written from then on: it drains or is gone
 
     def take(self) -> Connection | None:
-        """The most recently used idle connection that can still be trusted."""
-        oldest = self.servers.loop.time() - self.servers.limits.idle_s
-        while self.idle:
-            conn = self.idle.pop()
+        """The most recently used idle connection that can be trusted: neither so old that the server may be
+        closing it, nor so fresh that more than belongs to the last answer, or the end of the connection, may
+        be on its way. A request written there would get another's value or be reset."""
+        now = self.servers.loop.time()
+        for at in range(len(self.idle) - 1, -1, -1):
+            conn = self.idle[at]
+            if now - conn.idle_since < SETTLE_S:
+                continue
+            del self.idle[at]
             if conn.transport is None or conn.transport.is_closing():
                 continue
-            if conn.idle_since > oldest:
+            if now - conn.idle_since < self.servers.limits.idle_s:
                 return conn
             conn.abort()
         return None
