Clients: commands checked whole, open ids kept apart, silence and floods bounded

Cause: clients.account took 1 to 16 characters (0x1f, numbers past 2^33), units, spread and first were not held against the settings, nothing knew which ids were open, and connections that never spoke or stalled in half a command lived 30 to 300 s (IDLE_S, STUCK_S). Now: commands.py checks all of a command first; an id that is open is refused with an error; silent and half-said connections end after 2 s, idle ones after 5 s (2 s when crowded), eight errors close; an error is followed by a lingering close of 0.5 s; one connection has 16 commands in a turn. Clients have half of the descriptors.

--- a/glenchute/__main__.py
+++ b/glenchute/__main__.py
@@ -21,7 +21,8 @@
 from heathglade.interface import Settings
 from heathglade.simhost import num, settings
 
-from .clients import Catalogue, Listener
+from .clients import Listener
+from .commands import Bounds, Catalogue, bounds
 from .counter import Counter
 from .discovery import Discovery, ListError, News, address, read_list
 from .gateway import Decisions, Gateway
@@ -53,6 +54,7 @@
     known: News | None
     settings: Settings
     limits: Limits
+    bounds: Bounds
 
 
 def part(raw: dict[str, Any], key: str) -> dict[str, Any]:
@@ -103,6 +105,7 @@
             grace_s=num(safety.get("drain_grace_ms"), 250.0) / 1000.0,
             connections=sockets * 3 // 10,
         ),
+        bounds=bounds(raw["settings"]),
     )
 
 
@@ -141,7 +144,7 @@
         )
         decisions = decisions or Policy(made, config.seed)
         self.gateway = Gateway(loop, decisions, self.servers, self.counter)
-        self.listener = Listener(loop, self.gateway, Catalogue(made), config.sockets * 6 // 10)
+        self.listener = Listener(loop, self.gateway, Catalogue(made, config.bounds), config.sockets // 2)
         self.discovery = Discovery(loop, config.discovery, self.gateway.news)
         self.stopping = asyncio.Event()
 
--- a/glenchute/clients.py
+++ b/glenchute/clients.py
@@ -1,135 +1,57 @@
 """The clients' side: the listener, commands in, replies in the order of their commands.
 
 What a client may make the gateway hold is bounded: the bytes of a message, the commands of a connection, the
-replies it does not read, the connections.
+replies it does not read, the connections, the time that it may say nothing, the work of one turn of the loop.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import math
 from collections import deque
-from collections.abc import Iterable
 from typing import Any
 
-from heathglade.interface import Repeat, Settings
-
 from . import resp
-from .gateway import Call, Gateway, Live
+from .commands import Catalogue, CommandError
+from .gateway import Gateway, Live
 
 log = logging.getLogger("glenchute")
 
 MOST_PENDING = 64  # commands of one connection without a reply; more are left unread
-IDLE_S = 300.0  # a connection between requests is closed after this
-STUCK_S = 30.0  # one that leaves a command unfinished or its replies unread is cut off after this
-SWEEP_S = 5.0
-MOST_MS = 600_000.0
-MOST_UNITS = 1e6
+TURN = 16  # commands that one connection may have carried out before others get their turn
+MOST_ERRORS = 8  # commands that can't be served, after which a connection is closed
+IDLE_S = 5.0  # a connection between requests is closed after this ...
+CROWDED_IDLE_S = 2.0  # ... or this, while more than half of the places are taken
+SILENT_S = 2.0  # one that has not sent a whole command by then is closed
+PARTIAL_S = 2.0  # one that has begun a command and not ended it by then is told, and closed
+STUCK_S = 30.0  # one that leaves its replies unread is cut off after this
+LINGER_S = 0.5  # after an error the other end has this long to read it, while what it sends is thrown away
+LINGER_BYTES = 4 * 1024 * 1024
+SWEEP_S = 0.25
 BUFFERED = 256 * 1024  # replies that may wait for a slow reader before its commands are left unread
-
-
-class CommandError(ValueError):
-    """A command that can't be served; the text goes to the client."""
-
-
-class Catalogue:
-    """What a command may name, from the settings."""
-
-    def __init__(self, settings: Settings) -> None:
-        self.gateways = settings.gateways
-        self.plans = {plan.name.encode(): plan.name for plan in settings.plans}
-        self.classes = {cls.name.encode(): (cls.name, cls.repeat) for cls in settings.classes}
-
-    def call(self, words: list[bytes]) -> Call:
-        """Checks a command and takes it apart, once."""
-        verb = words[0].upper()
-        if not 4 <= len(words) <= 5:
-            raise CommandError("wrong number of arguments")
-        customer, request_id, text = words[1:4]
-        if not request_id or len(text) > 4096:
-            raise CommandError("bad request id or fields")
-        fields, gap = split_fields(text)
-        name, repeat = self.known(self.classes, fields, b"c", "class")
-        if (repeat is Repeat.SAFE) != (verb == b"CALL.GET"):
-            raise CommandError("this class goes by the other command")
-        if repeat is Repeat.KEYED and not fields.get(b"k"):
-            raise CommandError("no idempotency key")
-        return Call(
-            class_name=name,
-            plan=self.known(self.plans, fields, b"t", "plan"),
-            customer=account(customer),
-            time_left_ms=number(fields, b"d", 1.0, MOST_MS),
-            units=number(fields, b"units", 0.0, MOST_UNITS, 1.0),
-            spread=int(number(fields, b"spread", 1.0, 1e6, 1.0)),
-            before=b"*%d\r\n%b" % (len(words), b"".join([resp.bulk(word) for word in words[:3]])),
-            fields=gap,
-            after=resp.bulk(words[4]) if len(words) == 5 else b"",
-        )
-
-    @staticmethod
-    def known(table: dict[bytes, Any], fields: dict[bytes, bytes], key: bytes, what: str) -> Any:
-        """What a field names."""
-        try:
-            return table[fields[key]]
-        except KeyError:
-            raise CommandError(f"unknown {what}") from None
-
-
-def account(customer: bytes) -> str:
-    """The customer in the one form that all gateways share: windows and counter names hang on it."""
-    if not 1 <= len(customer) <= 16 or not customer.isalnum():
-        raise CommandError("bad customer")
-    try:
-        return f"{int(customer, 16):016x}"
-    except ValueError:
-        raise CommandError("bad customer") from None
-
-
-def split_fields(text: bytes) -> tuple[dict[bytes, bytes], tuple[bytes, bytes]]:
-    """The fields by name, and the list round the number of `d`."""
-    fields: dict[bytes, bytes] = {}
-    gap: tuple[bytes, bytes] | None = None
-    at = 0
-    for part in text.split(b","):
-        name, equals, value = part.partition(b"=")
-        if not equals or not name or name in fields:
-            raise CommandError("bad fields")
-        fields[name] = value
-        if name == b"d":
-            gap = text[: at + 2], text[at + len(part) :]
-        at += len(part) + 1
-    if gap is None:
-        raise CommandError("no time left given")
-    return fields, gap
-
-
-def number(fields: dict[bytes, bytes], key: bytes, least: float, most: float, default: float = 0.0) -> float:
-    """A number in its range. `float` alone would let through `nan`, `1_0` and white space."""
-    text = fields.get(key)
-    if text is None:
-        return default
-    try:
-        value = float(text) if text[:1].isdigit() and b"_" not in text else math.nan
-    except ValueError:
-        value = math.nan
-    if not least <= value <= most:
-        raise CommandError(f"bad number for {key.decode('ascii', 'replace')}")
-    return value
+SPARE = 16  # connections past the limit that may be told so; further ones are closed unseen
 
 
 class Slot:
     """The place of one reply in a connection's order."""
 
-    __slots__ = ("client", "live", "reply")
+    __slots__ = ("client", "live", "reply", "request_id")
 
     def __init__(self, client: Client) -> None:
         self.client = client
         self.live: Live | None = None
         self.reply: bytes | None = None
+        self.request_id: bytes | None = None  # while the request is open
+
+    def release(self) -> None:
+        """The request is over."""
+        if self.request_id is not None:
+            self.client.listener.open_ids.discard(self.request_id)
+            self.request_id = None
 
     def fill(self, reply: bytes) -> None:
         """The answer is known; it goes out when those before it have."""
+        self.release()
         self.reply, self.live = reply, None
         self.client.flush()
 
@@ -139,13 +61,20 @@
 
     __slots__ = (
         "closing",
+        "discarded",
+        "errors",
         "full",
+        "leaving_since",
         "listener",
         "parser",
+        "partial_since",
         "paused",
         "slots",
+        "spoke",
+        "told",
         "touched",
         "transport",
+        "waiting",
         "working",
     )
 
@@ -155,9 +84,16 @@
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
         self.closing = False  # no more commands; closes when all replies are out
+        self.told = False  # closes with an error, which the other end should have the time to read
+        self.leaving_since: float | None = None  # all is written and the own side is shut
+        self.discarded = 0  # bytes that came since then
         self.full = False  # the client does not read its replies
         self.paused = False
         self.working = False
+        self.waiting = False  # a turn of the loop is booked for commands that are left
+        self.spoke = False  # a whole command has come
+        self.errors = 0
+        self.partial_since: float | None = None  # when the command began whose end is awaited
         self.touched = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -172,38 +108,53 @@
         self.listener.clients.discard(self)
         slots, self.slots = self.slots, deque()
         for slot in slots:
+            slot.release()
             live, slot.live = slot.live, None
             if live is not None:
                 self.listener.gateway.client_left(live)
 
     def data_received(self, data: bytes) -> None:
-        self.touched = self.listener.loop.time()
         if self.closing:
+            self.discarded += len(data)
+            if self.discarded > LINGER_BYTES and not self.slots and self.transport is not None:
+                self.transport.abort()
             return
-        try:
-            self.parser.feed(data)
-        except resp.ProtocolError as error:
-            self.broken(error)
-            return
-        self.work()
+        self.touched = self.listener.loop.time()
+        self.parser.feed(data)
+        if not self.waiting:
+            self.work()
 
     def work(self) -> None:
-        """Takes whole commands as long as there is room for their replies."""
+        """Takes whole commands as long as there is room for their replies, a bounded number in one turn."""
         if self.working:
             return
-        self.working = True
+        self.working, self.waiting = True, False
+        left = TURN
         try:
-            while not self.closing and not self.full and len(self.slots) < MOST_PENDING:
+            while left and not self.closing and not self.full and len(self.slots) < MOST_PENDING:
                 words = self.parser.next()
                 if words is False:
                     break
+                left -= 1
+                self.spoke, self.partial_since = True, None
                 self.command(words)
         except resp.ProtocolError as error:
             self.broken(error)
         finally:
             self.working = False
+        if not self.closing and self.parser.rest():
+            if left and self.partial_since is None:
+                self.partial_since = self.listener.loop.time()
+            elif not left:
+                self.book()
         self.flush()
 
+    def book(self) -> None:
+        """Commands are left in the buffer: the loop's next turn goes on with them."""
+        if not self.waiting:
+            self.waiting = True
+            self.listener.loop.call_soon(self.work)
+
     def command(self, words: Any) -> None:
         """One command. Whatever is wrong with it is told to the client, and only what breaks RESP closes."""
         if not isinstance(words, list) or not words or not all(type(word) is bytes for word in words):
@@ -211,11 +162,12 @@
         slot = Slot(self)
         self.slots.append(slot)
         try:
-            if max(map(len, words)) > resp.MAX_VALUE:
-                raise CommandError("value too long")
             self.carry_out(slot, words)
         except CommandError as error:
             slot.reply = resp.error(str(error))
+            self.errors += 1
+            if self.errors >= MOST_ERRORS:
+                self.closing = self.told = True  # it goes on as before at full speed, at the others' cost
         except Exception:
             # A fault of ours would else end the connection with all that is held on it.
             log.exception("a command failed")
@@ -228,7 +180,16 @@
             slot.reply = self.plain(verb, words)
             return
         call = self.listener.catalogue.call(words)
-        live = self.listener.gateway.take(call, slot.fill)
+        if call.request_id in self.listener.open_ids:
+            # On the servers two requests of one id would be taken for one, and both might be spoilt.
+            raise CommandError("this request id is in use")
+        self.listener.open_ids.add(call.request_id)
+        slot.request_id = call.request_id
+        try:
+            live = self.listener.gateway.take(call, slot.fill)
+        except Exception:
+            slot.release()
+            raise
         if slot.reply is None:
             slot.live = live
 
@@ -236,21 +197,21 @@
         """Commands of the connection itself."""
         if verb == b"PING":
             if len(words) > 2:
-                return resp.error("wrong number of arguments for 'ping'")
+                raise CommandError("wrong number of arguments for 'ping'")
             return resp.bulk(words[1]) if len(words) == 2 else resp.PONG
         if verb in (b"CLIENT", b"SELECT"):
             return resp.OK
         if verb == b"QUIT":
             self.closing = True
             return resp.OK
-        return resp.error(f"unknown command '{verb[:64].decode('ascii', 'replace')}'")
+        raise CommandError(f"unknown command '{verb[:64].decode('ascii', 'replace')}'")
 
     def broken(self, error: Exception) -> None:
         """Bytes that are not RESP: says so after the replies still owed, and closes."""
         slot = Slot(self)
         slot.reply = resp.error(f"Protocol error: {error}")
         self.slots.append(slot)
-        self.closing = True
+        self.closing = self.told = True
         self.flush()
 
     def flush(self) -> None:
@@ -264,15 +225,28 @@
             self.touched = self.listener.loop.time()
             self.transport.write(b"".join(ready))
         if self.closing and not self.slots:
-            self.transport.close()
+            self.leave()
             return
         if ready and self.parser.rest() and not self.full and not self.closing:
-            self.listener.loop.call_soon(self.work)  # commands were left in the buffer
+            self.book()
         self.throttle()
 
+    def leave(self) -> None:
+        """All is written. Closing with bytes unread would reset the connection, and the error that was just
+        written might be lost with it: only the own side is shut, and what still comes is thrown away."""
+        if self.transport is None or self.leaving_since is not None:
+            return
+        self.leaving_since = self.listener.loop.time()
+        self.parser = resp.Parser()
+        if self.told and not self.full:
+            self.throttle()
+            self.transport.write_eof()
+        else:
+            self.transport.close()
+
     def throttle(self) -> None:
         """Backpressure: a client that does not read, or has too much pending, is not read from."""
-        stop = self.full or len(self.slots) >= MOST_PENDING
+        stop = not self.closing and (self.full or len(self.slots) >= MOST_PENDING)
         if self.transport is None or self.transport.is_closing() or stop == self.paused:
             return
         self.paused = stop
@@ -289,26 +263,33 @@
         self.full = False
         self.touched = self.listener.loop.time()
         self.throttle()
-        self.listener.loop.call_soon(self.work)
+        self.book()
 
     def idle(self) -> bool:
         """Between requests."""
-        return not self.slots and not self.parser.rest()
+        return not self.slots and not self.closing and not self.parser.rest()
 
     def finish(self) -> None:
         """Closes once all that was taken is answered."""
         self.closing = True
         self.flush()
 
-    def sweep(self, now: float) -> None:
+    def sweep(self, now: float, idle_s: float) -> None:
         """Peers that vanish say nothing: every wait has an end."""
-        since = now - self.touched
-        stuck = self.full or (not self.slots and self.parser.rest())
         if self.transport is None:
             return
-        if (stuck or (self.closing and not self.slots)) and since > STUCK_S:
-            self.transport.abort()
-        elif self.idle() and since > IDLE_S:
+        since = now - self.touched
+        if self.leaving_since is not None:
+            if now - self.leaving_since > (STUCK_S if self.full else LINGER_S):
+                self.transport.abort()
+        elif self.full:
+            if since > STUCK_S:
+                self.transport.abort()
+        elif self.slots or self.closing:
+            return
+        elif self.partial_since is not None and now - self.partial_since > PARTIAL_S:
+            self.broken(resp.ProtocolError("the end of a command did not come"))
+        elif self.idle() and since > (idle_s if self.spoke else SILENT_S):
             self.finish()
 
 
@@ -323,6 +304,7 @@
         self.catalogue = catalogue
         self.most = most
         self.clients: set[Client] = set()
+        self.open_ids: set[bytes] = set()
         self.server: asyncio.Server | None = None
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
 
@@ -331,23 +313,30 @@
         self.server = await self.loop.create_server(lambda: Client(self), host, port, backlog=512)
 
     def made(self, client: Client) -> None:
-        """A new connection; past the limit the longest idle one makes room, else it is turned away."""
+        """A new connection. Past the limit room is made: by those that leave anyway, then those that never
+        said a word, then the longest idle ones. With none of these the new one is turned away."""
         if len(self.clients) >= self.most:
-            idle: Iterable[Client] = (c for c in self.clients if c.idle() and not c.closing)
-            oldest = min(idle, key=lambda c: c.touched, default=None)
-            if oldest is None:
+            oldest = min(
+                (c for c in self.clients if c.leaving_since is not None or c.idle()),
+                key=lambda c: (c.leaving_since is None, c.spoke, c.touched),
+                default=None,
+            )
+            if oldest is not None and oldest.transport is not None:
+                oldest.transport.abort()
+            elif len(self.clients) < self.most + SPARE:
                 client.broken(resp.ProtocolError("too many connections"))
-                self.clients.add(client)
-                return
-            oldest.finish()
+            else:
+                assert client.transport is not None
+                client.transport.abort()
         self.clients.add(client)
 
     def sweep(self) -> None:
         """Looks at all connections now and then, which is cheaper than a timer for each."""
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
         now = self.loop.time()
+        idle_s = CROWDED_IDLE_S if 2 * len(self.clients) > self.most else IDLE_S
         for client in list(self.clients):
-            client.sweep(now)
+            client.sweep(now, idle_s)
 
     def stop(self) -> None:
         """No new connections; those between requests close now, the others with their last reply."""
--- a/glenchute/gateway.py
+++ b/glenchute/gateway.py
@@ -56,6 +56,7 @@
 class Call:
     """A client's command, parsed and checked once. `fields` has a gap where the time left goes."""
 
+    request_id: bytes
     class_name: str
     plan: str
     customer: str
@@ -158,7 +159,7 @@
     def take(self, call: Call, answer: Callable[[bytes], None]) -> Live:
         """A client's request has come whole; `answer` is called once, with the encoded reply."""
         self.serial += 1
-        # Ids of our own: a client that reuses one must not mix up two requests here.
+        # Ids of our own: an attempt may outlive its request, whose id a client may then use again.
         ref = str(self.serial)
         live = Live(ref, call, self.loop.time() + call.time_left_ms / 1000.0, answer)
         self.live[ref] = live
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -27,7 +27,7 @@
     "my_zone": "a",
     "balancers": 2,
     "me": 0,
-    "domain": {"counter": True, "counter_timeout_ms": 5000.0},
+    "domain": {"counter": True, "counter_timeout_ms": 5000.0, "max_units": 6},
     "limits": {"attempts_cap": 4, "retry_after": True, "max_retry_after_ms": 500.0, "max_open": 1000,
                "conn_idle_ms": 15000.0, "connect_timeout_ms": 5000.0},
     "packages": [{"name": "basic", "per_second": 1000.0, "most_at_once": 4000.0}],
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,6 +13,7 @@
 
 import pytest
 
+from glenchute import clients as clients_module
 from glenchute import counter as counter_module
 from glenchute import discovery as discovery_module
 from glenchute import servers as servers_module
@@ -48,43 +49,166 @@
 
 # --- clients ---------------------------------------------------------------------------------------------
 
+ID = b"9b1f03aa5c7e2d41"
 BAD = [
     ([b"NOPE"], "unknown command 'NOPE'"),
     ([b"HELLO", b"3"], "unknown command 'HELLO'"),
     ([b"PING", b"a", b"b"], "wrong number of arguments"),
     ([b"CALL.GET"], "wrong number of arguments"),
-    ([b"CALL.GET", CUSTOMER, b"1", GET, b"body", b"more"], "wrong number of arguments"),
-    ([b"CALL.GET", b"xyz", b"1", GET], "bad customer"),
-    ([b"CALL.GET", b"-1", b"1", GET], "bad customer"),
-    ([b"CALL.GET", CUSTOMER, b"", GET], "bad request id"),
-    ([b"CALL.GET", CUSTOMER, b"1", b"c=read,t=basic"], "no time left"),
-    ([b"CALL.GET", CUSTOMER, b"1", b"c=read,,t=basic,d=9"], "bad fields"),
-    ([b"CALL.GET", CUSTOMER, b"1", b"c=read,c=read,t=basic,d=9"], "bad fields"),
-    ([b"CALL.GET", CUSTOMER, b"1", b"c=other,t=basic,d=9"], "unknown class"),
-    ([b"CALL.GET", CUSTOMER, b"1", b"c=read,t=other,d=9"], "unknown plan"),
-    ([b"CALL.GET", CUSTOMER, b"1", b"t=basic,d=9"], "unknown class"),
-    ([b"CALL.POST", CUSTOMER, b"1", GET, b""], "other command"),
-    ([b"CALL.GET", CUSTOMER, b"1", CHARGE], "other command"),
-    ([b"CALL.POST", CUSTOMER, b"1", b"c=order,t=basic,d=9", b""], "no idempotency key"),
+    ([b"CALL.GET", CUSTOMER, ID, GET, b"body", b"more"], "wrong number of arguments"),
     *[
-        ([b"CALL.GET", CUSTOMER, b"1", b"c=read,t=basic,d=%b" % bad], "bad number for d")
-        for bad in (b"", b"nan", b"inf", b"-1", b"1_0", b"0", b"9" * 400, b" 5", b"x")
+        ([b"CALL.GET", bad, ID, GET], "bad customer")
+        for bad in (b"xyz", b"-1", b"0x1f", b"", b"1f", b"00000000b4d6552g", b"0000000200000000", b"+" * 16)
+    ],
+    *[([b"CALL.GET", CUSTOMER, bad, GET], "bad request id") for bad in (b"", b"a b", b"\n", b"x" * 65)],
+    ([b"CALL.GET", CUSTOMER, ID, b"c=read,t=basic"], "no time left"),
+    ([b"CALL.GET", CUSTOMER, ID, b"c=read,,t=basic,d=9"], "bad fields"),
+    ([b"CALL.GET", CUSTOMER, ID, b"c=read,c=read,t=basic,d=9"], "bad fields"),
+    ([b"CALL.GET", CUSTOMER, ID, GET + b",x=" + b"1" * 600], "bad fields"),
+    ([b"CALL.GET", CUSTOMER, ID, b"c=other,t=basic,d=9"], "unknown class"),
+    ([b"CALL.GET", CUSTOMER, ID, b"c=read,t=other,d=9"], "unknown plan"),
+    ([b"CALL.GET", CUSTOMER, ID, b"t=basic,d=9"], "unknown class"),
+    ([b"CALL.POST", CUSTOMER, ID, GET, b""], "other command"),
+    ([b"CALL.GET", CUSTOMER, ID, CHARGE], "other command"),
+    ([b"CALL.POST", CUSTOMER, ID, b"c=order,t=basic,d=9", b""], "no idempotency key"),
+    ([b"CALL.POST", CUSTOMER, ID, b"c=order,t=basic,d=9,k=", b""], "no idempotency key"),
+    *[
+        ([b"CALL.GET", CUSTOMER, ID, b"c=read,t=basic,d=%b" % bad], "bad number for d")
+        for bad in (b"", b"nan", b"inf", b"-1", b"1_0", b"0", b"9" * 400, b" 5", b"x", b"1e3")
+    ],
+    *[
+        ([b"CALL.GET", CUSTOMER, ID, b"c=read,t=basic,d=9,units=%b" % bad], "bad number for units")
+        for bad in (b"-2", b"0", b"nan", b"7", b"1e1", b"")
+    ],
+    *[
+        ([b"CALL.GET", CUSTOMER, ID, b"c=read,t=basic,d=9,spread=%b" % bad], "bad number for spread")
+        for bad in (b"0", b"3", b"-1", b"1.5", b"x")
+    ],
+    *[
+        ([b"CALL.GET", CUSTOMER, ID, b"c=read,t=basic,d=9,first=%b" % bad], "bad number for first")
+        for bad in (b"2", b"-1", b"x")
     ],
-    ([b"CALL.GET", CUSTOMER, b"1", b"c=read,t=basic,d=9,units=-2"], "bad number for units"),
-    ([b"CALL.GET", CUSTOMER, b"1", b"c=read,t=basic,d=9,spread=0"], "bad number for spread"),
 ]
 
 
-def test_bad_commands_are_told_and_the_connection_goes_on() -> None:
+def test_bad_commands_are_told_and_reach_neither_quota_nor_server(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
-        async with site(always(SERVED), decisions=Script(send_to("s0"))) as one:
+        script = Script(send_to("s0"))
+        async with site(always(SERVED), decisions=script) as one:
             client = await one.client()
             for words, text in BAD:
                 assert text in str(await client.ask(*words)), words
+            assert script.of(api.Request) == []
             assert await client.ask(b"CLIENT", b"SETNAME", b"x") == b"OK"
             assert await client.ask(b"CALL.GET", CUSTOMER, b"1", GET) == b"value"
             assert len(one.servers[0].calls()) == 1
 
+    monkeypatch.setattr(clients_module, "MOST_ERRORS", 1000)
+    play(scenario())
+
+
+def test_a_client_with_many_errors_is_told_each_and_closed() -> None:
+    async def scenario() -> None:
+        async with site(always(SERVED), decisions=Script(send_to("s0"))) as one:
+            client, other = await one.client(), await one.client()
+            client.send(b"CALL.GET", CUSTOMER, b"1", GET)
+            for _ in range(500):
+                client.send(b"NOPE")
+            assert await client.reply() == b"value"
+            for _ in range(clients_module.MOST_ERRORS):
+                assert "unknown command" in str(await client.reply())
+            assert await client.reply() is None  # and no reset, which could have cost the errors
+            assert await other.ask(b"CALL.GET", CUSTOMER, b"2", GET) == b"value"
+
+    play(scenario())
+
+
+def test_one_turn_of_the_loop_takes_a_bounded_number_of_commands() -> None:
+    async def scenario() -> None:
+        async with site(always(SERVED)) as one:
+            client = await one.client()
+            await until(lambda: one.program.listener.clients)
+            (held,) = one.program.listener.clients
+            taken: list[int] = []
+            held.parser.feed(b"*1\r\n$4\r\nPING\r\n" * 50)
+            held.work()
+            taken.append(len(held.parser._raw) - held.parser._at)
+            assert taken == [14 * (50 - clients_module.TURN)]
+            assert [await client.reply() for _ in range(50)] == [b"PONG"] * 50
+
+    play(scenario())
+
+
+def test_an_id_that_is_open_is_refused_elsewhere_until_it_is_over() -> None:
+    async def scenario() -> None:
+        release = asyncio.Event()
+
+        async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+            await release.wait()
+            return SERVED
+
+        async with site(reply, decisions=Script(send_to("s0"))) as one:
+            usual, bad = await one.client(), await one.client()
+            usual.send(b"CALL.GET", CUSTOMER, ID, GET)
+            await until(lambda: len(one.servers[0].calls()) == 1)
+            assert "in use" in str(await bad.ask(b"CALL.GET", CUSTOMER, ID, GET))
+            release.set()
+            assert await usual.reply() == b"value"
+            assert await bad.ask(b"CALL.GET", CUSTOMER, ID, GET) == b"value"
+            assert not one.program.listener.open_ids
+            release.clear()
+            usual.send(b"CALL.GET", CUSTOMER, ID, GET)
+            await until(lambda: one.program.listener.open_ids)
+            usual.writer.close()
+            await until(lambda: not one.program.listener.open_ids)  # the client left
+            release.set()
+
+    play(scenario())
+
+
+def test_a_long_deadline_is_served_as_the_longest_of_the_settings() -> None:
+    async def scenario() -> None:
+        script = Script(send_to("s0"))
+        async with site(always(SERVED), decisions=script) as one:
+            client = await one.client()
+            fields = b"c=read,t=basic,d=999999999"
+            assert await client.ask(b"CALL.GET", CUSTOMER, b"1", fields) == b"value"
+            assert [event.time_left_ms for event in script.of(api.Request)] == [20_000.0]
+
+    play(scenario())
+
+
+def test_who_says_nothing_or_half_a_command_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with site(always(None), decisions=Script(send_to("s0"))) as one:
+            silent, half, idle, busy = [await one.client() for _ in range(4)]
+            half.writer.write(b"*2\r\n$4\r\nPI")
+            assert await idle.ask(b"PING") == b"PONG"
+            busy.send(b"CALL.GET", CUSTOMER, b"1", GET)
+            assert await silent.ended()
+            assert "did not come" in str(await half.reply())
+            assert await half.reply() is None
+            assert await idle.ended()
+            assert len(one.program.gateway.live) == 1  # whose client is still there
+
+    for name in ("SILENT_S", "PARTIAL_S", "IDLE_S", "CROWDED_IDLE_S"):
+        monkeypatch.setattr(clients_module, name, 0.2)
+    play(scenario())
+
+
+def test_past_the_limit_those_that_never_spoke_make_room_first() -> None:
+    async def scenario() -> None:
+        async with site(always(None), decisions=Script(send_to("s0"))) as one:
+            one.program.listener.most = 2
+            spoke = await one.client()
+            assert await spoke.ask(b"PING") == b"PONG"
+            silent = await one.client()
+            await until(lambda: len(one.program.listener.clients) == 2)
+            third = await one.client()
+            assert await third.ask(b"PING") == b"PONG"
+            assert await silent.ended()
+            assert await spoke.ask(b"PING") == b"PONG"
+
     play(scenario())
 
 
