Counter: twelve links, only the protocol's own forms count, at once back after a loss

Checked by a probe in the module (why it refuses, how calls end), since taken out: the time-outs came in runs on one gateway. To blame: counter.LINKS = 2. Answers on a link keep the order of its calls, so one slow part held back all, and a spoilt answer ended every call on it as a time-out, three of which in a row count as mute.

--- a/glenchute/counter.py
+++ b/glenchute/counter.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections import deque
 from collections.abc import Callable
 
@@ -14,7 +15,11 @@
 
 from . import resp
 
-LINKS = 2  # connections; the parts of the counter answer at their own pace
+TOTAL = re.compile(rb"-?[0-9]{1,15}(\.[0-9]{1,15})?(e[+-]?[0-9]{1,2})?")
+MOST_TOTAL = 1e12
+# Connections. Answers on one come in the order of its calls, so a call that a crowded part of the counter is
+# slow to take up holds back the answers of the others behind it, and a spoilt answer ends them all.
+LINKS = 12
 PING_S = 3.0  # the counter closes what has stood idle for about 10 s
 SILENT_S = 1.5  # an answer this late means a peer that vanished; the connection is opened anew
 CONNECT_S = 0.5
@@ -56,6 +61,7 @@
         self.backoff = BACKOFF_S[0]
         self.retired = False  # takes no new calls, and closes when those that are out have ended
         self.closed = False  # is not opened anew
+        self.proven = False  # the connection has answered
         self.last_used = 0.0
         self.task: asyncio.Task[None] | None = None
         self.heart = loop.call_later(PING_S, self.beat)
@@ -74,7 +80,11 @@
             self.again()
 
     def again(self) -> None:
-        """Another try, later each time."""
+        """Another try: at once after the loss of a connection that answered, else later each time."""
+        if self.proven:
+            self.proven = False
+            self.loop.call_soon(self.connect)
+            return
         self.loop.call_later(self.backoff, self.connect)
         self.backoff = min(BACKOFF_S[1], 2.0 * self.backoff)
 
@@ -108,18 +118,20 @@
             self.close()
 
     def answered(self, reply: object) -> None:
-        """The reply to the oldest call."""
-        call, now = self.calls.popleft(), self.loop.time()
-        self.backoff = BACKOFF_S[0]
-        if isinstance(reply, bytes):
-            try:
-                call.end(now, Ending.OK, float(reply))
-            except ValueError:
-                call.end(now, Ending.TIMEOUT)
-        elif isinstance(reply, resp.ReplyError):
-            call.end(now, Ending.FULL)  # -BUSY and -ERR alike: nothing was added
+        """The reply to the oldest call. Only the protocol's own forms say what became of it; after any other
+        the amount counts as added and the connection as of no use."""
+        ending, total = Ending.TIMEOUT, 0.0
+        if self.calls[0].name is None:
+            if reply != "PONG":
+                raise resp.ProtocolError("no answer to a ping")
+        elif isinstance(reply, bytes) and TOTAL.fullmatch(reply) and abs(float(reply)) <= MOST_TOTAL:
+            ending, total = Ending.OK, float(reply)
+        elif isinstance(reply, resp.ReplyError) and (str(reply) == "BUSY" or str(reply)[:4] == "ERR "):
+            ending = Ending.FULL
         else:
-            call.end(now, Ending.TIMEOUT)
+            raise resp.ProtocolError("no total")
+        self.proven, self.backoff = True, BACKOFF_S[0]
+        self.calls.popleft().end(self.loop.time(), ending, total)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
@@ -197,15 +209,18 @@
         if not link.ready():
             call.end(now, Ending.UNREACHABLE)  # nothing was written, so nothing was added
             return
-        call.timer = self.loop.call_later(self.timeout_s, self.expire, call)
+        call.timer = self.loop.call_later(self.timeout_s, self.expire, call, link)
         link.last_used = now
         ttl = max(1, min(60_000, round(ttl_ms)))
         # A name in decimal is the same at every gateway; the module rounds amounts to three places.
         link.write(resp.command(b"INCRTTL", b"%d" % name, b"%.3f" % amount, b"%d" % ttl), call)
 
-    def expire(self, call: Call) -> None:
-        """No answer in time. The call keeps its place in the line: its reply will still come."""
+    def expire(self, call: Call, link: Link) -> None:
+        """No answer in time. The call keeps its place in the line: its reply will still come, unless one that
+        has no end stands before it."""
         call.end(self.loop.time(), Ending.TIMEOUT)
+        if link.parser.rest() and link.transport is not None:
+            link.transport.abort()
 
     def close(self) -> None:
         """The end of the process."""
