Module: without a word from the counter a gateway keeps to its lot of a quota, not to an even part

Checked with a probe in the module (taken out again): most such refusals were 'blind', from Quota.admit's min(part, store), at a counter that bears about 100 of 400 requests a second: the share of calls stood at its floor, or the counter was mute for seconds. To blame: Quota.part and elapse gave every gateway 1/spread. Gateway.started_ms forgets servers that changes say are gone.

--- a/glenchute/gateway.py
+++ b/glenchute/gateway.py
@@ -192,6 +192,7 @@
                 self.servers.stopped(entry.server)
             else:
                 self.servers.gone(entry.server)
+                self.started_ms.pop(entry.server, None)  # its id never comes again
         if event.kind in (api.ListKind.FULL, api.ListKind.SAVED):
             listed = {entry.server for entry in event.entries}
             for server in [name for name in self.servers.pools if name not in listed]:
--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -23,6 +23,8 @@
 SPEND_S = 0.4
 IDLE_MS = 60_000.0  # a customer unseen for this long is forgotten, by the counter too
 CALL_GAP_MS = 100.0  # least time between two calls for one customer
+LEARNED = 4.0  # requests that the counter told of after which their shares count as much as even ones
+TOLD_KEPT = 0.85  # of older words at each new one: the busy gateways of a customer change
 MUTE_AFTER = 3  # calls in a row without an answer after which the counter counts as mute
 LEAST_SHARE = 0.1  # of the unsure requests, at least this share asks
 COUNTED = 0.5  # share of a ceiling's burst that the counter holds; gateways' even parts hold the rest
@@ -58,6 +60,8 @@
     drained: float = 0.0  # units taken from the store for that since the last word
     open: int = 0  # own attempts out
     size: float = 1.0  # its largest request, units
+    told_own: float = 0.0  # of the units that the counter told of lately, the own ones ...
+    told_all: float = 0.0  # ... and all of them
     phase: float = 0.0  # where its windows start; customers differ, or all would be asked for at once
     span: float = 1000.0  # length of its windows
     window: float = -math.inf  # start of the window whose name on the counter is in use
@@ -141,7 +145,7 @@
         drain = min(drain * min(dt, WINDOW_S), c.store)
         c.drained += drain
         c.store = min(max(c.store, plan.burst), c.store - drain + plan.rate * dt)
-        rate = (plan.rate or OPEN_FILL * plan.max_open / self.hold_s) / c.spread
+        rate = (plan.rate or OPEN_FILL * plan.max_open / self.hold_s) * self.lot(c)
         c.part = min(max(c.part, self.part(c)), c.part + rate * dt)
         most = max(plan.ceiling_burst * (1.0 - COUNTED) / c.spread, c.guard)
         c.guard = min(most, c.guard + plan.ceiling_rate * (1.0 - 0.5 * COUNTED) / c.spread * dt)
@@ -150,7 +154,14 @@
 
     def part(self, c: Customer) -> float:
         """The most that this gateway's part of a store holds."""
-        return max((c.plan.burst or c.plan.max_open) / c.spread, LEAST_PART * c.size)
+        return max((c.plan.burst or c.plan.max_open) * self.lot(c), LEAST_PART * c.size)
+
+    def lot(self, c: Customer) -> float:
+        """This gateway's lot of a quota while no word comes: an even one, moved towards the share of the
+        customer's use that came this way by the last words. Requests come in unevenly, and even parts left
+        room at one gateway while another refused."""
+        few = LEARNED * c.size
+        return (c.told_own + few / c.spread) / (c.told_all + few)
 
     def room(self, c: Customer) -> float:
         """What the customer's quotas are thought to let in at once, in units or attempts."""
@@ -273,6 +284,8 @@
             rise = reply.total - c.total - c.mine
             dt = max(now - max(c.total_at, c.window), 1.0) / 1000.0
             if rise >= -0.5:  # else counts were lost, not demand: the last known demand stands
+                c.told_own = TOLD_KEPT * c.told_own + max(0.0, c.mine)
+                c.told_all = TOLD_KEPT * c.told_all + max(0.0, c.mine) + max(0.0, rise)
                 weight = 1.0 - math.exp(-max(now - c.total_at, 1.0) / 1000.0 / WINDOW_S)
                 c.others += (max(rise, 0.0) / (dt + 0.1) - c.others) * weight
                 c.store = min(c.plan.burst, max(0.0, c.store + c.drained - max(rise, 0.0)))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -436,6 +436,7 @@
             await until(lambda: ("closed", 1, []) in one.servers[0].log)
             assert str(await client.ask(b"CALL.GET", CUSTOMER, b"2", GET)) == "ERR failed"
             assert script.of(api.AttemptEnded)[-1].ending is Ending.UNREACHABLE
+            assert not one.program.gateway.started_ms and not one.program.servers.pools  # ids are ever new
 
     play(scenario())
 
