Places of client connections follow from what is free; one-time askers go first

Change: deciders/places.py, without I/O, decides how long a connection may stand idle from the share of places that is free, and who makes room from what it carried and how it came back; pings are no merit, newcomers get the time for a first command, every event is O(1) instead of a pass over all connections at an accept. Ends are half closes; a command that has already reached the machine is served, one that comes later finds a clean end.

--- a/glenchute/__main__.py
+++ b/glenchute/__main__.py
@@ -144,7 +144,7 @@
         )
         decisions = decisions or Policy(made, config.seed)
         self.gateway = Gateway(loop, decisions, self.servers, self.counter)
-        self.listener = Listener(loop, self.gateway, Catalogue(made, config.bounds), config.sockets // 2)
+        self.listener = Listener(loop, self.gateway, Catalogue(made, config.bounds), config.sockets)
         self.discovery = Discovery(loop, config.discovery, self.gateway.news)
         self.stopping = asyncio.Event()
 
--- a/glenchute/clients.py
+++ b/glenchute/clients.py
@@ -1,18 +1,22 @@
 """The clients' side: the listener, commands in, replies in the order of their commands.
 
 What a client may make the gateway hold is bounded: the bytes of a message, the commands of a connection, the
-replies it does not read, the connections, the time that it may say nothing, the work of one turn of the loop.
+replies it does not read, the work of one turn of the loop. How many connections there are and how long each
+may wait is decided in `deciders/places.py`.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
+import select
 from collections import deque
+from collections.abc import KeysView
 from typing import Any
 
 from . import resp
 from .commands import Catalogue, CommandError
+from .deciders.places import Close, Places, Reason, State
 from .gateway import Gateway, Live
 
 log = logging.getLogger("glenchute")
@@ -20,16 +24,10 @@
 MOST_PENDING = 64  # commands of one connection without a reply; more are left unread
 TURN = 16  # commands that one connection may have carried out before others get their turn
 MOST_ERRORS = 8  # commands that can't be served, after which a connection is closed
-IDLE_S = 5.0  # a connection between requests is closed after this ...
-CROWDED_IDLE_S = 2.0  # ... or this, while more than half of the places are taken
-SILENT_S = 2.0  # one that has not sent a whole command by then is closed
-PARTIAL_S = 2.0  # one that has begun a command and not ended it by then is told, and closed
-STUCK_S = 30.0  # one that leaves its replies unread is cut off after this
-LINGER_S = 0.5  # after an error the other end has this long to read it, while what it sends is thrown away
 LINGER_BYTES = 4 * 1024 * 1024
-SWEEP_S = 0.25
 BUFFERED = 256 * 1024  # replies that may wait for a slow reader before its commands are left unread
-SPARE = 16  # connections past the limit that may be told so; further ones are closed unseen
+REPORT_S = 10.0  # a line for the operators this often, while anything happens
+SPARE = 16  # connections past the limit, at most, while they are told so or are being left
 
 
 class Slot:
@@ -64,15 +62,13 @@
         "discarded",
         "errors",
         "full",
-        "leaving_since",
+        "leaving",
         "listener",
         "parser",
-        "partial_since",
+        "partial",
         "paused",
         "slots",
         "spoke",
-        "told",
-        "touched",
         "transport",
         "waiting",
         "working",
@@ -84,8 +80,7 @@
         self.slots: deque[Slot] = deque()
         self.transport: asyncio.Transport | None = None
         self.closing = False  # no more commands; closes when all replies are out
-        self.told = False  # closes with an error, which the other end should have the time to read
-        self.leaving_since: float | None = None  # all is written and the own side is shut
+        self.leaving = False  # all is written and the own side is shut
         self.discarded = 0  # bytes that came since then
         self.full = False  # the client does not read its replies
         self.paused = False
@@ -93,19 +88,17 @@
         self.waiting = False  # a turn of the loop is booked for commands that are left
         self.spoke = False  # a whole command has come
         self.errors = 0
-        self.partial_since: float | None = None  # when the command began whose end is awaited
-        self.touched = 0.0
+        self.partial = False  # the end of a command that has begun is awaited
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
         assert self.transport is not None
         self.transport.set_write_buffer_limits(high=BUFFERED)
-        self.touched = self.listener.loop.time()
         self.listener.made(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport, self.closing = None, True
-        self.listener.clients.discard(self)
+        self.listener.places.left(self)
         slots, self.slots = self.slots, deque()
         for slot in slots:
             slot.release()
@@ -119,7 +112,6 @@
             if self.discarded > LINGER_BYTES and not self.slots and self.transport is not None:
                 self.transport.abort()
             return
-        self.touched = self.listener.loop.time()
         self.parser.feed(data)
         if not self.waiting:
             self.work()
@@ -136,17 +128,16 @@
                 if words is False:
                     break
                 left -= 1
-                self.spoke, self.partial_since = True, None
+                self.spoke = True
+                if self.partial:
+                    self.be(State.BUSY)  # that command has ended; the next has its own time
                 self.command(words)
         except resp.ProtocolError as error:
             self.broken(error)
         finally:
             self.working = False
-        if not self.closing and self.parser.rest():
-            if left and self.partial_since is None:
-                self.partial_since = self.listener.loop.time()
-            elif not left:
-                self.book()
+        if not self.closing and self.parser.rest() and not left:
+            self.book()
         self.flush()
 
     def book(self) -> None:
@@ -167,7 +158,7 @@
             slot.reply = resp.error(str(error))
             self.errors += 1
             if self.errors >= MOST_ERRORS:
-                self.closing = self.told = True  # it goes on as before at full speed, at the others' cost
+                self.closing = True  # it goes on as before at full speed, at the others' cost
         except Exception:
             # A fault of ours would else end the connection with all that is held on it.
             log.exception("a command failed")
@@ -183,8 +174,10 @@
         if call.request_id in self.listener.open_ids:
             # On the servers two requests of one id would be taken for one, and both might be spoilt.
             raise CommandError("this request id is in use")
+        self.listener.places.request(self.listener.loop.time(), self)
         self.listener.open_ids.add(call.request_id)
         slot.request_id = call.request_id
+        self.listener.taken += 1
         try:
             live = self.listener.gateway.take(call, slot.fill)
         except Exception:
@@ -211,7 +204,7 @@
         slot = Slot(self)
         slot.reply = resp.error(f"Protocol error: {error}")
         self.slots.append(slot)
-        self.closing = self.told = True
+        self.closing = True
         self.flush()
 
     def flush(self) -> None:
@@ -222,27 +215,47 @@
         while self.slots and self.slots[0].reply is not None:
             ready.append(self.slots.popleft().reply or b"")
         if ready:
-            self.touched = self.listener.loop.time()
             self.transport.write(b"".join(ready))
         if self.closing and not self.slots:
             self.leave()
             return
         if ready and self.parser.rest() and not self.full and not self.closing:
             self.book()
+        self.settle()
         self.throttle()
 
+    def settle(self) -> None:
+        """Tells what the connection is doing now."""
+        if self.full:
+            self.be(State.STUCK)
+        elif self.slots or self.closing:
+            self.be(State.BUSY)
+        elif self.parser.rest():
+            self.be(State.PARTIAL)
+        else:
+            self.be(State.BARE if self.spoke else State.FRESH)
+
+    def be(self, state: State) -> None:
+        """Enters a state, if it is another."""
+        self.partial = state is State.PARTIAL
+        self.listener.places.changed(self.listener.loop.time(), self, state)
+
     def leave(self) -> None:
-        """All is written. Closing with bytes unread would reset the connection, and the error that was just
-        written might be lost with it: only the own side is shut, and what still comes is thrown away."""
-        if self.transport is None or self.leaving_since is not None:
+        """All is written. Closing with bytes unread, or on its way, would reset the connection, and what was
+        just written might be lost with it, or a client's next command that crosses the close: only the own
+        side is shut, and what still comes is thrown away. The client finds its command unanswered at the end
+        of the connection and sends it again, which is harmless, as nothing of it was looked at."""
+        if self.transport is None or self.leaving or self.transport.is_closing():
             return
-        self.leaving_since = self.listener.loop.time()
+        self.leaving = True
         self.parser = resp.Parser()
-        if self.told and not self.full:
+        if self.full:
+            self.be(State.STUCK)
+            self.transport.close()
+        else:
+            self.be(State.LEAVING)
             self.throttle()
             self.transport.write_eof()
-        else:
-            self.transport.close()
 
     def throttle(self) -> None:
         """Backpressure: a client that does not read, or has too much pending, is not read from."""
@@ -257,86 +270,102 @@
 
     def pause_writing(self) -> None:
         self.full = True
+        self.settle()
         self.throttle()
 
     def resume_writing(self) -> None:
         self.full = False
-        self.touched = self.listener.loop.time()
+        self.settle()
         self.throttle()
         self.book()
 
-    def idle(self) -> bool:
-        """Between requests."""
-        return not self.slots and not self.closing and not self.parser.rest()
+    def readable(self) -> bool:
+        """Whether bytes, or the end, have come from the other side and wait in the machine."""
+        sock = self.transport.get_extra_info("socket") if self.transport is not None else None
+        if sock is None or sock.fileno() < 0:
+            return False
+        waiting = select.poll()
+        waiting.register(sock.fileno(), select.POLLIN)
+        return bool(waiting.poll(0))
 
     def finish(self) -> None:
         """Closes once all that was taken is answered."""
         self.closing = True
         self.flush()
 
-    def sweep(self, now: float, idle_s: float) -> None:
-        """Peers that vanish say nothing: every wait has an end."""
+    def end(self, reason: Reason) -> bool:
+        """Ends as `Places` says; False where bytes have come meanwhile that may be a command."""
         if self.transport is None:
-            return
-        since = now - self.touched
-        if self.leaving_since is not None:
-            if now - self.leaving_since > (STUCK_S if self.full else LINGER_S):
-                self.transport.abort()
-        elif self.full:
-            if since > STUCK_S:
-                self.transport.abort()
-        elif self.slots or self.closing:
-            return
-        elif self.partial_since is not None and now - self.partial_since > PARTIAL_S:
+            return True
+        if reason in (Reason.STUCK, Reason.LINGERED, Reason.FLOOD):
+            self.transport.abort()
+        elif reason is Reason.PARTIAL:
             self.broken(resp.ProtocolError("the end of a command did not come"))
-        elif self.idle() and since > (idle_s if self.spoke else SILENT_S):
+        elif reason is Reason.FULL:
+            self.broken(resp.ProtocolError("too many connections"))
+        elif self.readable():
+            self.listener.places.revived(self.listener.loop.time(), self)
+            return False
+        else:
             self.finish()
+        return True
 
 
 class Listener:
-    """Accepts clients, up to a number."""
+    """Accepts clients, up to a number, and ends those whose time is up."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, gateway: Gateway, catalogue: Catalogue, most: int
+        self, loop: asyncio.AbstractEventLoop, gateway: Gateway, catalogue: Catalogue, sockets: int
     ) -> None:
+        """`sockets`: the descriptors of the process, of which clients may take half, and a third for
+        requests, as they do at the other end."""
         self.loop = loop
         self.gateway = gateway
         self.catalogue = catalogue
-        self.most = most
-        self.clients: set[Client] = set()
+        self.places: Places[Client] = Places(sockets // 2, sockets // 3, min(SPARE, sockets // 16))
         self.open_ids: set[bytes] = set()
         self.server: asyncio.Server | None = None
-        self.sweeper = loop.call_later(SWEEP_S, self.sweep)
+        self.accepted = self.taken = 0  # connections; requests that reached the decisions
+        self.said = "", loop.time()  # the last line for the operators, and when
+        self.sweeper = loop.call_later(self.places.next_check(), self.sweep)
+
+    @property
+    def clients(self) -> KeysView[Client]:
+        """All connections."""
+        return self.places.all.keys()
 
     async def start(self, host: str, port: int) -> None:
         """Listens on this address only."""
         self.server = await self.loop.create_server(lambda: Client(self), host, port, backlog=512)
 
     def made(self, client: Client) -> None:
-        """A new connection. Past the limit room is made: by those that leave anyway, then those that never
-        said a word, then the longest idle ones. With none of these the new one is turned away."""
-        if len(self.clients) >= self.most:
-            oldest = min(
-                (c for c in self.clients if c.leaving_since is not None or c.idle()),
-                key=lambda c: (c.leaving_since is None, c.spoke, c.touched),
-                default=None,
-            )
-            if oldest is not None and oldest.transport is not None:
-                oldest.transport.abort()
-            elif len(self.clients) < self.most + SPARE:
-                client.broken(resp.ProtocolError("too many connections"))
-            else:
-                assert client.transport is not None
-                client.transport.abort()
-        self.clients.add(client)
+        """A new connection."""
+        now = self.loop.time()
+        self.accepted += 1
+        closes = self.places.accepted(now, client)
+        while not all([self.carry_out(close) for close in closes]):
+            closes = self.places.room(now, client)  # who was to make room has a command waiting
+
+    def carry_out(self, close: Close[Client]) -> bool:
+        """Ends a connection; False where it stays after all."""
+        return close.key.end(close.reason)
 
     def sweep(self) -> None:
-        """Looks at all connections now and then, which is cheaper than a timer for each."""
-        self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
+        """Ends connections whose time is up."""
         now = self.loop.time()
-        idle_s = CROWDED_IDLE_S if 2 * len(self.clients) > self.most else IDLE_S
-        for client in list(self.clients):
-            client.sweep(now, idle_s)
+        for close in self.places.expired(now):
+            self.carry_out(close)
+        if now - self.said[1] >= REPORT_S:
+            self.report(now)
+        self.sweeper = self.loop.call_later(self.places.next_check(), self.sweep)
+
+    def report(self, now: float) -> None:
+        """Tells how many came, and why connections were ended, unless that is what was said last."""
+        ends = " ".join(f"{reason.value}={n}" for reason, n in self.places.closed.items() if n)
+        line = f"accepted={self.accepted} requests={self.taken} closed: {ends or 'none'}"
+        if line != self.said[0]:
+            log.info("clients: held=%d requesting=%d %s", len(self.places), self.places.requesting, line)
+        self.said = line, now
 
     def stop(self) -> None:
         """No new connections; those between requests close now, the others with their last reply."""
@@ -344,6 +373,7 @@
             self.server.close()
         for client in list(self.clients):
             client.finish()
+        self.report(self.loop.time())
 
     def close(self) -> None:
         """The end of the process: written replies still leave, nothing more is read."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -19,6 +19,8 @@
 from glenchute import servers as servers_module
 from glenchute.clients import MOST_PENDING
 from glenchute.counter import Counter
+from glenchute.deciders import places as places_module
+from glenchute.deciders.places import FIRST_COMMAND_S
 from glenchute.discovery import ListError, read_list
 from heathglade import interface as api
 from heathglade.interface import Ending
@@ -191,23 +193,27 @@
             assert await idle.ended()
             assert len(one.program.gateway.live) == 1  # whose client is still there
 
-    for name in ("SILENT_S", "PARTIAL_S", "IDLE_S", "CROWDED_IDLE_S"):
-        monkeypatch.setattr(clients_module, name, 0.2)
+    for name in ("SILENT_S", "PARTIAL_S", "IDLE_S"):
+        monkeypatch.setattr(places_module, name, 0.2)
     play(scenario())
 
 
-def test_past_the_limit_those_that_never_spoke_make_room_first() -> None:
+def test_past_the_limit_those_that_never_asked_make_room_first() -> None:
     async def scenario() -> None:
-        async with site(always(None), decisions=Script(send_to("s0"))) as one:
-            one.program.listener.most = 2
-            spoke = await one.client()
-            assert await spoke.ask(b"PING") == b"PONG"
+        async with site(always(SERVED), decisions=Script(send_to("s0"))) as one:
+            one.program.listener.places.most = 2
+            asked = await one.client()
+            assert await asked.ask(b"CALL.GET", CUSTOMER, b"1", GET) == b"value"
             silent = await one.client()
             await until(lambda: len(one.program.listener.clients) == 2)
-            third = await one.client()
-            assert await third.ask(b"PING") == b"PONG"
+            await asyncio.sleep(FIRST_COMMAND_S)
+            pinging = await one.client()
+            assert await pinging.ask(b"PING") == b"PONG"
             assert await silent.ended()
-            assert await spoke.ask(b"PING") == b"PONG"
+            last = await one.client()
+            assert await last.ask(b"PING") == b"PONG"
+            assert await pinging.ended()
+            assert await asked.ask(b"CALL.GET", CUSTOMER, b"2", GET) == b"value"
 
     play(scenario())
 
@@ -297,7 +303,7 @@
 def test_past_the_limit_an_idle_connection_makes_room() -> None:
     async def scenario() -> None:
         async with site(always(None), sockets=64) as one:
-            one.program.listener.most = 2
+            one.program.listener.places.most = 2
             busy, idle = await one.client(), await one.client()
             assert await idle.ask(b"PING") == b"PONG"
             busy.send(b"CALL.GET", CUSTOMER, b"1", GET)
