--- /dev/null
+++ b/glenchute/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Where attempts go out."""
--- a/glenchute/servers.py
+++ b/glenchute/backends/resp2.py
@@ -7,15 +7,16 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
+from glenchute.core.types import Address, Result
+from glenchute.wire import resp
 from heathglade.interface import Ending
 
-from . import resp
-
 GRACE_MARGIN_S = 0.05  # a write this close to a drain's end might leave the machine after it
 IDLE_MARGIN_S = 2.0  # idle connections are closed this long before the server would do so
 SWEEP_S = 1.0
@@ -24,8 +25,6 @@
 STALL_S = 0.25  # an answer that has begun and stops for this long does not go on
 LOAD = re.compile(r"[a-z_0-9]+=[0-9.]+(,[a-z_0-9]+=[0-9.]+)*")
 
-Address = tuple[str, int]
-
 
 @dataclass(frozen=True, slots=True)
 class Limits:
@@ -37,16 +36,6 @@
     connections: int
 
 
-@dataclass(slots=True)
-class Result:
-    """How an attempt ended; `sound` where the connection can be used again."""
-
-    ending: Ending
-    value: bytes | None = None
-    report: bytes | None = None
-    sound: bool = False
-
-
 def classify(reply: Any) -> Result:
     """A server's reply as PROTOCOL's table reads it. Only the exact forms count: what was spoilt on its way
     has run, so it must neither be served nor pass for a request that never ran."""
@@ -207,11 +196,17 @@
         "task",
         "timer",
         "until",
+        "write_by",
         "written",
     )  # fmt: skip
 
     def __init__(
-        self, pool: Pool, payload: Callable[[int], bytes], timeout_s: float, done: Callable[[Result], None]
+        self,
+        pool: Pool,
+        payload: Callable[[int], bytes],
+        timeout_s: float,
+        done: Callable[[Result], None],
+        write_by: float,
     ) -> None:
         loop = pool.servers.loop
         self.pool = pool
@@ -219,6 +214,7 @@
         self.done = done
         self.started = loop.time()
         self.until = self.started + timeout_s
+        self.write_by = write_by  # not a byte may leave after this
         self.result: Result | None = None  # set while the connection closes for a reason of ours
         self.ended = False
         self.written = False
@@ -266,8 +262,9 @@
         """Writes the request; from here on it may have run."""
         if self.connect_timer is not None:
             self.connect_timer.cancel()
-        left = int(1000.0 * (self.until - self.pool.servers.loop.time()))
-        if left < 1 or conn.transport is None or conn.transport.is_closing():
+        now = self.pool.servers.loop.time()
+        left = int(1000.0 * (self.until - now))
+        if left < 1 or now > self.write_by or conn.transport is None or conn.transport.is_closing():
             conn.abort()
             self.finish(Result(Ending.UNREACHABLE))
             return
@@ -350,6 +347,10 @@
             pool.stop()
             self.leaving.add(pool)
 
+    def known(self) -> list[str]:
+        """All that are listed or drain."""
+        return list(self.pools)
+
     def count(self) -> int:
         """Sockets in use."""
         pools = [*self.pools.values(), *self.leaving]
@@ -367,13 +368,18 @@
         return True
 
     def attempt(
-        self, server: str, payload: Callable[[int], bytes], timeout_s: float, done: Callable[[Result], None]
+        self,
+        server: str,
+        payload: Callable[[int], bytes],
+        timeout_s: float,
+        done: Callable[[Result], None],
+        write_by: float = math.inf,
     ) -> Attempt | None:
         """Makes an attempt, not started yet; None if the server takes nothing (any more)."""
         pool = self.pools.get(server)
         if pool is None or (pool.stop_at is not None and self.loop.time() > pool.stop_at):
             return None
-        return Attempt(pool, payload, timeout_s, done)
+        return Attempt(pool, payload, timeout_s, done, write_by)
 
     def sweep(self) -> None:
         """Closes what has stood idle before the server does, and forgets pools that have emptied."""
--- /dev/null
+++ b/glenchute/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The commands."""
--- /dev/null
+++ b/glenchute/cli/main.py
@@ -0,0 +1,64 @@
+"""The command line: ``glenchute`` or ``python -m glenchute``; without a command it runs a gateway.
+
+argparse, as its import takes 4 ms, click's 21 and typer's 53; a bare ``run`` takes not even that, as every
+restart pays for it.
+"""
+
+from __future__ import annotations
+
+import sys
+from importlib import import_module
+
+COMMANDS = {
+    "run": "serve as one gateway (the default)",
+    "check": "check the operator's file; exit 0, or 2 with what is wrong",
+    "explain": "tell which route binds a kind of request, and the attempts that it allows",
+    "demo": "play a small site on loopback, with a node that fails midway",
+    "schema": "print the JSON Schema of the operator's file",
+}
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Carries out a command; the exit status: 0 done, 1 could not start, 2 unusable arguments or files."""
+    argv = sys.argv[1:] if argv is None else argv
+    if not argv or argv == ["run"]:
+        from .run import run
+
+        return run()
+    return arguments(argv)
+
+
+def arguments(argv: list[str]) -> int:
+    """The commands with arguments."""
+    import argparse
+
+    from glenchute import __version__
+
+    if argv[0].startswith("--operator"):
+        argv = ["run", *argv]
+    parser = argparse.ArgumentParser(prog="glenchute", description="A quota-keeping gateway.")
+    parser.add_argument("--version", action="version", version=f"glenchute {__version__}")
+    commands = parser.add_subparsers(dest="command", metavar="COMMAND")
+    parsers = {name: commands.add_parser(name, help=text) for name, text in COMMANDS.items()}
+    for name in ("run", "check", "explain"):
+        parsers[name].add_argument(
+            "--operator", metavar="FILE", help="the operator's file; else GLENCHUTE_OPERATOR names it"
+        )
+    for name in ("check", "explain"):
+        parsers[name].add_argument(
+            "--platform", metavar="FILE", help="the platform's file; else EDGE_CONFIG names it"
+        )
+    parsers["check"].add_argument("--json", action="store_true", help="findings for a program")
+    parsers["explain"].add_argument("--class", dest="class_name", required=True, help="the request's class")
+    parsers["explain"].add_argument("--plan", required=True, help="its customer's plan")
+    parsers["explain"].add_argument("--command", dest="verb", choices=("GET", "POST"))
+    parsers["demo"].add_argument("--seconds", type=float, default=8.0, help="length, 2 to 600 (default 8)")
+    parsers["demo"].add_argument("--rate", type=float, default=80.0, help="requests a second, 1 to 500")
+    parsers["demo"].add_argument("--seed", type=int, default=1, help="of load and faults")
+    args = parser.parse_args(argv)
+    if args.command == "run" or args.command is None:
+        from .run import run
+
+        return run(getattr(args, "operator", None))
+    status: int = import_module(f"glenchute.cli.{args.command}").command(args)
+    return status
--- /dev/null
+++ b/glenchute/cli/run.py
@@ -0,0 +1,212 @@
+"""``glenchute run``: reads the configuration, starts the parts, and ends on a signal."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import uvloop
+
+from glenchute.backends.resp2 import Servers
+from glenchute.config.platform import Config, ConfigError, load
+from glenchute.core.gateway import Gateway
+from glenchute.core.types import Decisions
+from glenchute.fronts.resp2.clients import Listener
+from glenchute.fronts.resp2.commands import Catalogue
+from glenchute.peers.counter import Counter
+from glenchute.peers.discovery import Discovery
+from heathglade import Gateway as Policy
+
+if TYPE_CHECKING:
+    from glenchute.config.operator import Operator
+
+OPERATOR = "GLENCHUTE_OPERATOR"  # the variable that names the operator's file
+LIST_WAIT_S = 0.3  # a start waits this long for the list of the day before it serves by the saved one
+ACCEPT_S = 0.5  # after SIGTERM new connections go on coming for up to 0.4 s
+LEAVE_S = 3.2  # what is still held this long after SIGTERM is answered and left; the kill comes at 3.7 s
+LINGER_S = 0.05
+LOG_LINES_S = 20
+
+log = logging.getLogger("glenchute")
+
+
+class LogLimit(logging.Filter):
+    """At most so many lines a second: the log must not become the load."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.second, self.lines = 0, 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        second = int(record.created)
+        if second != self.second:
+            self.second, self.lines = second, 0
+        self.lines += 1
+        return self.lines <= LOG_LINES_S
+
+
+class Program:
+    """One gateway process, from start to end."""
+
+    def __init__(
+        self,
+        config: Config,
+        loop: asyncio.AbstractEventLoop,
+        decisions: Decisions | None = None,
+        environ: dict[str, str] | None = None,
+        operator: Operator | None = None,
+    ) -> None:
+        self.config = config
+        self.environ = environ or {}
+        self.loop = loop
+        made = config.settings
+        self.servers = Servers(loop, config.limits)
+        self.counter = (
+            Counter(loop, config.counter, made.counter_timeout_ms / 1000.0) if config.counter else None
+        )
+        decisions = decisions or Policy(made, config.seed)
+        self.gateway = Gateway(loop, decisions, self.servers, self.counter)
+        self.gateway.overlap = made.overlap
+        if operator is not None:
+            self.bind(operator)
+        self.listener = Listener(loop, self.gateway, Catalogue(made, config.bounds), config.sockets)
+        self.discovery = Discovery(loop, config.discovery, self.gateway.news)
+        self.stopping = asyncio.Event()
+
+    def bind(self, operator: Operator) -> None:
+        """The operator's routes hold for requests from now on; those that are open keep theirs."""
+        from glenchute.deciders.routes import Routes
+
+        routes = self.gateway.routes
+        seed = self.config.seed
+        self.gateway.routes = routes.replaced(operator.table) if routes else Routes(operator.table, seed)
+
+    async def run(self, hangups: list[int]) -> None:
+        """Serves until told to stop. `hangups` holds the SIGHUPs that came before the loop ran."""
+        for sign in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(sign, self.stopping.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        await self.start()
+        if hangups:
+            self.reload()
+        gc.collect()
+        gc.freeze()  # what was loaded lives for ever; no collection needs to look at it again
+        gc.set_threshold(20_000, 20, 20)
+        log.info("%s serves", self.config.name)
+        await self.stopping.wait()
+        await self.leave()
+        log.info("%s has ended", self.config.name)
+
+    async def start(self) -> None:
+        """Brings the parts up; clients come last."""
+        if self.config.known is not None:
+            self.gateway.news(self.config.known)
+        self.discovery.start()
+        # The saved list may be old: a moment is given for today's, but no start hangs on discovery.
+        await wait(self.discovery.first, LIST_WAIT_S)
+        await self.listener.start(*self.config.listen)
+
+    def reload(self) -> None:
+        """Reads the configuration again. Its addresses are followed; the rest holds until a restart. The
+        operator's file is read again too, and its routes are followed if all of it is sound."""
+        try:
+            config = load(self.environ)
+        except ConfigError as error:
+            log.error("the configuration in force stays: %s", error)
+            return
+        log.info("the configuration was read again")
+        if replace(config, discovery=self.config.discovery, counter=self.config.counter, known=None,
+                   seed=self.config.seed) != replace(self.config, known=None):  # fmt: skip
+            log.warning("what changed besides the addresses of discovery and counter waits for a restart")
+        self.discovery.move(config.discovery)
+        if self.counter is not None and config.counter is not None:
+            self.counter.move(config.counter)
+        self.config = replace(self.config, discovery=config.discovery, counter=config.counter)
+        if self.environ.get(OPERATOR):
+            try:
+                operator = read_operator(self.environ[OPERATOR], config)
+            except ConfigError as error:
+                log.error("the operator's file in force stays: %s", error)
+                return
+            self.bind(operator)
+            log.info("the operator's file was read again")
+
+    async def leave(self) -> None:
+        """A planned end: takes what still comes, finishes what is held, and is gone before the kill."""
+        began = self.loop.time()
+        await asyncio.sleep(ACCEPT_S)
+        self.listener.stop()
+        while self.listener.clients and self.loop.time() - began < LEAVE_S:
+            await asyncio.sleep(0.02)
+        self.gateway.close_all()
+        await asyncio.sleep(LINGER_S)  # for the last replies to leave
+        await self.close()
+
+    async def close(self) -> None:
+        """Closes all sockets."""
+        self.listener.close()
+        self.discovery.close()
+        if self.counter is not None:
+            self.counter.close()
+        self.servers.close()
+        await asyncio.sleep(0)
+
+
+async def wait(event: asyncio.Event, seconds: float) -> None:
+    """Waits for an event, but not for ever."""
+    try:
+        await asyncio.wait_for(event.wait(), seconds)
+    except TimeoutError:
+        return
+
+
+async def serve(
+    config: Config, environ: dict[str, str], operator: Operator | None, hangups: list[int]
+) -> None:
+    """Runs the program in the loop that is running."""
+    loop = asyncio.get_running_loop()
+    await Program(config, loop, environ=environ, operator=operator).run(hangups)
+
+
+def read_operator(path: str, config: Config) -> Operator:
+    """The operator's file; with all that is wrong in a ConfigError. Imported only where one is named."""
+    from glenchute.config.operator import read
+
+    reading = read(path, config.facts)
+    lines = [finding.render(path) for finding in reading.findings]
+    if reading.operator is None:
+        raise ConfigError("\n".join(lines))
+    for line in lines:
+        log.warning("%s", line)
+    return reading.operator
+
+
+def run(operator_file: str | None = None) -> int:
+    """Runs a gateway until told to stop; the exit status. `operator_file` counts before the variable."""
+    hangups: list[int] = []  # without a handler a SIGHUP would end the process, however early it comes
+    signal.signal(signal.SIGHUP, lambda number, frame: hangups.append(number))
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(message)s")
+    for handler in logging.getLogger().handlers:
+        handler.addFilter(LogLimit())
+    try:
+        environ = dict(os.environ)
+        if operator_file:
+            environ[OPERATOR] = operator_file
+        config = load(environ)
+        operator = read_operator(environ[OPERATOR], config) if environ.get(OPERATOR) else None
+    except ConfigError as error:
+        print(f"glenchute: {error}", file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(serve(config, environ, operator, hangups))
+    except OSError as error:
+        print(f"glenchute: can't start: {error}", file=sys.stderr)
+        return 1
+    return 0
+
--- /dev/null
+++ b/glenchute/config/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's file, the operator's file, and their rules."""
--- /dev/null
+++ b/glenchute/config/facts.py
@@ -0,0 +1,34 @@
+"""What of the platform's file the rules of the operator's file are about."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from heathglade.interface import Repeat
+
+
+@dataclass(frozen=True, slots=True)
+class ClassFacts:
+    """One class of the platform's file."""
+
+    repeat: Repeat
+    deadline_ms: float
+    memory_ms: float = 0.0
+    scope_known: bool = True
+
+    @property
+    def command(self) -> str:
+        """The command that it comes by."""
+        return "GET" if self.repeat is Repeat.SAFE else "POST"
+
+
+@dataclass(frozen=True, slots=True)
+class Facts:
+    """What of the platform's file the rules are about."""
+
+    classes: Mapping[str, ClassFacts]
+    plans: tuple[str, ...]
+    attempts_cap: int
+    overlap: bool
+    connect_ms: float
--- /dev/null
+++ b/glenchute/config/findings.py
@@ -0,0 +1,40 @@
+"""Findings: what is wrong with a file, where, and how to mend it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass
+from typing import Any
+
+
+@dataclass(frozen=True, slots=True)
+class Finding:
+    """One thing wrong. `code` is stable; `line` counts from 1, 0 where the file as a whole is meant. A
+    warning does not keep the file from loading."""
+
+    code: str
+    line: int
+    place: str
+    message: str
+    warning: bool = False
+
+    def render(self, file: str) -> str:
+        """One line for a person."""
+        where = f"{file}:{self.line}" if self.line else file
+        kind = "warning" if self.warning else "error"
+        place = f"{self.place}: " if self.place else ""
+        return f"{where}: {kind} {self.code}: {place}{self.message}"
+
+    def record(self) -> dict[str, Any]:
+        """The same for a program."""
+        return asdict(self)
+
+
+def ordered(findings: Iterable[Finding]) -> list[Finding]:
+    """By line, each once."""
+    return sorted(set(findings), key=lambda f: (f.line, f.place, f.code, f.message))
+
+
+def fatal(findings: Iterable[Finding]) -> bool:
+    """Whether the file must not be loaded."""
+    return any(not finding.warning for finding in findings)
--- /dev/null
+++ b/glenchute/config/locate.py
@@ -0,0 +1,111 @@
+"""Where the keys of a TOML file stand. tomllib tells no positions, and a parser that does costs ten times the
+start-up, so the lines are looked up here, and only once something is wrong.
+
+The text has been read by tomllib already: this scanner only has to agree with valid TOML 1.0.
+"""
+
+from __future__ import annotations
+
+import re
+
+from .schema import Path
+
+KEY = re.compile(r"""\s*(?:([A-Za-z0-9_-]+)|"((?:[^"\\]|\\.)*)"|'([^']*)')\s*""")
+OPENING, CLOSING = "[{", "]}"
+
+
+def dotted(text: str, at: int) -> tuple[list[str], int]:
+    """The parts of a key that begins here, and where it ends."""
+    parts = []
+    while (found := KEY.match(text, at)) is not None:
+        parts.append(next(group for group in found.groups() if group is not None))
+        at = found.end()
+        if at >= len(text) or text[at] != ".":
+            break
+        at += 1
+    return parts, at
+
+
+def value_end(text: str, at: int) -> int:
+    """Where the value that begins here ends: the line break after it, outside of strings and brackets."""
+    depth = 0
+    while at < len(text):
+        char = text[at]
+        if char == "#":
+            at = text.find("\n", at)
+            if at < 0:
+                return len(text)
+            continue
+        if char in "\"'":
+            long = char * 3
+            quote = long if text.startswith(long, at) else char
+            at += len(quote)
+            while at < len(text) and not text.startswith(quote, at):
+                at += 2 if char == '"' and text[at] == "\\" else 1
+            at += len(quote)
+            if quote == long:  # up to two quotes may stand right before the closing ones
+                while at < len(text) and text[at] == char:
+                    at += 1
+            continue
+        if char in OPENING:
+            depth += 1
+        elif char in CLOSING:
+            depth -= 1
+        elif char == "\n" and depth <= 0:
+            return at
+        at += 1
+    return len(text)
+
+
+def positions(text: str) -> dict[Path, int]:
+    """The line of each table and key. Keys inside an inline table count as on their table's line."""
+    found: dict[Path, int] = {}
+    counts: dict[Path, int] = {}
+    table: Path = ()
+    at = 0
+    while at < len(text):
+        if text[at] in " \t\r\n":
+            at += 1
+            continue
+        line = text.count("\n", 0, at) + 1
+        if text[at] == "#":
+            at = value_end(text, at)
+        elif text.startswith("[[", at):
+            parts, end = dotted(text, at + 2)
+            base = resolve(tuple(parts), counts)
+            counts[base] = counts.get(base, -1) + 1
+            table = (*base, counts[base])
+            found.setdefault(base, line)
+            found[table] = line
+            at = value_end(text, end + 2)
+        elif text[at] == "[":
+            parts, end = dotted(text, at + 1)
+            table = resolve(tuple(parts), counts)
+            found.setdefault(table, line)
+            at = value_end(text, end + 1)
+        else:
+            parts, end = dotted(text, at)
+            for size in range(1, len(parts) + 1):
+                found.setdefault((*table, *parts[:size]), line)
+            at = max(at + 1, value_end(text, end))
+    return found
+
+
+def resolve(parts: tuple[str, ...], counts: dict[Path, int]) -> Path:
+    """A header's path, through the last entry of each array of tables on its way."""
+    path: Path = ()
+    for part in parts[:-1]:
+        path = (*path, part)
+        if path in counts:
+            path = (*path, counts[path])
+    path = (*path, parts[-1]) if parts else path
+    return path
+
+
+def line_of(path: Path, found: dict[Path, int]) -> int:
+    """The line of the nearest thing that has one; 0 for the file as a whole."""
+    while path:
+        if path in found:
+            return found[path]
+        path = path[:-1]
+    return 0
--- /dev/null
+++ b/glenchute/config/operator.py
@@ -0,0 +1,322 @@
+"""The operator's file: TOML, checked whole at load against its own shape and the platform's rules.
+
+`read` never raises on what a file holds: it returns what is wrong, all of it, in the order of the lines.
+"""
+
+from __future__ import annotations
+
+import os
+import re
+import stat
+import tomllib
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from typing import Any
+
+from glenchute.deciders.routes import Backoff, BudgetRule, Route
+from heathglade.interface import Ending
+
+from .facts import Facts
+from .findings import Finding, fatal, ordered
+from .locate import line_of, positions
+from .rules import violations
+from .schema import MISSING, Number, Path, Rows, Table, Word, Words, label
+
+MOST_BYTES = 256 * 1024
+MOST_ROUTES = 500
+LONGEST_MS = 600_000.0
+CAUSES = {e.value: e for e in (Ending.FULL, Ending.UNREACHABLE, Ending.ERROR, Ending.RESET, Ending.TIMEOUT)}
+COMMANDS = ("GET", "POST")
+
+BOUNDS: dict[str, Any] = {
+    "attempt_timeout_ms": Number(0, LONGEST_MS, above=True),
+    "attempts": Number(1, 100, whole=True),
+    "backoff": Table(
+        {
+            "first_ms": Number(0, LONGEST_MS, above=True),
+            "factor": Number(1, 100),
+            "most_ms": Number(0, LONGEST_MS, above=True),
+            "jitter": Number(0, 1),
+        },
+        ("first_ms",),
+    ),
+    "retry_on": Words(tuple(CAUSES), alone=False, code="unknown-cause"),
+    "second_copy_after_ms": Number(0, LONGEST_MS, above=True),
+    "retry_budget": Table({"share": Number(0, 1), "least_per_s": Number(0, 1e6)}, ("share",)),
+}
+MATCH = Table({"class": Words(), "plan": Words(), "command": Words(COMMANDS, code="unknown-command")})
+NAME = Word("[A-Za-z0-9_.-]{1,64}", "1 to 64 letters, digits, '_', '.' or '-'")
+SHAPE = Table(
+    {
+        "defaults": Table(BOUNDS),
+        "route": Rows(Table({"name": NAME, "match": MATCH, **BOUNDS}, ("name", "match")), MOST_ROUTES),
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Matched:
+    """A route of the file with what it matches; an empty tuple matches all."""
+
+    at: int
+    route: Route
+    classes: tuple[str, ...]
+    plans: tuple[str, ...]
+    commands: tuple[str, ...]
+
+    @property
+    def rank(self) -> int:
+        """How specific it is: the number of things that it names."""
+        return sum(1 for names in parts(self) if names)
+
+    def covers(self, class_name: str, plan: str, command: str) -> bool:
+        """Whether it matches such a request."""
+        pairs = zip(parts(self), (class_name, plan, command), strict=True)
+        return all(not names or name in names for names, name in pairs)
+
+
+@dataclass(frozen=True, slots=True)
+class Operator:
+    """A file that may be loaded: what binds each class and plan."""
+
+    table: dict[tuple[str, str], Route]
+    routes: tuple[Matched, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """What came of reading a file; `operator` is None where it must not be loaded."""
+
+    file: str
+    operator: Operator | None
+    findings: tuple[Finding, ...]
+
+
+class Faults:
+    """Collects findings by path; lines are looked up at the end, and only where there are any."""
+
+    def __init__(self) -> None:
+        self.rows: list[tuple[str, Path, str, bool]] = []
+
+    def __call__(self, code: str, path: Path, message: str, warning: bool = False) -> None:
+        self.rows.append((code, path, message, warning))
+
+    def findings(self, text: str) -> list[Finding]:
+        if not self.rows:
+            return []
+        found = positions(text)
+        return ordered(
+            Finding(code, line_of(path, found), label(path), message, warning)
+            for code, path, message, warning in self.rows
+        )
+
+
+def contents(path: str) -> str | Finding:
+    """The text of the file, or why there is none. The size is bounded before anything is read, and a pipe or
+    a device is not opened, as that might wait for ever."""
+    try:
+        about = os.stat(path)
+        if stat.S_ISDIR(about.st_mode):
+            return Finding("is-directory", 0, "", "is a directory; name a file")
+        if not stat.S_ISREG(about.st_mode):
+            return Finding("not-a-file", 0, "", "is no regular file; name one")
+        with open(path, "rb") as file:
+            raw = file.read(MOST_BYTES + 1)
+    except (OSError, ValueError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
+        return Finding("unreadable", 0, "", f"can't be read ({reason}); check path and permissions")
+    if len(raw) > MOST_BYTES:
+        return Finding("too-large", 0, "", f"has more than {MOST_BYTES} bytes; split or shorten it")
+    try:
+        return raw.decode("utf-8")
+    except UnicodeDecodeError as error:
+        line = raw.count(b"\n", 0, error.start) + 1
+        return Finding("not-utf8", line, "", "holds bytes that are not UTF-8; save it as UTF-8")
+
+
+def read(path: str, facts: Facts | None) -> Reading:
+    """Reads and checks a file. Without `facts` only its own shape is checked."""
+    text = contents(path)
+    if isinstance(text, Finding):
+        return Reading(path, None, (text,))
+    return parse(text, facts, path)
+
+
+def parse(text: str, facts: Facts | None, file: str = "operator.toml") -> Reading:
+    """The same for a text."""
+    try:
+        raw = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
+        place = re.search(r"at line (\d+)", str(error))
+        line = int(place[1]) if place else text.count("\n") + 1
+        return Reading(file, None, (Finding("not-toml", line, "", f"is not TOML: {error}"),))
+    faults = Faults()
+    good = SHAPE.check(raw, (), faults)
+    operator = build(good, facts, faults)
+    findings = tuple(faults.findings(text))
+    return Reading(file, None if fatal(findings) else operator, findings)
+
+
+def bounds_of(name: str, raw: dict[str, Any], base: Route | None = None) -> Route:
+    """The route that a table's keys make; keys that it leaves out are those of `base`."""
+    made = replace(base, name=name) if base is not None else Route(name)
+    if "attempt_timeout_ms" in raw:
+        made = replace(made, attempt_timeout_ms=raw["attempt_timeout_ms"])
+    if "attempts" in raw:
+        made = replace(made, attempts=raw["attempts"])
+    if "second_copy_after_ms" in raw:
+        made = replace(made, copy_after_ms=raw["second_copy_after_ms"])
+    if "retry_on" in raw:
+        made = replace(made, causes=frozenset(CAUSES[word] for word in raw["retry_on"]))
+    backoff, budget = raw.get("backoff", {}), raw.get("retry_budget", {})
+    if "first_ms" in backoff:
+        first = backoff["first_ms"]
+        most = backoff.get("most_ms", max(first, 1000.0))
+        factor, jitter = backoff.get("factor", 2.0), backoff.get("jitter", 0.0)
+        made = replace(made, backoff=Backoff(first, factor, most, jitter))
+    if "share" in budget:
+        made = replace(made, budget=BudgetRule(budget["share"], budget.get("least_per_s", 0.0)))
+    return made
+
+
+def build(good: dict[str, Any], facts: Facts | None, faults: Faults) -> Operator:
+    """Routes from the checked values, and the rules between and about them."""
+    base = bounds_of("defaults", good["defaults"]) if "defaults" in good else None
+    if base is not None:
+        own_sense(good["defaults"], ("defaults",), faults)
+    routes: list[Matched] = []
+    names: dict[str, int] = {}
+    for at, row in enumerate(good.get("route", [])):
+        if row is MISSING:
+            continue
+        path: Path = ("route", at)
+        own_sense(row, path, faults)
+        name = row.get("name", "")
+        if name in names:
+            faults("duplicate-name", (*path, "name"), f"{name!r} is route[{names[name]}]'s; choose another")
+        elif name == "defaults":
+            faults("duplicate-name", (*path, "name"), "is the name of the defaults; choose another")
+        names.setdefault(name, at)
+        match = row.get("match", {})
+        if "match" in row and not match:
+            faults("empty-match", (*path, "match"), "matches everything; use [defaults] for that")
+        found = tuple(match.get(key, ()) for key in ("class", "plan", "command"))
+        routes.append(Matched(at, bounds_of(name, row, base), *found))
+    if facts is None:
+        equal_ranks(routes, None, faults)
+        return Operator({}, tuple(routes))
+    known = True
+    for one in routes:
+        for key, given, there in (("class", one.classes, facts.classes), ("plan", one.plans, facts.plans)):
+            for word in given:
+                if word not in there:
+                    known = False
+                    faults(f"unknown-{key}", ("route", one.at, "match", key),
+                           f"{word[:40]!r} is no {key} of the platform; write one of {', '.join(there)}",
+                           )  # fmt: skip
+    if known:
+        equal_ranks(routes, facts, faults)
+    return Operator(resolved(routes, base, facts, faults), tuple(routes))
+
+
+def own_sense(raw: dict[str, Any], path: Path, faults: Faults) -> None:
+    """What a table's values must be to each other, whatever the platform."""
+    backoff, budget = raw.get("backoff", {}), raw.get("retry_budget", {})
+    if "most_ms" in backoff and backoff.get("first_ms", 0.0) > backoff["most_ms"]:
+        faults("backoff-order", (*path, "backoff"), "first_ms is over most_ms; swap or raise most_ms")
+    if "backoff" in raw and raw.get("attempts") == 1:
+        faults("backoff-unused", (*path, "backoff"), "attempts = 1 leaves no pause; drop one of them", True)
+    if budget.get("share") == 0.0 and not budget.get("least_per_s", 0.0):
+        faults("budget-of-nothing", (*path, "retry_budget"), "allows no further attempt; write attempts = 1")
+
+
+def combinations(facts: Facts) -> Iterator[tuple[str, str, str]]:
+    """Every class with every plan, and the command that the class comes by."""
+    for name, cls in facts.classes.items():
+        for plan in facts.plans:
+            yield name, plan, cls.command
+
+
+def overlaps(one: tuple[str, ...], other: tuple[str, ...]) -> bool:
+    """Whether two lists of names have one in common; an empty one has all."""
+    return not one or not other or bool(set(one) & set(other))
+
+
+def equal_ranks(routes: list[Matched], facts: Facts | None, faults: Faults) -> None:
+    """Two routes that name equally many things and can match the same request: none of them is the more
+    specific, and the order in the file must not decide."""
+    clashes: dict[int, tuple[Matched, str]] = {}
+    if facts is None:
+        for at, one in enumerate(routes):
+            for other in routes[:at]:
+                pairs = zip(parts(one), parts(other), strict=True)
+                if one.rank == other.rank and one.rank and all(overlaps(a, b) for a, b in pairs):
+                    clashes.setdefault(one.at, (other, "a request"))
+    else:
+        for name, plan, command in combinations(facts):
+            first: dict[int, Matched] = {}
+            for one in routes:
+                if one.rank and one.covers(name, plan, command):
+                    other = first.setdefault(one.rank, one)
+                    if other is not one:
+                        clashes.setdefault(one.at, (other, f"{command} of class {name}, plan {plan}"))
+    for at, (other, what) in clashes.items():
+        faults("equal-rank", ("route", at, "match"),
+               f"{what} matches route[{other.at}] ({other.route.name}) too, and neither names more; "
+               "name more in one of them, or take the common part out")  # fmt: skip
+
+
+def parts(one: Matched) -> tuple[tuple[str, ...], ...]:
+    """What it names, by kind."""
+    return one.classes, one.plans, one.commands
+
+
+def resolved(
+    routes: list[Matched], base: Route | None, facts: Facts, faults: Faults
+) -> dict[tuple[str, str], Route]:
+    """Which route binds each class and plan; tells of routes that bind nothing, and of what each breaks."""
+    table: dict[tuple[str, str], Route] = {}
+    used: dict[int, set[str]] = {}
+    bare: set[str] = set()
+    for name, plan, command in combinations(facts):
+        matching = [one for one in routes if one.rank and one.covers(name, plan, command)]
+        best = max(matching, key=lambda one: one.rank, default=None)
+        if best is not None:
+            table[name, plan] = best.route
+            used.setdefault(best.at, set()).add(name)
+        elif base is not None:
+            table[name, plan] = base
+            bare.add(name)
+    for one in routes:
+        path: Path = ("route", one.at)
+        mine = [combo for combo in combinations(facts) if one.covers(*combo)]
+        known = all(n in facts.classes for n in one.classes) and all(p in facts.plans for p in one.plans)
+        if one.rank and one.at not in used and known:
+            over = {o.route.name for combo in mine for o in routes if o.rank > one.rank and o.covers(*combo)}
+            if over:
+                names = ", ".join(sorted(over))
+                faults("never-matches", path, f"is shadowed by {names}; drop it or name less there")
+            elif not mine:
+                faults("never-matches", path, "matches no class of the platform: safe classes come by GET, "
+                       "the others by POST; mend match")  # fmt: skip
+        for name in sorted(used.get(one.at, ())):
+            broken(one.route, name, path, facts, faults)
+    for name in sorted(bare):
+        if base is not None:
+            broken(base, name, ("defaults",), facts, faults)
+    return table
+
+
+def broken(route: Route, name: str, path: Path, facts: Facts, faults: Faults) -> None:
+    """Reports what a route breaks for a class."""
+    for code, key, sentence, warning in violations(route, name, facts):
+        faults(code, (*path, key), sentence, warning)
+
+
+def json_schema() -> dict[str, Any]:
+    """The file's shape for editors. The platform's rules are not in it: `glenchute check` knows them."""
+    return {
+        "$schema": "https://json-schema.org/draft/2020-12/schema",
+        "title": "glenchute operator's file",
+        **SHAPE.schema(),
+    }
--- /dev/null
+++ b/glenchute/config/platform.py
@@ -0,0 +1,112 @@
+"""The platform's file: what DEPLOY tells a gateway, read from the JSON that EDGE_CONFIG names."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from glenchute.backends.resp2 import Limits
+from glenchute.core.types import News
+from glenchute.fronts.resp2.commands import Bounds, bounds
+from glenchute.peers.discovery import ListError, address, read_list
+from heathglade.interface import Settings
+from heathglade.simhost import SCOPES, num, settings
+
+from .facts import ClassFacts, Facts
+
+
+class ConfigError(Exception):
+    """A configuration that no gateway can run on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What the platform tells a gateway."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    counter: tuple[str, int] | None
+    seed: int
+    sockets: int
+    known: News | None
+    settings: Settings
+    limits: Limits
+    bounds: Bounds
+    facts: Facts
+
+
+def part(raw: dict[str, Any], key: str) -> dict[str, Any]:
+    """A nested object, or an empty one."""
+    found = raw.get(key)
+    return found if isinstance(found, dict) else {}
+
+
+def load(environ: dict[str, str]) -> Config:
+    """The configuration; the single variables count where the file is silent."""
+    path = environ.get("EDGE_CONFIG")
+    if not path:
+        raise ConfigError("EDGE_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = json.load(file)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"can't read {path}: {error}") from None
+    if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
+        raise ConfigError(f"{path} holds no settings")
+    try:
+        return build(raw, environ)
+    except (ValueError, TypeError, AttributeError, KeyError) as error:
+        raise ConfigError(f"bad configuration in {path}: {error}") from None
+
+
+def build(raw: dict[str, Any], environ: dict[str, str]) -> Config:
+    """The parts of the configuration, checked."""
+    made = settings(raw["settings"])
+    if not made.classes or not made.plans:
+        raise ListError("the settings name no classes or no plans")
+    limits, safety = part(raw["settings"], "limits"), part(raw["settings"], "safety")
+    sockets = int(num(part(raw, "limits").get("sockets"), 1024))
+    if sockets < 64:
+        raise ListError(f"{sockets} sockets are too few")
+    return Config(
+        name=str(raw.get("name") or environ.get("EDGE_NAME") or "gateway"),
+        listen=address(raw.get("listen") or environ.get("EDGE_LISTEN")),
+        discovery=address(raw.get("discovery") or environ.get("EDGE_DISCOVERY")),
+        counter=address(raw["counter"]) if raw.get("counter") and made.counter else None,
+        seed=int(str(raw.get("seed") or 0), 16),
+        sockets=sockets,
+        known=read_list(raw["known"], saved=True) if raw.get("known") else None,
+        settings=made,
+        limits=Limits(
+            connect_s=num(limits.get("connect_timeout_ms"), 250.0) / 1000.0,
+            idle_s=max(0.5, num(limits.get("conn_idle_ms"), 15_000.0) / 1000.0 - 2.0),
+            grace_s=num(safety.get("drain_grace_ms"), 250.0) / 1000.0,
+            connections=sockets * 3 // 10,
+        ),
+        bounds=bounds(raw["settings"]),
+        facts=facts(made, raw["settings"]),
+    )
+
+
+def facts(made: Settings, raw: dict[str, Any]) -> Facts:
+    """What the rules of the operator's file need to know. The raw settings still tell an unknown group from a
+    known one, which the interface reads as the narrowest."""
+    rows = {str(row.get("name")): row for row in raw["profiles"] if isinstance(row, dict)}
+    classes = {
+        cls.name: ClassFacts(
+            repeat=cls.repeat,
+            deadline_ms=num(rows[cls.name].get("hard_limit_ms")) or 60_000.0,
+            memory_ms=cls.memory_ms,
+            scope_known=str(rows[cls.name].get("group")) in SCOPES,
+        )
+        for cls in made.classes
+    }
+    return Facts(
+        classes=classes,
+        plans=tuple(plan.name for plan in made.plans),
+        attempts_cap=made.max_attempts,
+        overlap=made.overlap,
+        connect_ms=num(part(raw, "limits").get("connect_timeout_ms"), 250.0),
+    )
--- /dev/null
+++ b/glenchute/config/schema.py
@@ -0,0 +1,186 @@
+"""The shape of a configuration file, declared once: checks and a JSON Schema come from the same declaration.
+
+Why not msgspec or pydantic: see docs/design/routes.md (start-up time, and both stop or speak without a code
+where a file has several faults). Kinds take a value as TOML gives it and report what does not fit; what fits
+is handed on, so that one fault does not hide the next.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+Path = tuple[str | int, ...]
+Report = Callable[[str, Path, str], None]  # code, path, sentence
+MISSING = object()
+
+
+def label(path: Path) -> str:
+    """`route[2].backoff.first_ms`."""
+    text = ""
+    for step in path:
+        text += f"[{step}]" if isinstance(step, int) else f".{step}" if text else step
+    return text
+
+
+def named(value: Any) -> str:
+    """What TOML calls the type of a value."""
+    names = {bool: "a boolean", int: "a whole number", float: "a number", str: "a string", list: "an array"}
+    return names.get(type(value), "a table" if isinstance(value, dict) else "a date or time")
+
+
+class Kind:
+    """What a key may hold."""
+
+    def check(self, value: Any, path: Path, report: Report) -> Any:
+        """The value in its final form, or MISSING after a report."""
+        raise NotImplementedError
+
+    def schema(self) -> dict[str, Any]:
+        """In JSON Schema's terms (draft 2020-12)."""
+        raise NotImplementedError
+
+
+@dataclass(frozen=True, slots=True)
+class Number(Kind):
+    """A finite number in a range; `above` leaves the lower end out."""
+
+    least: float
+    most: float
+    above: bool = False
+    whole: bool = False
+
+    def check(self, value: Any, path: Path, report: Report) -> Any:
+        wanted = "a whole number" if self.whole else "a number"
+        if isinstance(value, bool) or not isinstance(value, int if self.whole else int | float):
+            report("wrong-type", path, f"is {named(value)}; write {wanted}")
+            return MISSING
+        if not math.isfinite(value):
+            report("not-finite", path, f"is {value}; write a finite number")
+            return MISSING
+        if not self.least <= value <= self.most or (self.above and value == self.least):
+            bounds = f"{'above' if self.above else 'from'} {self.least:g} to {self.most:g}"
+            report("out-of-range", path, f"is {value:g}; write {wanted} {bounds}")
+            return MISSING
+        return value if self.whole else float(value)
+
+    def schema(self) -> dict[str, Any]:
+        lower = "exclusiveMinimum" if self.above else "minimum"
+        return {"type": "integer" if self.whole else "number", lower: self.least, "maximum": self.most}
+
+
+@dataclass(frozen=True, slots=True)
+class Word(Kind):
+    """A string of a form."""
+
+    pattern: str
+    wanted: str
+
+    def check(self, value: Any, path: Path, report: Report) -> Any:
+        if not isinstance(value, str):
+            report("wrong-type", path, f"is {named(value)}; write a string")
+            return MISSING
+        if re.fullmatch(self.pattern, value) is None:
+            report("bad-word", path, f"is {value[:40]!r}; write {self.wanted}")
+            return MISSING
+        return value
+
+    def schema(self) -> dict[str, Any]:
+        return {"type": "string", "pattern": f"^(?:{self.pattern})$"}
+
+
+@dataclass(frozen=True, slots=True)
+class Words(Kind):
+    """One string or an array of them, none twice; from `options` where these are given."""
+
+    options: tuple[str, ...] = ()
+    alone: bool = True  # a single word may stand without brackets
+    code: str = "unknown-word"
+
+    def check(self, value: Any, path: Path, report: Report) -> Any:
+        rows = [value] if isinstance(value, str) and self.alone else value
+        if not isinstance(rows, list):
+            one = "a string or " if self.alone else ""
+            report("wrong-type", path, f"is {named(value)}; write {one}an array of strings")
+            return MISSING
+        if not rows:
+            report("empty-list", path, "is empty; name at least one, or leave the key out")
+            return MISSING
+        good = []
+        for at, row in enumerate(rows):
+            here = path if rows is not value else (*path, at)
+            if not isinstance(row, str):
+                report("wrong-type", here, f"is {named(row)}; write a string")
+            elif self.options and row not in self.options:
+                report(self.code, here, f"is {row[:40]!r}; write one of {', '.join(self.options)}")
+            elif row in good:
+                report("named-twice", here, f"{row!r} stands there already; name it once")
+            else:
+                good.append(row)
+        return tuple(good) if good else MISSING
+
+    def schema(self) -> dict[str, Any]:
+        item: dict[str, Any] = {"type": "string"}
+        if self.options:
+            item["enum"] = list(self.options)
+        many = {"type": "array", "items": item, "minItems": 1, "uniqueItems": True}
+        return {"anyOf": [item, many]} if self.alone else many
+
+
+@dataclass(frozen=True, slots=True)
+class Table(Kind):
+    """A table; keys that are not named are refused."""
+
+    keys: dict[str, Kind]
+    required: tuple[str, ...] = ()
+
+    def check(self, value: Any, path: Path, report: Report) -> Any:
+        if not isinstance(value, dict):
+            report("wrong-type", path, f"is {named(value)}; write a table")
+            return MISSING
+        good: dict[str, Any] = {}
+        for key, given in value.items():
+            kind = self.keys.get(key)
+            if kind is None:
+                report("unknown-key", (*path, key), f"is not known here; known are {', '.join(self.keys)}")
+                continue
+            found = kind.check(given, (*path, key), report)
+            if found is not MISSING:
+                good[key] = found
+        for key in self.required:
+            if key not in value:
+                report("missing-key", path, f"has no {key}; add it")
+        return good
+
+    def schema(self) -> dict[str, Any]:
+        made: dict[str, Any] = {
+            "type": "object",
+            "properties": {key: kind.schema() for key, kind in self.keys.items()},
+            "additionalProperties": False,
+        }
+        if self.required:
+            made["required"] = list(self.required)
+        return made
+
+
+@dataclass(frozen=True, slots=True)
+class Rows(Kind):
+    """An array of tables; each row keeps its number, also where one before it was dropped."""
+
+    of: Table
+    most: int
+
+    def check(self, value: Any, path: Path, report: Report) -> Any:
+        if not isinstance(value, list) or not all(isinstance(row, dict) for row in value):
+            report("wrong-type", path, f"is {named(value)}; write [[{label(path)}]] for each")
+            return MISSING
+        if len(value) > self.most:
+            report("too-many", path, f"has {len(value)} entries; {self.most} at most are allowed")
+            return MISSING
+        return [self.of.check(row, (*path, at), report) for at, row in enumerate(value)]
+
+    def schema(self) -> dict[str, Any]:
+        return {"type": "array", "items": self.of.schema(), "maxItems": self.most}
--- /dev/null
+++ b/glenchute/core/__init__.py
@@ -0,0 +1,1 @@
+"""The life of each request; knows no wire."""
--- a/glenchute/gateway.py
+++ b/glenchute/core/gateway.py
@@ -14,15 +14,14 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Protocol
+from typing import TYPE_CHECKING
 
 from heathglade import interface as api
 
-from . import resp
-from .counter import Counter
-from .discovery import News
-from .servers import Attempt, Result, Servers
+from .types import Answer, Attempt, Backend, Call, Counting, Decisions, Failed, News, Refused, Result, Served
+
+if TYPE_CHECKING:  # only an operator's file brings routes in
+    from glenchute.deciders.routes import Course, Routes
 
 log = logging.getLogger("glenchute")
 
@@ -46,45 +45,19 @@
         return self._offset + time.monotonic() * 1000.0
 
 
-class Decisions(Protocol):
-    """The decision module, as far as the gateway needs it."""
-
-    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]: ...
-
-
-@dataclass(slots=True)
-class Call:
-    """A client's command, parsed and checked once. `fields` has a gap where the time left goes."""
-
-    request_id: bytes
-    class_name: str
-    plan: str
-    customer: str
-    time_left_ms: float
-    units: float
-    spread: int
-    before: bytes  # the command up to the field list
-    fields: tuple[bytes, bytes]  # the list up to and with "d=", and what follows the number
-    after: bytes  # the body, encoded, or nothing
-
-    def encode(self, left_ms: int) -> bytes:
-        """The command for a server: the client's own, but for the time left."""
-        fields = b"%b%d%b" % (self.fields[0], left_ms, self.fields[1])
-        return b"%b%b%b" % (self.before, resp.bulk(fields), self.after)
-
-
 class Live:
     """A request that has been taken."""
 
-    __slots__ = ("answer", "attempts", "call", "current", "deadline", "may_have_run", "ref", "timer")
+    __slots__ = ("answer", "attempts", "call", "course", "deadline", "may_have_run", "out", "ref", "timer")
 
-    def __init__(self, ref: str, call: Call, deadline: float, answer: Callable[[bytes], None]) -> None:
+    def __init__(self, ref: str, call: Call, deadline: float, answer: Callable[[Answer], None]) -> None:
         self.ref = ref
         self.call = call
         self.deadline = deadline  # the loop's time
         self.answer = answer
         self.attempts = 0
-        self.current: Attempt | None = None
+        self.out: list[Attempt] = []  # attempts under way: one, or two where copies may overlap
+        self.course: Course | None = None  # what the operator's routes allow
         self.may_have_run = False
         self.timer: asyncio.TimerHandle | None = None
 
@@ -109,7 +82,11 @@
     """Ties the sockets to the decisions."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, decisions: Decisions, servers: Servers, counter: Counter | None
+        self,
+        loop: asyncio.AbstractEventLoop,
+        decisions: Decisions,
+        servers: Backend,
+        counter: Counting | None,
     ) -> None:
         self.loop = loop
         self.clock = Clock()
@@ -120,6 +97,8 @@
         self.out: dict[tuple[str, int], Attempt] = {}  # attempts may outlive their requests
         self.started_ms: dict[str, float] = {}
         self.serial = 0
+        self.routes: Routes | None = None
+        self.overlap = False  # a second copy may be out beside the first
         self.events: deque[api.Event] = deque()
         self.draining = False
 
@@ -156,19 +135,26 @@
                 if isinstance(action, api.Send | api.Refuse | api.Fail):
                     self.close_request(action.request_id)
 
-    def take(self, call: Call, answer: Callable[[bytes], None]) -> Live:
-        """A client's request has come whole; `answer` is called once, with the encoded reply."""
+    def take(self, call: Call, answer: Callable[[Answer], None]) -> Live:
+        """A client's request has come whole; `answer` is called once, with the final answer."""
         self.serial += 1
         # Ids of our own: an attempt may outlive its request, whose id a client may then use again.
         ref = str(self.serial)
         live = Live(ref, call, self.loop.time() + call.time_left_ms / 1000.0, answer)
         self.live[ref] = live
         live.timer = self.loop.call_at(live.deadline, self.overdue, ref)
+        timeout_ms = copy_after_ms = 0.0
+        if self.routes is not None:
+            live.course = self.routes.course(self.clock.now(), call.class_name, call.plan)
+            if live.course is not None:
+                route = live.course.route
+                timeout_ms, copy_after_ms = route.attempt_timeout_ms, route.copy_after_ms
         self.post(
             api.Request(
-                ref, call.class_name, call.plan, call.customer, call.time_left_ms, call.units, call.spread
+                ref, call.class_name, call.plan, call.customer, call.time_left_ms, call.units, call.spread,
+                timeout_ms, copy_after_ms,
             )
-        )
+        )  # fmt: skip
         return live
 
     def client_left(self, live: Live) -> None:
@@ -195,7 +181,7 @@
                 self.started_ms.pop(entry.server, None)  # its id never comes again
         if event.kind in (api.ListKind.FULL, api.ListKind.SAVED):
             listed = {entry.server for entry in event.entries}
-            for server in [name for name in self.servers.pools if name not in listed]:
+            for server in [name for name in self.servers.known() if name not in listed]:
                 self.servers.gone(server)
             self.started_ms = {k: v for k, v in self.started_ms.items() if k in listed}
         self.post(event)
@@ -210,7 +196,7 @@
             case api.Refuse(request_id, retry_after_ms):
                 self.refuse(request_id, retry_after_ms)
             case api.Fail(request_id):
-                self.answer(request_id, resp.FAILED)
+                self.answer(request_id, Failed())
             case api.Cancel(request_id, number):
                 attempt = self.out.get((request_id, number))
                 if attempt is not None:
@@ -247,8 +233,8 @@
         number = live.attempts if live is not None else 0
         if live is not None:
             live.attempts += 1
-        if live is None or live.current is not None:
-            # Over, or another attempt is still out: two at once are not allowed here.
+        if live is None or not self.may_start(live):
+            # Over, or another attempt is still out where that is not allowed, or its route allows no more.
             self.post(api.AttemptEnded(ref, number, server, api.Ending.UNSENT, 0.0, live is None))
             return
         left = live.deadline - ANSWER_MARGIN_S - self.loop.time()
@@ -259,26 +245,46 @@
             def done(result: Result) -> None:
                 self.ended(live, number, server, result)
 
-            attempt = self.servers.attempt(server, live.call.encode, wait, done)
+            write_by = math.inf
+            if action.write_by_ms > 0:
+                write_by = self.loop.time() + (action.write_by_ms - self.clock.now()) / 1000.0
+            attempt = self.servers.attempt(server, live.call.encode, wait, done, write_by)
         if attempt is None:
             ending = api.Ending.UNREACHABLE if wait > 0 else api.Ending.UNSENT
-            self.post(api.AttemptEnded(ref, number, server, ending, 0.0, False))
+            again = self.next_after(live, ending)
+            self.post(api.AttemptEnded(ref, number, server, ending, 0.0, False, next_after_ms=again))
             return
-        live.current = self.out[ref, number] = attempt
+        self.out[ref, number] = attempt
+        live.out.append(attempt)
         attempt.start()
 
+    def may_start(self, live: Live) -> bool:
+        """Whether an attempt may go out now, beside what is out and under the request's route."""
+        if live.out and not self.overlap:
+            return False
+        return live.course is None or live.course.begin(self.clock.now(), bool(live.out))
+
+    def next_after(self, live: Live, ending: api.Ending) -> float:
+        """How long the route has a further attempt wait after this ending; inf: there is to be none."""
+        if live.course is None or live.out:
+            return 0.0
+        return live.course.after(self.clock.now(), ending)
+
     def ended(self, live: Live, number: int, server: str, result: Result) -> None:
         """An attempt's one ending. A value goes to the client before the module hears of it."""
         attempt = self.out.pop((live.ref, number))
-        live.current = None
+        live.out.remove(attempt)
         if result.ending not in DID_NOT_RUN:
             live.may_have_run = True
         took_ms = 1000.0 * (self.loop.time() - attempt.started)
         if result.ending is api.Ending.OK and result.value is not None:
-            self.answer(live.ref, resp.bulk(result.value))
+            self.answer(live.ref, Served(result.value))
         queue, active = report(result.report)
         final = live.ref not in self.live
-        self.post(api.AttemptEnded(live.ref, number, server, result.ending, took_ms, final, queue, active))
+        again = 0.0 if final else self.next_after(live, result.ending)
+        self.post(
+            api.AttemptEnded(live.ref, number, server, result.ending, took_ms, final, queue, active, again)
+        )
 
     # --- final answers -----------------------------------------------------------------------------------
 
@@ -286,13 +292,13 @@
         """A refusal promises that no try ran; where one may have, it is a failure, whoever asks for it."""
         live = self.live.get(ref)
         if live is not None:
-            self.answer(ref, resp.FAILED if self.unsafe(live) else resp.busy(retry_after_ms))
+            self.answer(ref, Failed() if self.unsafe(live) else Refused(retry_after_ms))
 
     def unsafe(self, live: Live) -> bool:
         """Whether a try may have run, or may yet."""
-        return live.may_have_run or (live.current is not None and live.current.written)
+        return live.may_have_run or any(attempt.written for attempt in live.out)
 
-    def answer(self, ref: str, reply: bytes) -> None:
+    def answer(self, ref: str, reply: Answer) -> None:
         """The one final answer; a second finds the request gone."""
         live = self.live.get(ref)
         if live is not None and self.forget(live):
@@ -303,8 +309,8 @@
         live = self.live.get(ref)
         if live is not None:
             self.refuse(ref, 0.0)
-            if live.current is not None:
-                live.current.stop(api.Ending.CANCELLED)
+            for attempt in list(live.out):
+                attempt.stop(api.Ending.CANCELLED)
             self.post(api.RequestGone(ref))
 
     def forget(self, live: Live) -> bool:
@@ -314,6 +320,8 @@
         if live.timer is not None:
             live.timer.cancel()
             live.timer = None
+        if live.course is not None:
+            live.course.close()
         return True
 
     def close_all(self) -> None:
--- /dev/null
+++ b/glenchute/core/types.py
@@ -0,0 +1,124 @@
+"""What passes between fronts, core, backends and peers. No sockets, no wire."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from heathglade.interface import Action, Ending, Event, ServerList
+
+Address = tuple[str, int]
+
+
+@dataclass(slots=True)
+class Call:
+    """A client's request as the core needs it; each front adds what its backend is to be sent."""
+
+    request_id: bytes
+    class_name: str
+    plan: str
+    customer: str
+    time_left_ms: float
+    units: float
+    spread: int
+
+    def encode(self, left_ms: int) -> bytes:
+        """The bytes for a server, told that the gateway will wait so long."""
+        raise NotImplementedError
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """Final answer: the value as a server gave it for this request."""
+
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Final answer: no try ran; come again after this time, 0 for no advice."""
+
+    retry_after_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """Final answer: no promise about the effect."""
+
+
+Answer = Served | Refused | Failed
+
+
+@dataclass(slots=True)
+class Result:
+    """How an attempt ended; `sound` where the connection can be used again."""
+
+    ending: Ending
+    value: bytes | None = None
+    report: bytes | None = None
+    sound: bool = False
+
+
+@dataclass(slots=True)
+class News:
+    """A list or changes to it, with the addresses, which only the transport needs."""
+
+    version: int
+    event: ServerList
+    addresses: dict[str, Address] = field(default_factory=dict)
+
+
+class Decisions(Protocol):
+    """The decision module, as far as the core needs it."""
+
+    def handle(self, now_ms: float, event: Event) -> list[Action]: ...
+
+
+class Attempt(Protocol):
+    """One request on its way to one server. `done` was handed over at the making and is called once."""
+
+    started: float  # the loop's time
+    written: bool  # a byte may have left: it may have run
+
+    def start(self) -> None:
+        """Sends it, or begins to."""
+
+    def stop(self, ending: Ending) -> None:
+        """Ends it early. `done` is called once the connection is closed."""
+
+
+class Backend(Protocol):
+    """The servers, by their ids."""
+
+    def listed(self, server: str, address: Address, started_anew: bool) -> None:
+        """A server that takes work."""
+
+    def stopped(self, server: str) -> None:
+        """A server that drains: nothing new, what is out may finish."""
+
+    def gone(self, server: str) -> None:
+        """A server that left the list."""
+
+    def known(self) -> list[str]:
+        """All that are listed or drain."""
+
+    def attempt(
+        self,
+        server: str,
+        payload: Callable[[int], bytes],
+        timeout_s: float,
+        done: Callable[[Result], None],
+        write_by: float,
+    ) -> Attempt | None:
+        """Makes an attempt, not started yet; None if the server takes nothing (any more). Not a byte of it
+        leaves after `write_by`, the loop's time: it then ends as "could not connect"."""
+
+
+class Counting(Protocol):
+    """The shared counter."""
+
+    def call(
+        self, name: int, amount: float, ttl_ms: float, done: Callable[[float, Ending, float], None]
+    ) -> None:
+        """Adds an amount; `done` gets total, ending and milliseconds, once, within the time-out."""
--- /dev/null
+++ b/glenchute/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""Where requests come in, one package each."""
--- /dev/null
+++ b/glenchute/fronts/resp2/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's front: RESP2 over TCP."""
--- a/glenchute/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -14,10 +14,12 @@
 from collections.abc import KeysView
 from typing import Any
 
-from . import resp
+from glenchute.core.gateway import Gateway, Live
+from glenchute.core.types import Answer, Refused, Served
+from glenchute.deciders.places import Close, Places, Reason, State
+from glenchute.wire import resp
+
 from .commands import Catalogue, CommandError
-from .deciders.places import Close, Places, Reason, State
-from .gateway import Gateway, Live
 
 log = logging.getLogger("glenchute")
 
@@ -30,6 +32,15 @@
 SPARE = 16  # connections past the limit, at most, while they are told so or are being left
 
 
+def encode(answer: Answer) -> bytes:
+    """A final answer in the protocol's words."""
+    if isinstance(answer, Served):
+        return resp.bulk(answer.value)
+    if isinstance(answer, Refused):
+        return resp.busy(answer.retry_after_ms)
+    return resp.FAILED
+
+
 class Slot:
     """The place of one reply in a connection's order."""
 
@@ -47,10 +58,10 @@
             self.client.listener.open_ids.discard(self.request_id)
             self.request_id = None
 
-    def fill(self, reply: bytes) -> None:
+    def fill(self, answer: Answer) -> None:
         """The answer is known; it goes out when those before it have."""
         self.release()
-        self.reply, self.live = reply, None
+        self.reply, self.live = encode(answer), None
         self.client.flush()
 
 
--- a/glenchute/commands.py
+++ b/glenchute/fronts/resp2/commands.py
@@ -6,12 +6,11 @@
 from dataclasses import dataclass
 from typing import Any
 
+from glenchute.core.types import Call
+from glenchute.wire import resp
 from heathglade.interface import Repeat, Settings
 from heathglade.simhost import num
 
-from . import resp
-from .gateway import Call
-
 MOST_FIELDS = 512  # bytes of the list of names and values
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
 MOST_CUSTOMER = 1 << 33
@@ -20,6 +19,20 @@
 WHOLE = re.compile(rb"[0-9]{1,6}")
 
 
+@dataclass(slots=True)
+class Command(Call):
+    """A client's command, parsed and checked once. `fields` has a gap where the time left goes."""
+
+    before: bytes  # the command up to the field list
+    fields: tuple[bytes, bytes]  # the list up to and with "d=", and what follows the number
+    after: bytes  # the body, encoded, or nothing
+
+    def encode(self, left_ms: int) -> bytes:
+        """The command for a server: the client's own, but for the time left."""
+        fields = b"%b%d%b" % (self.fields[0], left_ms, self.fields[1])
+        return b"%b%b%b" % (self.before, resp.bulk(fields), self.after)
+
+
 class CommandError(ValueError):
     """A command that can't be served; the text goes to the client."""
 
@@ -50,7 +63,7 @@
         self.plans = {plan.name.encode(): plan.name for plan in settings.plans}
         self.classes = {cls.name.encode(): (cls.name, cls.repeat) for cls in settings.classes}
 
-    def call(self, words: list[bytes]) -> Call:
+    def call(self, words: list[bytes]) -> Command:
         """Checks a command and takes it apart, once."""
         verb = words[0].upper()
         if not 4 <= len(words) <= 5:
@@ -76,7 +89,7 @@
         left_ms = decimal(fields, b"d", float("inf"), b"")
         if left_ms < 1.0:
             raise CommandError("bad number for d")
-        return Call(
+        return Command(
             request_id=request_id,
             class_name=name,
             plan=self.known(self.plans, fields, b"t", "plan"),
--- /dev/null
+++ b/glenchute/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The services that gateways ask: counter, discovery."""
--- a/glenchute/counter.py
+++ b/glenchute/peers/counter.py
@@ -11,10 +11,9 @@
 from collections import deque
 from collections.abc import Callable
 
+from glenchute.wire import resp
 from heathglade.interface import Ending
 
-from . import resp
-
 TOTAL = re.compile(rb"-?[0-9]{1,15}(\.[0-9]{1,15})?(e[+-]?[0-9]{1,2})?")
 MOST_TOTAL = 1e12
 # Connections. Answers on one come in the order of its calls, so a call that a crowded part of the counter is
--- a/glenchute/discovery.py
+++ b/glenchute/peers/discovery.py
@@ -9,11 +9,11 @@
 import asyncio
 import json
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Any
 
 import h11
 
+from glenchute.core.types import News
 from heathglade.interface import ListKind, ServerEntry, ServerList, ServerState
 
 WAIT_S = 4.0  # a watch waits this long for news; what it waits for counts as told 2 s after that
@@ -34,15 +34,6 @@
     """A list that can't be read."""
 
 
-@dataclass(slots=True)
-class News:
-    """A list or changes to it, with the addresses, which only the transport needs."""
-
-    version: int
-    event: ServerList
-    addresses: dict[str, tuple[str, int]] = field(default_factory=dict)
-
-
 def address(text: Any) -> tuple[str, int]:
     """`host:port`."""
     host, colon, port = str(text).rpartition(":")
--- /dev/null
+++ b/glenchute/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Wire formats, fed byte by byte; no sockets."""
--- a/heathglade/interface.py
+++ b/heathglade/interface.py
@@ -123,6 +123,7 @@
     subscribe: bool = False  # changes to the server list come only when asked for
     sizes_known: bool = False  # `ServerEntry.size` says how large a server is
     cross_zone_price: float = 0.0
+    overlap: bool = False  # two attempts of one request may be out at once
 
 
 # --- events --------------------------------------------------------------------------------------------
@@ -159,6 +160,8 @@
     time_left_ms: float
     units: float = 1.0
     spread: int = 1  # gateways through which this customer's requests come
+    attempt_timeout_ms: float = 0.0  # no attempt may take longer; 0: no such bound
+    copy_after_ms: float = 0.0  # a second copy may go out beside the first after this; 0: never
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,6 +184,7 @@
     final: bool
     queue: float | None = None  # requests waiting at the server, if it said so
     active: float | None = None  # requests that it holds, if it said so
+    next_after_ms: float = 0.0  # a further attempt may start no sooner; inf: none may
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,11 +219,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt, numbered 0, 1, 2 ... for each request. `timeout_ms` 0: until the client leaves."""
+    """Start an attempt, numbered 0, 1, 2 ... for each request. `timeout_ms` 0: until the client leaves. Not a
+    byte of it may leave after `write_by_ms`, if that is not 0: repeats are no longer dropped from then on."""
 
     request_id: str
     server: str
     timeout_ms: float = 0.0
+    write_by_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -14,9 +14,9 @@
 from dataclasses import dataclass, field
 
 from .interface import (
-    Action, AnswerBegan, AttemptEnded, Count, CountReply, Ending, Event, Fail, ListKind, Log, Plan, Refuse,
-    Repeat, Request, RequestClass, RequestGone, Scope, Send, ServerEntry, ServerList, ServerState, SetTimer,
-    Settings, Subscribe, TimerFired,
+    Action, AnswerBegan, AttemptEnded, Cancel, Count, CountReply, Ending, Event, Fail, ListKind, Log, Plan,
+    Refuse, Repeat, Request, RequestClass, RequestGone, Scope, Send, ServerEntry, ServerList, ServerState,
+    SetTimer, Settings, Subscribe, TimerFired,
 )  # fmt: skip
 
 WINDOW_S = 1.0  # the fill's window: what a store holds is offered to the demand of this long
@@ -554,6 +554,8 @@
         self.requests: dict[str, Open] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.held: list[str] = []
+        self.waits: dict[int, tuple[Open, bool]] = {}  # by timer: what is to be tried then; a second copy?
+        self.serial = 0
         self.retries = 5.0  # further attempts that may be made; each request adds a fifth
         self.told: dict[str, tuple[bool, float]] = {}  # states told to the operators, and when
         self.actions: list[Action] = []
@@ -574,8 +576,11 @@
                 if event.kind in (ListKind.SAVED, ListKind.FAILED) and self.settings.subscribe:
                     self.actions.append(Subscribe())
                 self.resume(now_ms)
-            case TimerFired():
-                self.tick(now_ms)
+            case TimerFired(token):
+                if token:
+                    self.due(now_ms, token)
+                else:
+                    self.tick(now_ms)
             case CountReply():
                 if waiting := self.requests.get(self.quota.counted(now_ms, event) or ""):
                     self.decide(now_ms, waiting, event.ending is Ending.OK)
@@ -648,12 +653,19 @@
         """Starts an attempt; holds or refuses the request where there is no server for it."""
         request, cls = opened.request, opened.cls
         server = self.fleet.pick(now, opened)
-        if server is None:
+        if server is not None:
+            self.start(now, opened, server)
+            if request.copy_after_ms > 0 and self.settings.overlap and opened.attempts == 1:
+                self.later(now + request.copy_after_ms, opened, True)
+        else:
             if now - opened.came < 0.3 * cls.aim_ms and now < opened.deadline - 2 * TICK_MS:
                 self.held.append(request.request_id)  # a server may come up, or a cold one's turn
             else:
                 self.finish(opened)
-            return
+
+    def start(self, now: float, opened: Open, server: Server) -> None:
+        """Starts an attempt at this server."""
+        request, cls = opened.request, opened.cls
         if opened.customer is not None:
             opened.customer.open += 1
         mean = self.fleet.mean(cls, request.units)
@@ -661,7 +673,9 @@
         late = patience > 0.75 * cls.aim_ms or opened.deadline - now - patience < mean
         if late or cls.repeat is Repeat.UNSAFE or opened.attempts >= min(2, self.settings.max_attempts - 1):
             patience = 0.0  # a second try would come too late: a busy fleet is left to finish its work
-        self.actions.append(Send(request.request_id, server.entry.server, patience))
+        if request.attempt_timeout_ms > 0:
+            patience = min(patience or math.inf, request.attempt_timeout_ms)
+        self.actions.append(Send(request.request_id, server.entry.server, patience, self.forgotten(opened)))
         self.attempts[request.request_id, opened.attempts] = Attempt(opened, server.entry, now, mean)
         opened.attempts += 1
         opened.out += 1
@@ -697,21 +711,66 @@
             self.pressure.times.append(event.took_ms / opened.cls.aim_ms)
         if event.request_id not in self.requests:
             return
+        opened.out -= 1
         if event.final:
             del self.requests[event.request_id]
+            if opened.out:  # a second copy, whose answer nobody waits for
+                out = [n for n in range(opened.attempts) if (event.request_id, n) in self.attempts]
+                self.actions += [Cancel(event.request_id, n) for n in out]
             return
-        opened.out -= 1
         if event.ending not in DID_NOT_RUN and opened.may_run_at is None:
             opened.may_run_at = attempt.sent
             opened.home = attempt.server
         if opened.out > 0:
             return
-        if self.may_repeat(now, opened, event) and self.retries >= 1.0:
+        if self.may_repeat(now + event.next_after_ms, opened, event) and self.retries >= 1.0:
             self.retries -= 1.0
-            self.send(now, opened)
+            if event.next_after_ms > 0:
+                self.later(now + event.next_after_ms, opened, False)
+            else:
+                self.send(now, opened)
         else:
             self.finish(opened)
 
+    def later(self, at: float, opened: Open, copy: bool) -> None:
+        """Comes back to a request."""
+        self.serial += 1
+        self.waits[self.serial] = opened, copy
+        self.actions.append(SetTimer(self.serial, at))
+
+    def due(self, now: float, token: int) -> None:
+        """A pause before a further attempt is over, or the time for a second copy has come."""
+        opened, copy = self.waits.pop(token, (None, False))
+        if opened is None or self.requests.get(opened.request.request_id) is not opened:
+            return
+        if copy:
+            self.copy(now, opened)
+        elif not opened.out:
+            if self.may_repeat(now, opened, None):
+                self.send(now, opened)
+            else:
+                self.finish(opened)
+
+    def copy(self, now: float, opened: Open) -> None:
+        """A second copy beside the first, where that is out alone and a repeat does no harm."""
+        first = self.attempts.get((opened.request.request_id, 0))
+        if first is None or opened.out != 1 or opened.attempts != 1 or self.retries < 1.0:
+            return
+        if opened.cls.repeat is Repeat.UNSAFE:
+            return
+        if opened.cls.repeat is Repeat.KEYED:
+            opened.may_run_at, opened.home = first.sent, first.server  # what is out counts as run
+        server = self.fleet.pick(now, opened) if self.may_repeat(now, opened, None) else None
+        if server is not None and server.entry.server not in opened.tried:
+            self.retries -= 1.0
+            self.start(now, opened, server)
+
+    def forgotten(self, opened: Open) -> float:
+        """When the servers may have forgotten a keyed request that may have run; 0: no such time."""
+        if opened.cls.repeat is not Repeat.KEYED or opened.may_run_at is None:
+            return 0.0
+        return opened.may_run_at + opened.cls.memory_ms - 5.0
+
     def may_repeat(self, now: float, opened: Open, event: AttemptEnded | None) -> bool:
         """Whether another attempt is allowed and of use."""
         cls = opened.cls
@@ -722,7 +781,7 @@
             return False
         if opened.may_run_at is None or cls.repeat is Repeat.SAFE:
             return True
-        return cls.repeat is Repeat.KEYED and now < opened.may_run_at + cls.memory_ms - 5.0
+        return cls.repeat is Repeat.KEYED and now < self.forgotten(opened)
 
     def finish(self, opened: Open) -> None:
         """The final answer of a request that was not served: refused only if that promises nothing false."""
--- a/heathglade/simhost.py
+++ b/heathglade/simhost.py
@@ -124,6 +124,7 @@
         subscribe=raw.get("membership_mode") == "subscribe",
         sizes_known=raw.get("weight_kind") in ("nominal", "rough"),
         cross_zone_price=num(prices.get("cross_zone")),
+        overlap=limits.get("second_copies") is True,
     )
 
 
--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems beyond the gateway, written from public specifications."""
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from glenchute import resp
 from glenchute.deciders import places as places_module
 from glenchute.deciders.places import Reason
+from glenchute.wire import resp
 from heathglade import interface as api
 
 from .loopback import (
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from glenchute.gateway import Clock, report
+from glenchute.core.gateway import Clock, report
 from heathglade import interface as api
 from heathglade.interface import Ending
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,15 +13,15 @@
 
 import pytest
 
-from glenchute import clients as clients_module
-from glenchute import counter as counter_module
-from glenchute import discovery as discovery_module
-from glenchute import servers as servers_module
-from glenchute.clients import MOST_PENDING
-from glenchute.counter import Counter
+from glenchute.backends import resp2 as servers_module
 from glenchute.deciders import places as places_module
 from glenchute.deciders.places import FIRST_COMMAND_S
-from glenchute.discovery import ListError, read_list
+from glenchute.fronts.resp2 import clients as clients_module
+from glenchute.fronts.resp2.clients import MOST_PENDING
+from glenchute.peers import counter as counter_module
+from glenchute.peers import discovery as discovery_module
+from glenchute.peers.counter import Counter
+from glenchute.peers.discovery import ListError, read_list
 from heathglade import interface as api
 from heathglade.interface import Ending
 
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,276 @@
+"""Routes: what they bound, by any valid file and any order of endings, under a simulated clock."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Iterator
+from dataclasses import replace
+from itertools import pairwise
+
+import pytest
+from hypothesis import HealthCheck, assume, given, settings
+from hypothesis import strategies as st
+
+from glenchute.config.operator import parse
+from glenchute.core.types import Failed, Refused, Served
+from glenchute.deciders.routes import (
+    CREDIT_S,
+    LEAST_STORE_S,
+    NEVER,
+    Backoff,
+    Budget,
+    BudgetRule,
+    Course,
+    Route,
+    Routes,
+)
+from heathglade.interface import Ending
+
+from .simulated import Fate, Site
+from .sites import FACTS, OVERLAP
+
+CLASSES = tuple(FACTS.classes)
+ENDINGS = (Ending.OK, Ending.ERROR, Ending.FULL, Ending.RESET)
+FATES = st.builds(
+    Fate,
+    connect_s=st.sampled_from([0.0, 0.0, 0.001, 0.1, 0.249, math.inf]),
+    took_s=st.sampled_from([0.0, 0.005, 0.1, 0.7, 1.2, 2.4, 1e9]),
+    ending=st.sampled_from(ENDINGS),
+)
+CAUSES = ["full", "unreachable", "error", "reset", "timeout"]
+
+
+@st.composite
+def files(draw: st.DrawFn) -> str:
+    """An operator's file; most of them are valid."""
+    text = ""
+    for name in draw(st.lists(st.sampled_from(CLASSES), unique=True, min_size=1)):
+        text += f'[[route]]\nname = "{name}"\nmatch = {{ class = "{name}" }}\n'
+        if draw(st.booleans()):
+            text += f"attempt_timeout_ms = {draw(st.sampled_from([40, 200, 600, 1000, 1100, 2200]))}\n"
+        if draw(st.booleans()):
+            text += f"attempts = {draw(st.integers(1, 5))}\n"
+        if draw(st.booleans()):
+            first, jitter = draw(st.sampled_from([1, 20, 300])), draw(st.sampled_from([0, 0.2, 1.0]))
+            text += f"backoff = {{ first_ms = {first}, factor = 2, most_ms = 600, jitter = {jitter} }}\n"
+        if draw(st.booleans()):
+            text += f"retry_on = {draw(st.lists(st.sampled_from(CAUSES), unique=True, min_size=1))}\n"
+        if draw(st.booleans()):
+            text += f"second_copy_after_ms = {draw(st.sampled_from([10, 100, 500]))}\n"
+        if draw(st.booleans()):
+            text += "retry_budget = { share = 0.5, least_per_s = 1 }\n"
+    return text
+
+
+@settings(max_examples=400, derandomize=True, deadline=None, suppress_health_check=list(HealthCheck))
+@given(
+    text=files(),
+    overlap=st.booleans(),
+    fates=st.lists(FATES, min_size=1, max_size=12),
+    asks=st.lists(
+        st.tuples(st.sampled_from(CLASSES), st.sampled_from([5.0, 300.0, 1500.0, 4000.0])),
+        min_size=1,
+        max_size=8,
+    ),
+    gap_s=st.sampled_from([0.0, 0.01, 0.5]),
+)
+def test_any_valid_file_keeps_the_rules_under_any_order_of_endings(
+    text: str, overlap: bool, fates: list[Fate], asks: list[tuple[str, float]], gap_s: float
+) -> None:
+    """The simulated servers refuse, at the moment when bytes leave, what the rules forbid."""
+    operator = parse(text, OVERLAP if overlap else FACTS).operator
+    assume(operator is not None)
+    assert operator is not None
+    stream = iter(fates * 200)
+    site = Site(Routes(operator.table, 3) if operator else None, lambda: next(stream), overlap)
+    asked = []
+    for class_name, left_ms in asks:
+        asked.append((site.ask(class_name, left_ms), site.loop.now, left_ms))
+        site.loop.run(site.loop.now + gap_s)
+    site.loop.run(site.loop.now + 10.0)
+    for (request, at, left_ms), (class_name, _) in zip(asked, asks, strict=True):
+        site.check_answers(request, at, left_ms)
+        bounded(site, request, operator.table.get((class_name, "osnovni")))
+    assert not site.gateway.live and not site.gateway.out
+
+
+def bounded(site: Site, request: bytes, route: Route | None) -> None:
+    """The attempts of a request against its route."""
+    if route is None:
+        return
+    records = site.servers.of(request)
+    if route.attempts:
+        assert len(records) <= route.attempts
+    for record in records:
+        if route.attempt_timeout_ms:
+            assert record.timeout_s <= route.attempt_timeout_ms / 1000.0 + 1e-9
+    if route.copy_after_ms:
+        return  # a copy may stand between an attempt and its repeat
+    for number, (one, two) in enumerate(pairwise(records), 1):
+        assert one.ended is not None and one.ending is not None
+        if route.causes is not None:
+            assert one.ending in route.causes
+        if route.backoff is not None:
+            assert two.started - one.ended >= route.backoff.least(number) / 1000.0 - 1e-6
+
+
+def test_a_keyed_attempt_whose_connection_comes_up_too_late_is_not_written() -> None:
+    """The repeat starts inside the span, its connection is up beyond it: no byte may leave."""
+    fates = iter([Fate(0.0, 2.3, Ending.ERROR), Fate(0.24, 0.01, Ending.OK)])
+    site = Site(None, lambda: next(fates))
+    request = site.ask("check-order", 4000.0)
+    site.loop.run(site.loop.now + 5.0)
+    first, second = site.servers.of(request)
+    assert second.started - first.started < 2.5 and second.left is None
+    assert isinstance(site.answers[request][0][1], Failed)
+
+
+def test_a_deadline_before_the_first_pause_is_answered_at_once() -> None:
+    route = Route("r", backoff=Backoff(500.0, most_ms=500.0))
+    site = Site(Routes({("report-read", "osnovni"): route}, 1), lambda: Fate(0.0, 0.01, Ending.FULL))
+    asked = site.loop.now
+    request = site.ask("report-read", 400.0)
+    site.loop.run(asked + 3.0)
+    ((at, answer),) = site.answers[request]
+    assert isinstance(answer, Refused) and at - asked < 0.02 and len(site.servers.of(request)) == 1
+
+
+def test_a_time_out_under_the_connect_time_ends_as_unreachable_and_tries_again() -> None:
+    fates = iter([Fate(0.2, 0.0, Ending.OK), Fate(0.01, 0.02, Ending.OK)])
+    route = Route("r", attempt_timeout_ms=100.0)
+    site = Site(Routes({("check-charge", "osnovni"): route}, 1), lambda: next(fates))
+    request = site.ask("check-charge", 3000.0)
+    site.loop.run(site.loop.now + 4.0)
+    assert [r.ending for r in site.servers.of(request)] == [Ending.UNREACHABLE, Ending.OK]
+    assert isinstance(site.answers[request][0][1], Served)
+
+
+def test_two_routes_time_their_attempts_apart() -> None:
+    table = {
+        ("report-read", "osnovni"): Route("reads", attempt_timeout_ms=200.0, attempts=2),
+        ("check-order", "osnovni"): Route("orders", attempt_timeout_ms=900.0, attempts=1),
+    }
+    site = Site(Routes(table, 1), lambda: Fate(0.0, 1e9, Ending.OK))
+    read, order = site.ask("report-read", 3000.0), site.ask("check-order", 3000.0)
+    site.loop.run(site.loop.now + 5.0)
+    assert [round(r.timeout_s, 3) for r in site.servers.of(read)] == [0.2, 0.2]
+    assert [round(r.timeout_s, 3) for r in site.servers.of(order)] == [0.9]
+
+
+@pytest.mark.parametrize("class_name", ["report-read", "check-order"])
+def test_a_second_copy_goes_to_another_server_and_the_loser_is_called_off(class_name: str) -> None:
+    fates = iter([Fate(0.0, 1e9, Ending.OK), Fate(0.0, 0.05, Ending.OK)])
+    route = Route("r", copy_after_ms=100.0)
+    site = Site(Routes({(class_name, "osnovni"): route}, 1), lambda: next(fates), overlap=True)
+    asked = site.loop.now
+    request = site.ask(class_name, 3000.0)
+    site.loop.run(asked + 4.0)
+    first, second = site.servers.of(request)
+    assert first.server != second.server and 0.1 <= second.started - asked < 0.11
+    assert first.ending is Ending.CANCELLED and first.ended == second.ended
+    assert [type(answer) for _, answer in site.answers[request]] == [Served]
+
+
+def test_no_copy_goes_out_for_an_unsafe_class_or_where_overlap_is_not_allowed() -> None:
+    """Also where a route that load would have refused says so."""
+    for class_name, overlap in (("check-charge", True), ("report-read", False)):
+        route = Route("r", copy_after_ms=50.0, attempts=2)
+        table = {(class_name, "osnovni"): route}
+        site = Site(Routes(table, 1), lambda: Fate(0.0, 1e9, Ending.OK), overlap=overlap)
+        request = site.ask(class_name, 400.0)
+        site.loop.run(site.loop.now + 0.3)
+        assert len(site.servers.of(request)) == 1
+
+
+def failing(budget: BudgetRule | None, requests: int, rate: float) -> tuple[int, Site]:
+    """Requests to a fleet that fails wholly; the attempts sent."""
+    route = Route("r", attempts=5, budget=budget, causes=frozenset(Ending))
+    site = Site(Routes({("report-read", "osnovni"): route}, 1), lambda: Fate(0.0, 0.002, Ending.RESET))
+    for _ in range(requests):
+        site.ask("report-read", 3000.0)
+        site.loop.run(site.loop.now + 1.0 / rate)
+    site.loop.run(site.loop.now + 5.0)
+    return len(site.servers.records), site
+
+
+def test_a_failing_fleet_is_not_buried_under_attempts() -> None:
+    """The module's own store allows a fifth of the requests; a route's budget less, and whatever the module
+    would allow."""
+    bare, _ = failing(None, 300, 100.0)
+    rule = BudgetRule(0.1, 2.0)
+    bound, site = failing(rule, 300, 100.0)
+    assert bare > 360
+    assert 300 < bound <= 300 + 0.1 * 300 + 2.0 * (3.0 + LEAST_STORE_S) + 1
+    assert bound < bare
+    assert all(len(answers) == 1 for answers in site.answers.values())
+
+
+@settings(max_examples=200, derandomize=True, deadline=None)
+@given(
+    share=st.floats(0.0, 1.0),
+    least=st.floats(0.0, 20.0),
+    steps=st.lists(st.tuples(st.floats(0.0, 3000.0), st.booleans()), max_size=120),
+)
+def test_a_budget_never_pays_more_than_it_promises(
+    share: float, least: float, steps: list[tuple[float, bool]]
+) -> None:
+    now = 0.0
+    budget = Budget(BudgetRule(share, least), now)
+    for wait, request in steps:
+        now += wait
+        if request:
+            budget.deposit(now)
+        else:
+            budget.withdraw(now)
+        requests = sum(1 for _, is_request in steps if is_request)
+        bound = share * requests + least * (now / 1000.0 + LEAST_STORE_S) + 1 + 1e-6
+        assert budget.spent <= bound
+        assert budget.shared >= -1e-9 and budget.steady <= max(1.0, least * LEAST_STORE_S)
+
+
+def test_what_requests_put_in_fades() -> None:
+    budget = Budget(BudgetRule(1.0), 0.0)
+    for _ in range(100):
+        budget.deposit(0.0)
+    budget.advance(CREDIT_S * 1000.0)
+    assert math.isclose(budget.shared, 100.0 / math.e)
+
+
+def test_what_is_granted_and_not_used_is_given_back() -> None:
+    budget = Budget(BudgetRule(0.0, 1.0), 0.0)
+    course = Course(Route("r", budget=budget.rule), budget, random.Random(1))
+    assert course.begin(0.0, False)
+    assert course.after(0.0, Ending.FULL) == 0.0 and budget.spent == 1
+    course.close()
+    assert budget.spent == 0
+    assert course.after(0.0, Ending.FULL) == 0.0 and course.begin(0.0, False)
+    course.close()
+    assert budget.spent == 1
+    assert course.after(0.0, Ending.FULL) == NEVER and not course.begin(0.0, False)
+
+
+def test_a_reload_hands_out_no_fresh_budget() -> None:
+    rule = BudgetRule(0.5, 0.0)
+    table = {("c", "p"): Route("r", budget=rule)}
+    routes = Routes(table, 1)
+    for _ in range(4):
+        routes.course(0.0, "c", "p")
+    budget = routes.budgets["r"]
+    assert budget.withdraw(0.0) and budget.withdraw(0.0) and not budget.withdraw(0.0)
+    again = routes.replaced({("c", "p"): Route("r", attempts=2, budget=rule)})
+    assert again.budgets["r"] is budget
+    other = again.replaced({("c", "p"): Route("r", budget=replace(rule, share=0.9))})
+    assert "r" not in other.budgets
+
+
+def draws(backoff: Backoff, number: int) -> Iterator[float]:
+    rng = random.Random(5)
+    return (backoff.draw(number, rng) for _ in range(200))
+
+
+@pytest.mark.parametrize("number", [1, 2, 3, 10, 5000])
+def test_pauses_stay_between_their_least_and_most(number: int) -> None:
+    backoff = Backoff(20.0, 100.0, 200.0, 0.2)
+    for pause in draws(backoff, number):
+        assert backoff.least(number) <= pause <= backoff.most(number) <= 240.0
