Lab of scriptable stand-ins, glenchute demo, benchmarks of start-up and routes

Need: someone who clones the repository could not see the gateway serve, and stand-ins lived in the tests only.

Change: lab/ holds seeded fault scripts, check nodes that keep the truth about what ran, counter, discovery, an open load and a gateway process; tests, demo and benchmarks use it. The demo plays three classes with one node that fails midway and ends with a table. Loopback tests of routes, of SIGHUP with a broken operator's file (the one in force stays) and of the bytes without the file.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements. None runs in continuous integration; docs quote them with their command."""
--- /dev/null
+++ b/lab/nodes.py
@@ -0,0 +1,147 @@
+"""A check node: runs commands of the platform's protocol, keeps the truth about what ran, fails by a script.
+
+It serves `slots` commands at once and lets `queue` more wait; beyond that it turns away unseen. Repeats of a
+key within `memory_s` are dropped: they are answered as the first was, and have no further effect.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from .faults import Kind, Script
+from .peers import Peer, commands
+
+FIELDS = re.compile(rb"[a-z]+=[^,=]+(,[a-z]+=[^,=]+)*")
+MOST_KEYS = 10_000
+NOISE = b"\x00\xffnoise\r\n$3\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """One effect, by this node's clock."""
+
+    at: float
+    class_name: str
+    customer: bytes
+    request_id: bytes
+    key: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Trade:
+    """How a node serves: milliseconds of service by class (the mean; drawn exponentially around half of it),
+    commands at once, and commands that may wait."""
+
+    service_ms: Mapping[str, float]
+    slots: int = 8
+    queue: int = 64
+    memory_s: float = 2.5
+    keyed: frozenset[str] = frozenset({"check-order"})
+
+
+class Node(Peer):
+    """One node."""
+
+    def __init__(self, name: str, trade: Trade, script: Script | None = None) -> None:
+        super().__init__()
+        self.name, self.trade, self.script = name, trade, script or Script()
+        self.began = 0.0
+        self.ran: list[Run] = []
+        self.received = 0  # commands of clients that came whole
+        self.turned_away = 0
+        self.inflight = self.waiting = 0
+        self.free = asyncio.Semaphore(trade.slots)
+        self.keys: dict[bytes, float] = {}  # when each key first ran
+        self.order: deque[bytes] = deque()
+
+    async def start(self, port: int = 0) -> None:
+        self.began = asyncio.get_running_loop().time()
+        await super().start(port)
+
+    def age(self) -> float:
+        """Seconds since the start."""
+        return asyncio.get_running_loop().time() - self.began
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.script.fault(self.age(), (Kind.DOWN,)) is not None:
+            writer.transport.abort()
+            return
+        async for words in commands(reader):
+            reply = await self.answer(words, writer)
+            if reply is None:
+                return
+            writer.write(reply)
+
+    async def answer(self, words: list[bytes], writer: asyncio.StreamWriter) -> bytes | None:
+        """One command; None where the connection has ended or has nothing more to say."""
+        verb = words[0].upper()
+        if verb in (b"CLIENT", b"SELECT"):
+            return b"+OK\r\n"
+        if verb == b"PING":
+            return b"+PONG\r\n"
+        if verb not in (b"CALL.GET", b"CALL.POST"):
+            return b"-ERR unknown command\r\n"
+        if not 4 <= len(words) <= 5 or FIELDS.fullmatch(words[3]) is None:
+            return b"-SYNTAX\r\n"
+        fields = dict(part.split(b"=", 1) for part in words[3].split(b","))
+        if b"c" not in fields or b"d" not in fields:
+            return b"-SYNTAX\r\n"
+        self.received += 1
+        fault = self.script.fault(self.age(), [kind for kind in Kind if kind is not Kind.DOWN])
+        kind = fault.kind if fault is not None else None
+        if kind is Kind.REFUSE or self.waiting >= self.trade.queue:
+            self.turned_away += 1
+            return b"-BUSY\r\n"
+        if kind is Kind.FAIL:
+            return b"-ERR failed\r\n"
+        await self.work(words, fields)
+        if kind is Kind.DELAY and fault is not None:
+            await asyncio.sleep(fault.delay_s)
+        if kind is Kind.RESET:
+            writer.transport.abort()
+            return None
+        if kind is Kind.VANISH:
+            await asyncio.Event().wait()  # until the stand-in stops
+        value = b"report of " + words[2]
+        report = b"inflight=%d,queue=%d" % (self.inflight, self.waiting)
+        reply = b"*3\r\n$%d\r\n%b\r\n*-1\r\n$%d\r\n%b\r\n" % (len(value), value, len(report), report)
+        if kind is Kind.GARBLE:
+            return NOISE
+        if kind is Kind.STALL:
+            writer.write(reply[: len(reply) // 2])
+            await asyncio.Event().wait()
+        return reply
+
+    async def work(self, words: list[bytes], fields: dict[bytes, bytes]) -> None:
+        """Waits for a slot and runs; a key that ran already has no further effect."""
+        class_name = fields[b"c"].decode("ascii", "replace")
+        self.waiting += 1
+        try:
+            await self.free.acquire()
+        finally:
+            self.waiting -= 1
+        self.inflight += 1
+        try:
+            now = self.age()
+            key = fields.get(b"k") if class_name in self.trade.keyed else None
+            if key is None or now - self.keys.get(key, -1e9) > self.trade.memory_s:
+                self.ran.append(Run(now, class_name, words[1], words[2], key))
+                if key is not None:
+                    self.remember(key, now)
+            half = 0.0005 * self.trade.service_ms.get(class_name, 20.0)
+            await asyncio.sleep(half + self.script.rng.expovariate(1.0 / half))
+        finally:
+            self.inflight -= 1
+            self.free.release()
+
+    def remember(self, key: bytes, now: float) -> None:
+        """Keeps a key, and drops the oldest past a bound."""
+        if key not in self.keys:
+            self.order.append(key)
+        self.keys[key] = now
+        if len(self.order) > MOST_KEYS:
+            self.keys.pop(self.order.popleft(), None)
--- a/lab/peers.py
+++ b/lab/peers.py
@@ -31,6 +31,7 @@
     def __init__(self) -> None:
         self.server: asyncio.Server | None = None
         self.writers: list[asyncio.StreamWriter] = []
+        self.serving: set[asyncio.Task[Any]] = set()
         self.port = 0
 
     async def start(self, port: int = 0) -> None:
@@ -39,11 +40,15 @@
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.append(writer)
+        task = asyncio.current_task()
+        assert task is not None
+        self.serving.add(task)
         try:
             await self.serve(reader, writer)
-        except (ConnectionError, asyncio.IncompleteReadError):
-            pass
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # the other end has gone, or the stand-in stops: both are ordinary
         finally:
+            self.serving.discard(task)
             writer.close()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -54,6 +59,10 @@
             self.server.close()
         for writer in self.writers:
             writer.close()
+        for task in list(self.serving):
+            task.cancel()
+        if self.serving:
+            await asyncio.wait(self.serving, timeout=1.0)
 
 
 async def commands(reader: asyncio.StreamReader) -> AsyncIterator[list[bytes]]:
--- /dev/null
+++ b/lab/services.py
@@ -0,0 +1,118 @@
+"""The quota counter and discovery, as the platform's protocol page has them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import re
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from .faults import Kind, Script
+from .peers import Peer, commands, http
+
+AMOUNT = re.compile(rb"-?[0-9]{1,10}(\.[0-9]+)?")
+MOST_LIFE_MS = 60_000
+
+
+class CounterService(Peer):
+    """``INCRTTL NAME AMOUNT TTL``. A name starts at 0 and is forgotten when its first call's time is up.
+
+    Of the faults, VANISH is a counter that is mute (the amount is added), REFUSE one that is crowded, DELAY
+    one that is slow, GARBLE one whose answer holds no number. `forget` is a replacement that starts at zero.
+    """
+
+    def __init__(self, script: Script | None = None) -> None:
+        super().__init__()
+        self.script = script or Script()
+        self.names: dict[bytes, tuple[float, float]] = {}  # total, and when it is forgotten
+        self.began = 0.0
+        self.calls = 0
+
+    async def start(self, port: int = 0) -> None:
+        self.began = asyncio.get_running_loop().time()
+        await super().start(port)
+
+    def forget(self) -> None:
+        """All totals are gone."""
+        self.names.clear()
+
+    def add(self, name: bytes, amount: float, life_ms: int) -> float:
+        """The total after a call."""
+        now = asyncio.get_running_loop().time()
+        total, until = self.names.get(name, (0.0, 0.0))
+        if now >= until:
+            total, until = 0.0, now + min(life_ms, MOST_LIFE_MS) / 1000.0
+            if len(self.names) > 10_000:
+                self.names = {k: v for k, v in self.names.items() if v[1] > now}
+        self.names[name] = total + amount, until
+        return total + amount
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        loop = asyncio.get_running_loop()
+        async for words in commands(reader):
+            if words[0].upper() == b"PING":
+                writer.write(b"+PONG\r\n")
+                continue
+            good = len(words) == 4 and words[0].upper() == b"INCRTTL" and 1 <= len(words[1]) <= 64
+            if not good or AMOUNT.fullmatch(words[2]) is None or not words[3].isdigit() or not int(words[3]):
+                writer.write(b"-ERR no such call\r\n")
+                continue
+            self.calls += 1
+            fault = self.script.fault(loop.time() - self.began)
+            kind = fault.kind if fault is not None else None
+            if kind is Kind.REFUSE:
+                writer.write(b"-BUSY\r\n")
+                continue
+            total = self.add(words[1], float(words[2]), int(words[3]))
+            if kind is Kind.VANISH:
+                await asyncio.Event().wait()
+            if kind is Kind.DELAY and fault is not None:
+                await asyncio.sleep(fault.delay_s)
+            text = b"%.3f" % total
+            writer.write(b"+what\r\n" if kind is Kind.GARBLE else b"$%d\r\n%b\r\n" % (len(text), text))
+
+
+class DiscoveryService(Peer):
+    """The list of servers and the watch on it. `update` is what the fleet tells it."""
+
+    def __init__(self, rows: list[dict[str, Any]]) -> None:
+        super().__init__()
+        self.rows = {str(row["id"]): row for row in rows}
+        self.version = 1
+        self.changed = asyncio.Event()
+        self.log: list[tuple[int, dict[str, Any]]] = []  # changes by version; bounded in `update`
+
+    def update(self, row: dict[str, Any]) -> None:
+        """One server changed; state Gone takes it off the list."""
+        self.version += 1
+        if row["state"] == "Gone":
+            self.rows.pop(str(row["id"]), None)
+        else:
+            self.rows[str(row["id"])] = row
+        self.log = [*self.log[-999:], (self.version, row)]
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            query = parse_qs(urlsplit(head.split(b" ")[1].decode("ascii")).query)
+            since = int(query["since"][0]) if "since" in query else None
+            if since is None or not self.kept(since):
+                rows, full = list(self.rows.values()), True
+            else:
+                if since == self.version:
+                    wait_s = min(60.0, float(query.get("timeout_ms", ["0"])[0]) / 1000.0)
+                    with contextlib.suppress(TimeoutError):
+                        await asyncio.wait_for(self.changed.wait(), wait_s)
+                rows, full = [row for version, row in self.log if version > since], False
+            body = {"version": self.version, "full": full, "servers": rows}
+            writer.write(http(json.dumps(body).encode()))
+
+    def kept(self, since: int) -> bool:
+        """Whether all changes since a version are still known."""
+        return since <= self.version and (
+            since == self.version or (bool(self.log) and self.log[0][0] <= since + 1)
+        )
--- /dev/null
+++ b/lab/site.py
@@ -0,0 +1,169 @@
+"""A small site on loopback: nodes, counter, discovery, the platform's file, a gateway in its own process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from .load import Account, Kind
+from .nodes import Node
+from .peers import Client, row
+from .services import CounterService, DiscoveryService
+
+KINDS = (
+    Kind("report-read", 0.6, 2000),
+    Kind("check-order", 0.25, 3000, post=True, keyed=True),
+    Kind("check-charge", 0.15, 3000, post=True),
+)
+SETTINGS: dict[str, Any] = {
+    "my_zone": "a", "balancers": 1, "me": 0,
+    "domain": {"counter": True, "counter_timeout_ms": 50.0, "max_units": 6},
+    "limits": {"attempts_cap": 4, "retry_after": True, "max_retry_after_ms": 1000.0, "max_open": 4000,
+               "conn_idle_ms": 15000.0, "connect_timeout_ms": 250.0, "second_copies": False},
+    "profiles": [
+        {"name": "report-read", "repeat": "read_like", "aim_ms": 800.0, "hard_limit_ms": 2000.0,
+         "importance": 1.0},
+        {"name": "check-order", "repeat": "idempotency_key", "group": "all", "memory_span_ms": 2500.0,
+         "aim_ms": 1200.0, "hard_limit_ms": 3000.0, "importance": 2.0},
+        {"name": "check-charge", "repeat": "non_idempotent", "aim_ms": 1500.0, "hard_limit_ms": 3000.0,
+         "importance": 2.0},
+    ],
+    "packages": [
+        {"name": "osnovni", "per_second": 2.0, "most_at_once": 6.0, "price": 0.5},
+        {"name": "standard", "per_second": 4.0, "most_at_once": 12.0, "price": 1.0},
+        {"name": "korporativni", "per_second": 20.0, "most_at_once": 40.0, "price": 2.0, "ceiling_rate": 40.0,
+         "hard_burst": 80.0, "ceiling_slack": 8.0},
+    ],
+    "safety": {"cold_from": 0.25, "warm_after_ms": 18000.0, "drain_grace_ms": 250.0},
+}  # fmt: skip
+
+
+def accounts(count: int = 40) -> list[Account]:
+    """Customers of all plans; the dear ones ask more."""
+    plans = (("osnovni", 1.0), ("standard", 2.0), ("korporativni", 8.0))
+    return [
+        Account(b"%016x" % (1000 + i), *plans[0 if i % 10 < 6 else 1 if i % 10 < 9 else 2])
+        for i in range(count)
+    ]
+
+
+def free_port() -> int:
+    """A port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class GatewayProcess:
+    """A gateway in a process and a process group of its own."""
+
+    def __init__(self, folder: Path, platform: dict[str, Any], operator: str | None = None) -> None:
+        self.folder, self.platform = folder, platform
+        self.port = int(str(platform["listen"]).rpartition(":")[2])
+        self.config = folder / "config.json"
+        self.config.write_text(json.dumps(platform))
+        self.operator = folder / "operator.toml"
+        if operator is not None:
+            self.operator.write_text(operator)
+        self.process: subprocess.Popen[bytes] | None = None
+        self.log = folder / "gateway.log"
+
+    def start(self, *arguments: str) -> None:
+        """Starts it; `ready` waits for its first answer."""
+        environ = {
+            key: value for key, value in os.environ.items() if not key.startswith(("EDGE_", "GLENCHUTE_"))
+        }
+        environ["EDGE_CONFIG"] = str(self.config)
+        if self.operator.exists():
+            environ["GLENCHUTE_OPERATOR"] = str(self.operator)
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "glenchute", *arguments], env=environ, stdin=subprocess.DEVNULL,
+                stdout=log, stderr=log, start_new_session=True, cwd=Path(__file__).resolve().parent.parent,
+            )  # fmt: skip
+
+    async def ready(self, patience_s: float = 15.0) -> None:
+        """Waits until it answers a PING."""
+        async with asyncio.timeout(patience_s):
+            while True:
+                assert self.process is not None
+                if self.process.poll() is not None:
+                    raise RuntimeError(
+                        f"the gateway ended: {self.log.read_text()}"
+                    )
+                with contextlib.suppress(ConnectionError):
+                    client = await Client.connect(self.port)
+                    try:
+                        if await client.ask(b"PING") == b"PONG":
+                            return
+                    finally:
+                        client.writer.close()
+                await asyncio.sleep(0.005)
+
+    def signal(self, number: int) -> None:
+        """To the program and all that it started."""
+        if self.process is not None and self.process.poll() is None:
+            os.killpg(self.process.pid, number)
+
+    async def stop(self, patience_s: float = 5.0) -> int:
+        """SIGTERM, then SIGKILL where that is not heeded; the exit status."""
+        assert self.process is not None
+        self.signal(signal.SIGTERM)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + patience_s
+        while self.process.poll() is None and loop.time() < end:
+            await asyncio.sleep(0.01)
+        self.signal(signal.SIGKILL)
+        return self.process.wait()
+
+
+class LabSite:
+    """The stand-ins of one site."""
+
+    def __init__(self, nodes: Sequence[Node], counter: CounterService | None = None) -> None:
+        self.nodes, self.counter = list(nodes), counter or CounterService()
+        self.discovery = DiscoveryService([])
+
+    async def __aenter__(self) -> LabSite:
+        for peer in (*self.nodes, self.counter):
+            await peer.start()
+        self.discovery = DiscoveryService(self.rows())
+        await self.discovery.start()
+        return self
+
+    async def __aexit__(self, *failure: object) -> None:
+        for peer in (*self.nodes, self.counter, self.discovery):
+            await peer.stop()
+
+    def rows(self) -> list[dict[str, Any]]:
+        """The list of servers."""
+        return [row(node.name, node.port) for node in self.nodes]
+
+    def platform(self, settings: dict[str, Any] | None = None) -> dict[str, Any]:
+        """The platform's file for one gateway of this site."""
+        return {
+            "name": "g0", "listen": f"127.0.0.1:{free_port()}",
+            "discovery": f"127.0.0.1:{self.discovery.port}",
+            "counter": f"127.0.0.1:{self.counter.port}", "seed": "5eed", "settings": settings or SETTINGS,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"version": 1, "full": True, "servers": self.rows()},
+        }  # fmt: skip
+
+    def charged_twice(self, class_name: str = "check-charge") -> int:
+        """Requests of an unsafe class that ran more than once, by the nodes' own books."""
+        seen: set[bytes] = set()
+        twice: set[bytes] = set()
+        for node in self.nodes:
+            for run in node.ran:
+                if run.class_name == class_name:
+                    (twice if run.request_id in seen else seen).add(run.request_id)
+        return len(twice)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from glenchute.cli.run import Program
+from glenchute.config.operator import parse
 from glenchute.config.platform import Config, build
 from glenchute.core.types import Decisions
 from heathglade import interface as api
@@ -136,6 +137,7 @@
     decisions: Decisions | None = None,
     counter: Reply | None = None,
     discovery: DiscoveryPeer | None = None,
+    operator: str | None = None,
     **changes: Any,
 ) -> AsyncIterator[Site]:
     """A gateway that serves, with one server s0, s1, ... for each reply."""
@@ -156,7 +158,9 @@
     discovery = discovery or DiscoveryPeer(listing(1, rows))
     await discovery.start()
     made = config(discovery.port, counts.port, rows, **changes)
-    program = Program(made, asyncio.get_running_loop(), decisions)
+    bound = parse(operator, made.facts).operator if operator is not None else None
+    assert operator is None or bound is not None
+    program = Program(made, asyncio.get_running_loop(), decisions, operator=bound)
     await program.start()
     if program.counter is not None:
         await until(lambda: program.counter is None or all(link.ready() for link in program.counter.links))
--- /dev/null
+++ b/tests/test_routes_loopback.py
@@ -0,0 +1,196 @@
+"""Routes over loopback sockets, and the program with an operator's file."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+from itertools import pairwise
+from pathlib import Path
+
+import pytest
+
+from lab.faults import Fault, Kind, Script
+from lab.nodes import Node, Trade
+from lab.peers import Client, play, until
+from lab.site import GatewayProcess, LabSite
+
+from .loopback import CHARGE, CUSTOMER, GET, ORDER, SERVED, always, site
+
+ROOT = Path(__file__).resolve().parent.parent
+TWO = """\
+[[route]]
+name = "reads"
+match = { class = "read" }
+attempt_timeout_ms = 150
+attempts = 1
+
+[[route]]
+name = "charges"
+match = { class = "charge" }
+attempt_timeout_ms = 450
+attempts = 1
+"""
+
+
+def test_two_routes_really_differ_on_the_sockets() -> None:
+    """What nodes are told that the gateway waits, when their connection ends, and when the client hears."""
+
+    async def scenario() -> None:
+        async with site(always(None), operator=TWO) as one:
+            loop = asyncio.get_running_loop()
+            waited: dict[str, float] = {}
+
+            async def ask(name: str, *words: bytes) -> None:
+                client, began = await one.client(), loop.time()
+                assert str(await client.ask(*words)) == "ERR failed"
+                waited[name] = loop.time() - began
+
+            await asyncio.gather(
+                ask("read", b"CALL.GET", CUSTOMER, b"1", GET),
+                ask("charge", b"CALL.POST", CUSTOMER, b"2", CHARGE, b"body"),
+            )
+            assert 0.145 <= waited["read"] < 0.4 <= 0.44 <= waited["charge"] < 0.9
+            calls = one.servers[0].calls()
+            told = {words[2]: int(words[3].split(b"d=")[1].split(b",")[0]) for words in calls}
+            assert 100 < told[b"1"] <= 150 and 400 < told[b"2"] <= 450
+            await until(lambda: sum(1 for what, _, _ in one.servers[0].log if what == "closed") == 2)
+
+    play(scenario())
+
+
+def test_pauses_and_causes_hold_on_the_sockets() -> None:
+    """Turned away: again after the pause. An error: no more, as the route leaves that cause out."""
+    rows = "attempts = 3\nbackoff = { first_ms = 120, factor = 1.0 }\nretry_on = ['full']\n"
+    text = f"[[route]]\nname = 'reads'\nmatch = {{ class = 'read' }}\n{rows}"
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        came: list[float] = []
+
+        async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+            came.append(loop.time())
+            return b"-BUSY\r\n" if len(came) < 3 else b"-ERR failed\r\n"
+
+        async with site(reply, operator=text) as one:
+            client = await one.client()
+            assert str(await client.ask(b"CALL.GET", CUSTOMER, b"1", GET)) == "ERR failed"
+            assert len(came) == 3
+            assert all(0.12 <= two - one < 0.4 for one, two in pairwise(came))
+
+    play(scenario())
+
+
+def test_an_unsafe_request_is_not_repeated_whatever_a_route_leaves_open() -> None:
+    text = "[[route]]\nname = 'charges'\nmatch = { class = 'charge' }\nattempts = 4\n"
+
+    async def scenario() -> None:
+        async with site(always(b"-ERR failed\r\n"), operator=text) as one:
+            client = await one.client()
+            assert str(await client.ask(b"CALL.POST", CUSTOMER, b"1", CHARGE, b"x")) == "ERR failed"
+            assert len(one.servers[0].calls()) == 1
+
+    play(scenario())
+
+
+@pytest.mark.parametrize(
+    ("words", "sent"),
+    [
+        ((b"CALL.GET", CUSTOMER, b"7", GET), b"c=read,t=basic,d=%d,units=2,spread=2,first=1"),
+        ((b"CALL.POST", CUSTOMER, b"7", ORDER, b"a body"), b"c=order,t=basic,d=%d,k=5c0f6e1a2b3d4c59"),
+        ((b"CALL.POST", CUSTOMER, b"7", CHARGE, b""), b"c=charge,t=basic,d=%d"),
+    ],
+)
+def test_without_the_file_the_commands_to_nodes_are_what_they_were(
+    words: tuple[bytes, ...], sent: bytes
+) -> None:
+    """Byte for byte, but for the time left, which only shrinks."""
+
+    async def scenario() -> None:
+        async with site(always(SERVED)) as one:
+            client = await one.client()
+            assert await client.ask(*words) == b"value"
+            (got,) = one.servers[0].calls()
+            left = int(got[3].split(b"d=")[1].split(b",")[0])
+            assert 1 <= left <= 20_000
+            assert got == [*words[:3], sent % left, *words[4:]]
+
+    play(scenario())
+
+
+def vanishing() -> list[Node]:
+    """A node that takes commands and says nothing."""
+    faults = [Fault(Kind.VANISH, 0.0, 1e9)]
+    return [Node("n0", Trade({"report-read": 1.0}), Script(faults))]
+
+
+def reads(timeout_ms: int) -> str:
+    rows = f"attempts = 1\nattempt_timeout_ms = {timeout_ms}\n"
+    return f"[[route]]\nname = 'r'\nmatch = {{ class = 'report-read' }}\n{rows}"
+
+
+def test_sighup_follows_a_sound_operators_file_and_keeps_the_old_one_else(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        async with LabSite(vanishing()) as lab:
+            gateway = GatewayProcess(tmp_path, lab.platform(), reads(100))
+            gateway.start()
+            try:
+                await gateway.ready()
+                serial = iter(range(1000))
+
+                async def waited() -> float:
+                    client, began = await Client.connect(gateway.port), loop.time()
+                    fields = b"c=report-read,t=korporativni,d=1500"
+                    await client.ask(b"CALL.GET", CUSTOMER, b"%d" % next(serial), fields)
+                    client.writer.close()
+                    return loop.time() - began
+
+                assert 0.09 <= await waited() < 0.35
+                gateway.operator.write_text(reads(100) + "second_copy_after_ms = 50\nattempts = 7\n")
+                gateway.signal(signal.SIGHUP)
+                await until(lambda: "operator's file in force stays" in gateway.log.read_text())
+                assert 0.09 <= await waited() < 0.35
+                gateway.operator.write_text(reads(500))
+                gateway.signal(signal.SIGHUP)
+                await until(lambda: "operator's file was read again" in gateway.log.read_text())
+                assert 0.48 <= await waited() < 1.2
+            finally:
+                assert await gateway.stop() == 0
+
+    play(scenario())
+
+
+def demo(*arguments: str) -> subprocess.Popen[str]:
+    return subprocess.Popen(
+        [sys.executable, "-m", "glenchute", "demo", *arguments], cwd=ROOT, text=True,
+        stdout=subprocess.PIPE, stderr=subprocess.STDOUT, env={**os.environ, "PYTHONPATH": str(ROOT)},
+    )  # fmt: skip
+
+
+def test_the_demo_ends_by_itself_with_its_table() -> None:
+    process = demo("--seconds", "3", "--rate", "60")
+    out, _ = process.communicate(timeout=40)
+    assert process.returncode == 0, out
+    assert "charges run twice: 0; answers lost: 0; the gateway's exit status: 0" in out
+    for kind in ("report-read", "check-order", "check-charge"):
+        (line,) = [line for line in out.splitlines() if line.startswith(kind)]
+        assert int(line.split()[2]) > 0  # served
+
+
+def test_the_demo_ends_cleanly_on_an_interrupt() -> None:
+    process = demo("--seconds", "60")
+    assert process.stdout is not None
+    assert "nodes, one gateway" in process.stdout.readline()
+    process.send_signal(signal.SIGINT)
+    out, _ = process.communicate(timeout=20)
+    assert process.returncode == 0, out
+    assert "stopped early" in out and "Traceback" not in out
+
+
+def test_the_demo_turns_down_what_it_can_not_play() -> None:
+    process = demo("--rate", "100000")
+    process.communicate(timeout=20)
+    assert process.returncode == 2
