--- /dev/null
+++ b/benchmarks/capture.py
@@ -0,0 +1,60 @@
+"""CPU a request with the capture off, in memory and on disk; bytes a request; replay speed against real time.
+
+``python -m benchmarks.capture [SECONDS]``. The CPU is that of the gateway's process, rounds in turn.
+"""
+
+from __future__ import annotations
+
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import uvloop
+
+from benchmarks.machine import machine
+from benchmarks.routes import RATE, ROUNDS, cost
+from glenchute.capture.replay import read, replay, runs
+from heathglade.interface import Request
+
+
+def operator(mode: str, folder: str) -> str | None:
+    """The operator's file for a mode; None for off."""
+    return None if mode == "off" else f'[capture]\nfolder = "{folder}"\nmode = "{mode}"\nsegments = 1000\n'
+
+
+async def main(seconds: float) -> None:
+    """Prints the tables."""
+    print(machine())
+    found: dict[str, list[float]] = {"off": [], "ring": [], "disk": []}
+    with tempfile.TemporaryDirectory() as folder:
+        for turn in range(ROUNDS):
+            for mode, values in found.items():
+                values.append(await cost(operator(mode, folder), seconds, turn))
+        base = statistics.median(found["off"])
+        print(f"{RATE:g} requests a second, {ROUNDS} rounds of {seconds:g} s: the gateway's CPU for one, us")
+        for mode, values in found.items():
+            median = statistics.median(values)
+            more = 100.0 * (median / base - 1.0)
+            print(f"{mode:5}{median:8.1f} ({min(values):.1f} to {max(values):.1f})  {more:+.1f} %")
+        size = requests = records = 0
+        span_ms = took = 0.0
+        for files in runs(Path(folder)).values():
+            for file in files:
+                segment = read(file)
+                size += file.stat().st_size
+                records += len(segment.records)
+                requests += sum(1 for record in segment.records if record[1] == 1)
+                if segment.records:
+                    span_ms += segment.records[-1][0] - segment.records[0][0]
+            began = time.process_time()
+            assert not replay(files).differences
+            took += time.process_time() - began
+    assert Request.__name__ == "Request" and requests
+    print(f"{size / requests:.0f} bytes and {records / requests:.1f} records a request, snapshots included")
+    print(f"replay: {span_ms / 1000.0 / took:.0f} times real time, {records / took:.0f} records a second")
+
+
+if __name__ == "__main__":
+    uvloop.run(main(float(sys.argv[1]) if len(sys.argv) > 1 else 8.0))
--- /dev/null
+++ b/glenchute/capture/__init__.py
@@ -0,0 +1,1 @@
+"""Capture and replay: what the decision module was told and what it answered, to the bit."""
--- /dev/null
+++ b/glenchute/capture/codec.py
@@ -0,0 +1,240 @@
+"""The form of a capture: records, batches of them, frames, segments. Sans I/O.
+
+A segment is a sequence of frames; a frame is its payload's length and CRC-32 (both little-endian, 32 bits)
+and the payload, MessagePack. The first frame of a segment is its `Head`; the others are batches of records. A
+segment can be replayed alone: its head holds the settings and the seed, and, unless the module was new, a
+snapshot of the module's state.
+
+A record is ``[now_ms, kind, fields, actions]``; actions are ``[kind, fields]`` each, None where the module
+failed. Times are whole floats, not differences: a rounded clock would not replay to the bit.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import io
+import pickle
+import struct
+import zlib
+from collections.abc import Iterator, Sequence
+from dataclasses import fields as fields_of
+from enum import Enum
+from operator import attrgetter
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import msgspec
+
+import heathglade
+from heathglade import interface as api
+
+FORMAT = 1
+MAGIC = "glenchute-capture"
+FRAME = struct.Struct("<II")
+MOST_FRAME = 64 * 1024 * 1024  # a longer one is damage
+
+EVENTS: tuple[type[Any], ...] = (
+    api.ServerList,
+    api.Request,
+    api.AnswerBegan,
+    api.AttemptEnded,
+    api.RequestGone,
+    api.TimerFired,
+    api.CountReply,
+)
+ACTIONS: tuple[type[Any], ...] = (
+    api.Send,
+    api.Cancel,
+    api.Refuse,
+    api.Fail,
+    api.SetTimer,
+    api.Count,
+    api.Subscribe,
+    api.Log,
+)
+ENUMS = {"ending": api.Ending}
+ENCODER = msgspec.msgpack.Encoder()
+DECODER = msgspec.msgpack.Decoder()
+
+Record = list[Any]
+
+
+class CaptureError(Exception):
+    """A capture that can't be read or replayed."""
+
+
+def getter(kind: type[Any]) -> Any:
+    """Takes all fields of an object at once, always as a tuple."""
+    names = [field.name for field in fields_of(kind)]
+    if not names:
+        return lambda found: ()
+    if len(names) == 1:
+        one = attrgetter(names[0])
+        return lambda found: (one(found),)
+    return attrgetter(*names)
+
+
+EVENT_OF = {kind: (number, getter(kind)) for number, kind in enumerate(EVENTS)}
+ACTION_OF = {kind: (number, getter(kind)) for number, kind in enumerate(ACTIONS)}
+
+
+def note(now_ms: float, event: api.Event, actions: Sequence[api.Action] | None) -> tuple[Any, ...]:
+    """A record, not encoded yet; cheap, as it is made for every event."""
+    number, take = EVENT_OF[type(event)]
+    told = None
+    if actions is not None:
+        told = [(n, t(a)) for a in actions for n, t in (ACTION_OF[type(a)],)]
+    return now_ms, number, take(event), told
+
+
+def event_of(record: Record) -> api.Event:
+    """The event of a record that was read."""
+    kind = EVENTS[record[1]]
+    values = dict(zip([field.name for field in fields_of(kind)], record[2], strict=True))
+    if kind is api.ServerList:
+        rows = [{**row, "state": api.ServerState(row["state"])} for row in values["entries"]]
+        return api.ServerList(api.ListKind(values["kind"]), tuple(api.ServerEntry(**row) for row in rows))
+    for name, enum in ENUMS.items():
+        if name in values:
+            values[name] = enum(values[name])
+    event: api.Event = kind(**values)
+    return event
+
+
+def told(actions: Sequence[api.Action]) -> list[Any]:
+    """Actions in the form of a record that was read, to be compared with one."""
+    number_and_fields = [(n, t(a)) for a in actions for n, t in (ACTION_OF[type(a)],)]
+    decoded: list[Any] = DECODER.decode(ENCODER.encode(number_and_fields))
+    return decoded
+
+
+def readable(action: list[Any]) -> str:
+    """An action of a record for a person."""
+    number, values = action
+    names = [field.name for field in fields_of(ACTIONS[number])]
+    inside = ", ".join(f"{name}={value!r}" for name, value in zip(names, values, strict=True))
+    return f"{ACTIONS[number].__name__}({inside})"
+
+
+def frame(payload: bytes) -> bytes:
+    """With length and checksum."""
+    return FRAME.pack(len(payload), zlib.crc32(payload)) + payload
+
+
+def batch(records: Sequence[tuple[Any, ...]]) -> bytes:
+    """A frame of records."""
+    return frame(ENCODER.encode(records))
+
+
+class Head(NamedTuple):
+    """What a segment begins with. `at` counts the records of the run before it."""
+
+    run: str
+    number: int
+    at: int
+    began_ms: float
+    module: str
+    settings: api.Settings
+    seed: int
+    snapshot: bytes | None
+
+    def encode(self) -> bytes:
+        """The head's frame."""
+        about = {"magic": MAGIC, "format": FORMAT, "settings": self.settings}
+        return frame(ENCODER.encode({**self._asdict(), **about}))
+
+
+def head_of(raw: Any) -> Head:
+    """A head that was read."""
+    if not isinstance(raw, dict) or raw.get("magic") != MAGIC:
+        raise CaptureError("not a capture")
+    if raw.get("format") != FORMAT:
+        raise CaptureError(f"format {raw.get('format')!r}; this program reads {FORMAT}")
+    try:
+        made = msgspec.convert(raw["settings"], api.Settings)
+        given = {name: raw[name] for name in Head._fields if name != "settings"}
+        return Head(settings=made, **given)
+    except (KeyError, TypeError, msgspec.ValidationError) as error:
+        raise CaptureError(f"a head that can't be read ({error})") from None
+
+
+class Cut(NamedTuple):
+    """Where reading had to stop, and why."""
+
+    offset: int
+    why: str
+
+
+def payloads(data: bytes) -> Iterator[Any | Cut]:
+    """The payloads of a segment's bytes, as far as they are sure; a `Cut` at the end where that is not
+    all."""
+    at = 0
+    while at < len(data):
+        if len(data) - at < FRAME.size:
+            yield Cut(at, "torn in a frame's head")
+            return
+        length, crc = FRAME.unpack_from(data, at)
+        body = data[at + FRAME.size : at + FRAME.size + length]
+        if length > MOST_FRAME or not length:
+            yield Cut(at, "a frame's length is damaged")
+            return
+        if len(body) < length:
+            yield Cut(at, "torn in a frame")
+            return
+        if zlib.crc32(body) != crc:
+            yield Cut(at, "a frame's checksum is wrong")
+            return
+        try:
+            yield DECODER.decode(body)
+        except msgspec.DecodeError:
+            yield Cut(at, "a frame that can't be decoded")
+            return
+        at += FRAME.size + length
+
+
+# --- the module's state -----------------------------------------------------------------------------------
+
+
+class Careful(pickle.Unpickler):
+    """Reads a snapshot: the module's own classes and a few plain ones, nothing that could do anything."""
+
+    PLAIN = (("collections", "deque"), ("random", "Random"), ("builtins", "set"), ("builtins", "frozenset"))
+
+    def find_class(self, module: str, name: str) -> Any:
+        """A class by name, if it may be had."""
+        if (module, name) == ("builtins", "getattr"):
+            return member  # this is how Python 3.11 pickles a member of an Enum
+        if module.partition(".")[0] == "heathglade" or (module, name) in self.PLAIN:
+            return super().find_class(module, name)
+        raise CaptureError(f"a snapshot that asks for {module}.{name}")
+
+
+def member(kind: Any, name: str) -> Any:
+    """A member of an Enum, and no other attribute of anything."""
+    if not (isinstance(kind, type) and issubclass(kind, Enum)):
+        raise CaptureError(f"a snapshot that asks for {name} of {kind!r}")
+    return kind[name]
+
+
+def snapshot(module: Any) -> bytes:
+    """The module's whole state."""
+    return pickle.dumps(module, protocol=5)
+
+
+def revive(state: bytes) -> Any:
+    """A module in that state."""
+    try:
+        return Careful(io.BytesIO(state)).load()
+    except CaptureError:
+        raise
+    except Exception as error:  # a state of other classes, or damage: whatever it is, there is no module
+        raise CaptureError(f"a snapshot that can't be read ({error!r})") from None
+
+
+def module_digest(folder: Path | None = None) -> str:
+    """The version of the module: a digest of its sources."""
+    folder = folder or Path(str(heathglade.__file__)).parent
+    digest = hashlib.blake2b(digest_size=8)
+    for name in ("interface.py", "marks.py", "policy.py"):
+        digest.update((folder / name).read_bytes())
+    return digest.hexdigest()
--- a/glenchute/cli/main.py
+++ b/glenchute/cli/main.py
@@ -13,6 +13,7 @@
     "run": "serve as one gateway (the default)",
     "check": "check the operator's file; exit 0, or 2 with what is wrong",
     "explain": "tell which route binds a kind of request, and the attempts that it allows",
+    "replay": "feed a capture to the decision module and compare each decision",
     "quota": "state what quotas and ceilings may be overshot by when the counter fails",
     "demo": "play a small site on loopback, with a node that fails midway",
     "schema": "print the JSON Schema of the operator's file",
@@ -53,6 +54,12 @@
     parsers["explain"].add_argument("--class", dest="class_name", required=True, help="the request's class")
     parsers["explain"].add_argument("--plan", required=True, help="its customer's plan")
     parsers["explain"].add_argument("--command", dest="verb", choices=("GET", "POST"))
+    parsers["replay"].add_argument("path", help="a segment, or a folder of them")
+    parsers["replay"].add_argument("--from", dest="since", type=float, default=0.0, metavar="MS")
+    parsers["replay"].add_argument("--until", type=float, default=float("inf"), metavar="MS")
+    parsers["replay"].add_argument("--diff", action="store_true", help="all differences, not the first")
+    parsers["replay"].add_argument("--explain", metavar="REQUEST", help="the story of one request")
+    parsers["replay"].add_argument("--against", metavar="FOLDER", help="another version of the module")
     parsers["quota"].add_argument("what", choices=("bound",))
     parsers["quota"].add_argument("--spread", type=int, default=0, help="gateways of an account; else all")
     parsers["quota"].add_argument("--clocks-ms", type=float, default=100.0, help="by which clocks differ")
--- /dev/null
+++ b/glenchute/cli/replay.py
@@ -0,0 +1,119 @@
+"""``glenchute replay``: a capture through the module, equal or not, and why a request went as it did."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections import Counter
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from glenchute.capture.codec import CaptureError, Record, event_of, module_digest, readable
+from glenchute.capture.replay import Difference, Report, kinds, other_module, read, replay, runs
+from heathglade import Gateway
+from heathglade import interface as api
+
+MOST_SHOWN = 20
+MOST_COMPARED = 1_000_000
+
+
+def command(args: argparse.Namespace) -> int:
+    """0 where every decision is equal, 1 where one is not, 2 where the capture can't be used."""
+    try:
+        found = runs(Path(args.path))
+        make = other_module(Path(args.against)) if args.against else Gateway
+        equal = True
+        for run, files in found.items():
+            seen = Story(args.explain) if args.explain else None
+            most = MOST_COMPARED if args.against or args.diff else 1
+            version = version_of(files)
+            own = args.against is None and version == module_digest()
+            if args.against is None and version not in ("", module_digest()):
+                print(f"{run}: captured by module {version}, replayed by {module_digest()}")
+            report = replay(files, make, args.since, args.until, most, own, seen)
+            equal = equal and not report.differences
+            for line in [*(seen.lines if seen else ()), *told(run, report, bool(args.against))]:
+                print(line)
+    except CaptureError as error:
+        print(f"glenchute: {error}", file=sys.stderr)
+        return 2
+    return 0 if equal else 1
+
+
+def version_of(files: list[Path]) -> str:
+    """The module's version by the first segment that can be read."""
+    for file in files:
+        try:
+            return read(file).head.module
+        except CaptureError:
+            continue
+    return ""
+
+
+def told(run: str, report: Report, against: bool) -> Iterator[str]:
+    """The result in lines."""
+    for note in report.notes:
+        yield f"{run}: {note}"
+    if against:
+        yield from table(report.differences)
+    else:
+        for difference in report.differences[:MOST_SHOWN]:
+            yield f"record {difference.at} at {difference.now_ms:.3f}: {difference.event}"
+            yield f"  captured: {'; '.join(map(readable, difference.captured)) or 'nothing'}"
+            yield f"  replayed: {'; '.join(map(readable, difference.replayed)) or 'nothing'}"
+    verdict = "all decisions are equal" if not report.differences else f"{len(report.differences)} differ"
+    yield f"{run}: {report.records} records, {report.faults} faults: {verdict}"
+
+
+def table(differences: list[Difference]) -> Iterator[str]:
+    """Which decisions changed into which, how often, for how many units. After the first the two versions
+    have lived through different pasts, so later ones are consequences as well."""
+    changed: Counter[tuple[str, str]] = Counter()
+    units: Counter[tuple[str, str]] = Counter()
+    for difference in differences:
+        pair = kinds(difference.captured), kinds(difference.replayed)
+        changed[pair] += 1
+        if isinstance(difference.event, api.Request):
+            units[pair] += round(difference.event.units)
+    for (was, now), count in changed.most_common():
+        yield f"  {was:14} -> {now:14} {count:7} times, {units[was, now]} units of new requests"
+
+
+class Story:
+    """Collects all that befell one request, with the state that each decision was made in."""
+
+    def __init__(self, request: str) -> None:
+        self.request = request
+        self.lines: list[str] = []
+        self.customer = ""
+
+    def __call__(self, module: Any, record: Record) -> None:
+        event = event_of(record)
+        mine = getattr(event, "request_id", None) == self.request
+        actions = [action for action in record[3] or () if action[1] and action[1][0] == self.request]
+        if not mine and not actions:
+            return
+        self.lines.append(f"{record[0]:.3f}  {event}")
+        if isinstance(event, api.Request):
+            self.customer = event.customer
+        self.lines += [f"    {line}" for line in state(module, self.customer)]
+        shown = record[3] if mine else actions
+        self.lines += [f"  => {readable(action)}" for action in shown or ()]
+
+
+def state(module: Any, customer: str) -> Iterator[str]:
+    """What the module believed of a customer, the counter and the servers."""
+    quota = module.quota
+    c = quota.customers.get(customer)
+    if c is not None:
+        yield f"customer: store {c.store:.2f}, part {c.part:.2f}, guard {c.guard:.2f}, credit {c.credit:.2f}"
+        yield f"customer: own {c.own:.2f}/s, others {c.others:.2f}/s, open {c.open}"
+        yield f"counter: total {c.total:.2f} heard at {c.total_at:.0f}, {c.under_way} calls out, {c.word}"
+    state_now = "mute" if quota.mute else f"share of calls {quota.share:.2f}, missed {quota.missed}"
+    yield f"counter as a whole: {state_now}"
+    pressure = module.pressure
+    yield f"V: {pressure.capacity:.1f} units/s, backlog {pressure.backlog:.0f} ms"
+    yield f"further attempts in store: {module.retries:.1f}"
+    for name, server in module.fleet.servers.items():
+        yield f"server {name}: out {server.out}, pace {server.pace:.2f}, fails {server.fails:.2f}"
--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -9,7 +9,7 @@
 import signal
 import sys
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
@@ -24,6 +24,7 @@
 from heathglade import Gateway as Policy
 
 if TYPE_CHECKING:
+    from glenchute.capture.recorder import Recorder
     from glenchute.config.operator import Operator
 
 OPERATOR = "GLENCHUTE_OPERATOR"  # the variable that names the operator's file
@@ -71,6 +72,9 @@
             Counter(loop, config.counter, made.counter_timeout_ms / 1000.0) if config.counter else None
         )
         decisions = decisions or Policy(made, config.seed)
+        self.recorder: Recorder | None = None
+        if operator is not None and operator.capture is not None:
+            decisions = self.recorder = self.recording(decisions, operator.capture)
         self.gateway = Gateway(loop, decisions, self.servers, self.counter)
         self.gateway.overlap = made.overlap
         if operator is not None:
@@ -79,6 +83,20 @@
         self.discovery = Discovery(loop, config.discovery, self.gateway.news)
         self.stopping = asyncio.Event()
 
+    def recording(self, decisions: Decisions, raw: dict[str, Any]) -> Recorder:
+        """The module behind a recorder; imported only where the operator's file asks for one."""
+        from glenchute.capture.recorder import Recorder, Rule
+
+        rule = Rule(
+            folder=raw["folder"],
+            ring=raw.get("mode", "ring") == "ring",
+            segment_s=raw.get("segment_s", 10.0),
+            segment_bytes=int(raw.get("segment_mb", 4.0) * 1024 * 1024),
+            segments=raw.get("segments", 12),
+            refusal_share=raw.get("refusal_share", 1.0),
+        )
+        return Recorder(decisions, self.config.settings, self.config.seed, rule, self.loop.time)
+
     def bind(self, operator: Operator) -> None:
         """The operator's routes hold for requests from now on; those that are open keep theirs."""
         from glenchute.deciders.routes import Routes
@@ -92,6 +110,8 @@
         for sign in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(sign, self.stopping.set)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if self.recorder is not None:
+            self.loop.add_signal_handler(signal.SIGUSR1, self.recorder.trigger, "asked for")
         await self.start()
         if hangups:
             self.reload()
@@ -155,6 +175,8 @@
         if self.counter is not None:
             self.counter.close()
         self.servers.close()
+        if self.recorder is not None:
+            self.recorder.close()
         await asyncio.sleep(0)
 
 
--- a/glenchute/config/operator.py
+++ b/glenchute/config/operator.py
@@ -44,9 +44,21 @@
 }
 MATCH = Table({"class": Words(), "plan": Words(), "command": Words(COMMANDS, code="unknown-command")})
 NAME = Word("[A-Za-z0-9_.-]{1,64}", "1 to 64 letters, digits, '_', '.' or '-'")
+CAPTURE = Table(
+    {
+        "folder": Word("[^\\x00-\\x1f]{1,200}", "the path of a folder"),
+        "mode": Word("ring|disk", "ring or disk"),
+        "segment_s": Number(0.1, 3600),
+        "segment_mb": Number(0.01, 64),
+        "segments": Number(1, 10_000, whole=True),
+        "refusal_share": Number(0, 1, above=True),
+    },
+    ("folder",),
+)
 SHAPE = Table(
     {
         "defaults": Table(BOUNDS),
+        "capture": CAPTURE,
         "route": Rows(Table({"name": NAME, "match": MATCH, **BOUNDS}, ("name", "match")), MOST_ROUTES),
     }
 )
@@ -77,6 +89,7 @@
 
     table: dict[tuple[str, str], Route]
     routes: tuple[Matched, ...] = ()
+    capture: dict[str, Any] | None = None
 
 
 class Reading(NamedTuple):
@@ -201,7 +214,7 @@
         routes.append(Matched(at, bounds_of(name, row, base), *found))
     if facts is None:
         equal_ranks(routes, None, faults)
-        return Operator({}, tuple(routes))
+        return Operator({}, tuple(routes), good.get("capture"))
     known = True
     for one in routes:
         for key, given, there in (("class", one.classes, facts.classes), ("plan", one.plans, facts.plans)):
@@ -213,7 +226,7 @@
                            )  # fmt: skip
     if known:
         equal_ranks(routes, facts, faults)
-    return Operator(resolved(routes, base, facts, faults), tuple(routes))
+    return Operator(resolved(routes, base, facts, faults), tuple(routes), good.get("capture"))
 
 
 def own_sense(raw: dict[str, Any], path: Path, faults: Faults) -> None:
--- a/lab/load.py
+++ b/lab/load.py
@@ -35,6 +35,7 @@
     customer: bytes
     plan: str
     weight: float = 1.0
+    more: str = ""  # further fields of its commands: `,spread=3,first=0`
 
 
 @dataclass(slots=True)
@@ -90,7 +91,7 @@
         """One request to its end."""
         self.outcomes.append(outcome)
         loop, kind = asyncio.get_running_loop(), outcome.kind
-        fields = f"c={kind.class_name},t={outcome.account.plan},d={kind.deadline_ms}"
+        fields = f"c={kind.class_name},t={outcome.account.plan},d={kind.deadline_ms}{outcome.account.more}"
         if kind.keyed:
             fields += f",k=k{outcome.request_id.decode()}"
         words = [b"CALL.POST" if kind.post else b"CALL.GET", outcome.account.customer, outcome.request_id,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -71,7 +71,7 @@
     skew_ms: float = 0.0
     make: Callable[[Settings, int], Any] = Gateway
     sent: list[tuple[float, str, float]] = field(default_factory=list)  # true time, plan, units
-    refused: int = 0
+    refusals: list[tuple[float, str]] = field(default_factory=list)  # true time, plan
     asked: int = 0
     restarts: int = 0
 
@@ -128,8 +128,10 @@
             self.at(action.at_ms - self.skews[number], self.feed, *back, TimerFired(action.token))
         elif isinstance(action, Count):
             self.at(self.now + NET_MS, self.count, *back, action, self.now)
-        elif self.first.pop((number, getattr(action, "request_id", "")), None) is not None:
-            self.refused += 1
+        else:
+            request = self.first.pop((number, getattr(action, "request_id", "")), None)
+            if request is not None:
+                self.refusals.append((self.now, request.plan))
 
     def count(self, number: int, incarnation: int, call: Count, began: float) -> None:
         """A call reaches the counter, whatever has become of its gateway."""
@@ -171,6 +173,18 @@
                 lowest, last = min(lowest, level), at
         return -lowest
 
+    def refused_with_room(self, plan: str, rate: float, burst: float) -> float:
+        """The share of the tries that was refused while half of the true store or more was there."""
+        level, last, asked, blamed = burst, None, 0, 0
+        tries = [(at, units) for at, name, units in self.sent if name == plan]
+        tries += [(at, 0.0) for at, name in self.refusals if name == plan]
+        for at, units in sorted(tries):
+            level = min(burst, level + (0.0 if last is None else rate * (at - last) / 1000.0))
+            last, asked = at, asked + 1
+            blamed += not units and level >= 0.5 * burst
+            level = max(0.0, level - units)
+        return blamed / max(1, asked)
+
     def units(self, plan: str) -> float:
         """Units sent on."""
         return sum(units for _, name, units in self.sent if name == plan)
--- /dev/null
+++ b/tests/test_capture.py
@@ -0,0 +1,362 @@
+"""Captures: recorded and replayed to the bit, cut at any byte, damaged, and read with care."""
+
+from __future__ import annotations
+
+import asyncio
+import pickle
+import random
+import shutil
+import signal
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from glenchute.capture import recorder as recorder_module
+from glenchute.capture.codec import (
+    FORMAT,
+    FRAME,
+    MAGIC,
+    CaptureError,
+    Cut,
+    batch,
+    event_of,
+    frame,
+    head_of,
+    module_digest,
+    note,
+    payloads,
+    revive,
+    snapshot,
+)
+from glenchute.capture.recorder import Recorder, Rule
+from glenchute.capture.replay import other_module, read, replay, runs
+from glenchute.cli.main import main
+from heathglade import Gateway
+from heathglade import interface as api
+from lab.load import Account, Load
+from lab.nodes import Node, Trade
+from lab.peers import play, until
+from lab.site import KINDS, GatewayProcess, LabSite
+
+from .fleet import Fleet
+from .fleet import settings as fleet_settings
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def recorded(folder: Path, seed: int = 1, **rule: Any) -> Recorder:
+    """One gateway's life, with a flood and a counter that is swapped, on disk in several segments."""
+    recorders: list[Recorder] = []
+    fleets: list[Fleet] = []
+
+    def make(made: api.Settings, module_seed: int) -> Recorder:
+        kept = Rule(str(folder), ring=False, segment_s=0.7, **rule)
+
+        def clock() -> float:
+            return fleets[0].now / 1000.0 if fleets else 0.0
+
+        recorders.append(Recorder(Gateway(made, module_seed), made, module_seed, kept, clock))
+        return recorders[-1]
+
+    fleet = Fleet(1, seed, make=make)
+    fleets.append(fleet)
+    fleet.run(fleet.now + 500.0)
+    fleet.at(fleet.now + 900.0, fleet.counter.replace)
+    fleet.flood("soft", 60.0, 2.0, [1.0])
+    fleet.flood("bare", 60.0, 2.0, [1.0])
+    fleet.run(fleet.now + 2500.0)
+    recorders[0].flush()
+    recorders[0].writer.close(10.0)
+    return recorders[0]
+
+
+@pytest.fixture(scope="module")
+def capture(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    folder = tmp_path_factory.mktemp("capture")
+    recorded(folder)
+    return folder
+
+
+def only_run(folder: Path) -> list[Path]:
+    ((_, files),) = runs(folder).items()
+    return files
+
+
+def test_what_was_recorded_replays_equal(capture: Path) -> None:
+    files = only_run(capture)
+    assert len(files) >= 4
+    report = replay(files)
+    assert report.records > 300 and not report.differences and not report.notes
+    for file in files:  # each segment alone, from its snapshot
+        assert not replay([file]).differences
+    assert main(["replay", str(capture)]) == 0
+
+
+EVENTS = st.one_of(
+    st.builds(
+        api.Request,
+        request_id=st.sampled_from(["1", "2", "3", "4", "5"]),
+        class_name=st.sampled_from(["read", "none"]),
+        plan=st.sampled_from(["soft", "hard", "bare"]),
+        customer=st.sampled_from(["a", "b"]),
+        time_left_ms=st.floats(0.0, 5000.0),
+        units=st.floats(0.1, 6.0),
+        spread=st.integers(1, 4),
+    ),
+    st.builds(
+        api.AttemptEnded,
+        request_id=st.sampled_from(["1", "2", "3", "4", "5"]),
+        attempt=st.integers(0, 3),
+        server=st.sampled_from(["s0", "s1"]),
+        ending=st.sampled_from(list(api.Ending)),
+        took_ms=st.floats(0.0, 3000.0),
+        final=st.booleans(),
+        queue=st.none() | st.floats(0.0, 9.0),
+        next_after_ms=st.sampled_from([0.0, 30.0, float("inf")]),
+    ),
+    st.builds(api.RequestGone, request_id=st.sampled_from(["1", "2"])),
+    st.builds(api.TimerFired, token=st.just(0)),
+    st.builds(
+        api.ServerList,
+        kind=st.sampled_from([api.ListKind.FULL, api.ListKind.CHANGES]),
+        entries=st.lists(
+            st.builds(
+                api.ServerEntry,
+                server=st.sampled_from(["s0", "s1", "s2"]),
+                zone=st.sampled_from("ab"),
+                started_ms=st.sampled_from([0.0, 5.0]),
+                state=st.sampled_from(list(api.ServerState)),
+            ),
+            max_size=3,
+        ).map(tuple),
+    ),
+)
+
+
+@settings(max_examples=150, derandomize=True, deadline=None)
+@given(events=st.lists(st.tuples(st.floats(0.0, 700.0), EVENTS), max_size=40), seed=st.integers(0, 9))
+def test_any_events_replay_equal_and_from_a_snapshot_at_any_place(
+    events: list[tuple[float, api.Event]], seed: int
+) -> None:
+    """Through the bytes and back, and from a state that was pickled in the middle."""
+    made = fleet_settings(3)
+    module, now = Gateway(made, seed), 1e9
+    states, notes = [], []
+    for wait, event in events:
+        now += wait
+        states.append(snapshot(module))
+        notes.append(note(now, event, module.handle(now, event)))
+    records: Any = next(payloads(batch(notes))) if notes else []
+    for start in {0, len(records) // 2, max(0, len(records) - 1)}:
+        again: Any = revive(states[start]) if records else None
+        for record in records[start:]:
+            event = event_of(record)
+            (back,) = payloads(batch([note(record[0], event, again.handle(record[0], event))]))
+            assert back == [record]
+
+
+def test_a_cut_at_any_byte_leaves_what_is_before_it_sure(capture: Path, tmp_path: Path) -> None:
+    file = only_run(capture)[0]
+    data = file.read_bytes()
+    whole = len(read(file).records)
+    ends, at = [], 0
+    while at < len(data):
+        at += FRAME.size + FRAME.unpack_from(data, at)[0]
+        ends.append(at)
+    assert len(ends) >= 2
+    cuts = sorted({*range(0, len(data), 97), *(end + d for end in ends for d in (-1, 0, 1, 7, 8, 9))})
+    for cut in cuts:
+        found = list(payloads(data[:cut]))
+        whole_frames = sum(1 for end in ends if end <= cut)
+        sure = [payload for payload in found if not isinstance(payload, Cut)]
+        assert len(sure) == whole_frames
+        told = any(isinstance(payload, Cut) for payload in found)
+        assert told is (cut not in (0, *ends) and cut < len(data))
+    torn = tmp_path / file.name
+    torn.write_bytes(data[:-5])
+    report = replay([torn])
+    assert not report.differences and report.records < whole and "torn in a frame" in report.notes[0]
+
+
+def test_damage_is_found_and_the_rest_is_replayed(capture: Path, tmp_path: Path) -> None:
+    files = [Path(shutil.copy(file, tmp_path)) for file in only_run(capture)]
+    rng = random.Random(3)
+    data = bytearray(files[1].read_bytes())
+    at = len(data) - 1 - rng.randrange(40)
+    data[at] ^= 0x10
+    files[1].write_bytes(bytes(data))
+    files[2].unlink()
+    report = replay(only_run(tmp_path))
+    assert not report.differences
+    assert any("checksum" in line for line in report.notes)
+    assert any("missing" in line for line in report.notes)
+    total = sum(len(read(file).records) for file in only_run(capture))
+    assert 0 < report.records < total
+
+
+def test_two_runs_in_a_folder_are_kept_apart(tmp_path: Path) -> None:
+    recorded(tmp_path, 1)
+    recorded(tmp_path, 2)
+    found = runs(tmp_path)
+    assert len(found) == 2 and all(not replay(files).differences for files in found.values())
+
+
+def test_files_that_are_no_capture_are_named(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["replay", str(tmp_path)]) == 2
+    bad = tmp_path / "x-000000.glcap"
+    for data, word in (
+        (b"", "empty"),
+        (b"nonsense that is long", "damaged"),
+        (frame(b"\x01"), "not a capture"),
+        (frame(b"\xc1"), "decoded"),
+    ):
+        bad.write_bytes(data)
+        with pytest.raises(CaptureError, match=word):
+            read(bad)
+    with pytest.raises(CaptureError, match="format 99"):
+        head_of({"magic": MAGIC, "format": FORMAT + 98})
+    with pytest.raises(CaptureError, match="head"):
+        head_of({"magic": MAGIC, "format": FORMAT})
+    assert replay([bad]).notes and "glenchute" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("evil", [print, eval, Path, asyncio.run])
+def test_a_snapshot_can_ask_for_nothing_but_the_modules_own(evil: Callable[..., Any]) -> None:
+    with pytest.raises(CaptureError):
+        revive(pickle.dumps(evil))
+    with pytest.raises(CaptureError):
+        revive(b"\x80\x05garbage")
+
+
+class Reach:
+    """Pickles as ``getattr(dict, "fromkeys")``."""
+
+    def __reduce__(self) -> Any:
+        return getattr, (api.Settings, "__init__")
+
+
+def test_a_snapshot_can_reach_no_attribute_but_members_of_enums() -> None:
+    with pytest.raises(CaptureError):
+        revive(pickle.dumps(Reach()))
+    assert revive(pickle.dumps(api.Ending.RESET)) is api.Ending.RESET
+
+
+def changed(tmp_path: Path, old: str, new: str) -> Path:
+    """The module with one line changed."""
+    folder = tmp_path / "other"
+    shutil.copytree(ROOT / "heathglade", folder, ignore=shutil.ignore_patterns("__pycache__"))
+    policy = folder / "policy.py"
+    text = policy.read_text()
+    assert text.count(old) == 1
+    policy.write_text(text.replace(old, new))
+    return folder
+
+
+def test_another_version_is_compared_and_its_changes_are_counted(
+    capture: Path, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    same = changed(tmp_path, "LEAST_PART = 2.0", "LEAST_PART = 2.0 ")
+    assert main(["replay", str(capture), "--against", str(same)]) == 0
+    shutil.rmtree(same)
+    other = changed(tmp_path, "CALL_GAP_MS = 100.0", "CALL_GAP_MS = 150.0")
+    assert module_digest(other) != module_digest()
+    assert main(["replay", str(capture), "--against", str(other)]) == 1
+    assert " -> " in capsys.readouterr().out
+    with pytest.raises(CaptureError):
+        other_module(tmp_path)
+
+
+def test_the_story_of_a_request_tells_stores_counter_and_servers(
+    capture: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert main(["replay", str(capture), "--explain", "soft9"]) == 0
+    out = capsys.readouterr().out
+    for word in ("Request(request_id='soft9'", "customer: store", "counter: total", "server s0", "=> "):
+        assert word in out
+
+
+def test_a_fault_of_the_module_is_recorded_and_replayed(tmp_path: Path) -> None:
+    made = fleet_settings(1)
+    clock = [0.0]
+    keeper = Recorder(Gateway(made, 1), made, 1, Rule(str(tmp_path)), lambda: clock[0])
+    keeper.handle(1000.0, api.ServerList(api.ListKind.SAVED, (api.ServerEntry("s0", "a"),)))
+    keeper.handle(1001.0, api.TimerFired(0))
+    with pytest.raises(TypeError):  # a fault like any other: a time that is none
+        keeper.handle(1002.0, api.Request("1", "read", "soft", "c", None))  # type: ignore[arg-type]
+    keeper.handle(1003.0, api.TimerFired(0))
+    keeper.trigger("asked for")
+    keeper.writer.close(10.0)
+    report = replay(only_run(tmp_path))
+    assert report.faults == 1 and not report.differences and report.records == 3
+
+
+def test_the_ring_is_bounded_and_written_on_a_trigger_once_a_minute(tmp_path: Path) -> None:
+    made = fleet_settings(1)
+    clock = [0.0]
+    rule = Rule(str(tmp_path), segment_s=1.0, segments=3, refusal_share=0.5)
+    keeper = Recorder(Gateway(made, 1), made, 1, rule, lambda: clock[0])
+    for step in range(100):
+        clock[0] = step * 0.1
+        keeper.handle(1000.0 + step * 100.0, api.TimerFired(0))
+    assert len(keeper.ring) <= 3 and not list(tmp_path.iterdir())
+    for step in range(200):  # no time left: all are refused
+        clock[0] = 10.0 + step * 0.1
+        request = api.Request(str(step), "none", "none", "c", 0.0)
+        keeper.handle(11_000.0 + step * 100.0, request)
+    keeper.writer.close(10.0)
+    files = only_run(tmp_path)
+    assert 1 <= len(files) <= 3
+    assert not replay(files).differences
+
+
+def test_a_disk_that_is_too_slow_costs_records_and_no_time(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(recorder_module, "QUEUE", 1)
+    monkeypatch.setattr(recorder_module, "BATCH", 4)
+    monkeypatch.setattr(recorder_module.Writer, "run", lambda self: None)  # it never writes
+    made = fleet_settings(1)
+    clock = [0.0]
+    keeper = Recorder(Gateway(made, 1), made, 1, Rule(str(tmp_path), ring=False), lambda: clock[0])
+    for step in range(100):
+        keeper.handle(1000.0 + step, api.TimerFired(0))
+    assert keeper.dropping and keeper.dropped >= 90 and keeper.writer.queue.qsize() == 1
+
+
+def test_old_segments_go(tmp_path: Path) -> None:
+    kept = recorded(tmp_path, 1, segments=2)
+    assert len(list(tmp_path.glob("*.glcap"))) == 2 and kept.number >= 4
+    report = replay(only_run(tmp_path))  # from a snapshot, as the beginning is gone
+    assert not report.differences and report.records > 100
+
+
+def test_a_gateway_that_is_killed_leaves_a_capture_that_replays(tmp_path: Path) -> None:
+    """A process with a counter, a load and [capture] on disk; SIGKILL in the middle of it."""
+
+    async def scenario() -> None:
+        folder = tmp_path / "captures"
+        folder.mkdir()
+        operator = f'[capture]\nfolder = "{folder}"\nmode = "disk"\nsegment_s = 0.5\n'
+        nodes = [Node(f"n{i}", Trade({"report-read": 5.0, "check-order": 5.0})) for i in range(2)]
+        async with LabSite(nodes) as site:
+            gateway = GatewayProcess(tmp_path, site.platform(), operator)
+            gateway.start()
+            await gateway.ready()
+            account = [Account(b"%016x" % 5, "korporativni"), Account(b"%016x" % 6, "osnovni")]
+            load = Load(lambda: gateway.port, KINDS, account, 120.0)
+            task = asyncio.create_task(load.run(2.5))
+            await asyncio.sleep(2.0)
+            gateway.signal(signal.SIGKILL)
+            assert gateway.process is not None
+            gateway.process.wait()
+            task.cancel()
+            await asyncio.wait([task])
+            await until(lambda: any(folder.iterdir()))
+        report = replay(only_run(folder))
+        assert report.records > 100 and not report.differences
+
+    play(scenario())
--- /dev/null
+++ b/tests/test_counter_loopback.py
@@ -0,0 +1,102 @@
+"""Three gateway processes round a counter that is killed, split and replaced; the nodes' log is the truth."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+from pathlib import Path
+from typing import Any
+
+from glenchute.deciders.quotabound import bound, ceiling_overshoot
+from heathglade.simhost import settings
+from lab.counter import PartedCounter, Parts
+from lab.load import Account, Kind, Load
+from lab.nodes import Node, Trade
+from lab.peers import play
+from lab.site import SETTINGS, GatewayProcess, LabSite, free_port
+
+GATEWAYS = 3
+RATE = 60.0  # requests a second at each gateway
+SECONDS = 6.0
+LATE_S = 0.15  # the platform's allowance between a decision and the node's clock
+READ = Kind("report-read", 1.0, 1500)
+
+
+def overshoot(moments: list[float], rate: float, burst: float) -> float:
+    """How far below nothing a store went that gave a unit at each moment."""
+    level, last, lowest = burst, None, 0.0
+    for at in sorted(moments):
+        level = min(burst, level + (0.0 if last is None else rate * (at - last))) - 1.0
+        lowest, last = min(lowest, level), at
+    return -lowest
+
+
+async def faults(parts: Parts) -> None:
+    """All that can happen to a counter, one after the other."""
+    await asyncio.sleep(1.2)
+    parts.replace()
+    await asyncio.sleep(0.6)
+    parts.split(["g0"], empty=True)
+    await asyncio.sleep(1.2)
+    parts.heal()
+    await asyncio.sleep(0.5)
+    parts.kill()
+    await asyncio.sleep(0.8)
+    parts.replace()
+    await asyncio.sleep(0.5)
+    parts.replace(0)
+
+
+def test_a_flood_stays_under_its_ceiling_while_the_counter_is_killed_and_split(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        site_settings: dict[str, Any] = copy.deepcopy(SETTINGS)
+        site_settings["balancers"] = GATEWAYS
+        dear = site_settings["packages"][2]
+        # The quota is as wide as the ceiling, which thus has to hold by itself.
+        dear.update(per_second=40.0, most_at_once=60.0, ceiling_rate=40.0, hard_burst=80.0, ceiling_slack=8.0)
+        parts = Parts(2)
+        counters = [PartedCounter(parts, lambda _, name=f"g{i}": name) for i in range(GATEWAYS)]  # type: ignore[misc]
+        nodes = [Node(f"n{i}", Trade({"report-read": 4.0}, slots=64)) for i in range(3)]
+        account = Account(b"%016x" % 77, "korporativni", more=f",spread={GATEWAYS},first=0")
+        async with LabSite(nodes) as lab:
+            gateways = []
+            for number, counter in enumerate(counters):
+                await counter.start()
+                platform = lab.platform({**site_settings, "me": number})
+                platform.update(name=f"g{number}", listen=f"127.0.0.1:{free_port()}")
+                platform["counter"] = f"127.0.0.1:{counter.port}"
+                folder = tmp_path / f"g{number}"
+                folder.mkdir()
+                gateways.append(GatewayProcess(folder, platform))
+                gateways[-1].start()
+            try:
+                await asyncio.gather(*(gateway.ready() for gateway in gateways))
+                await asyncio.sleep(1.6)  # the windows of before the start are over
+                loads = [
+                    Load(lambda port=gateway.port: port, [READ], [account], RATE, number)  # type: ignore[misc]
+                    for number, gateway in enumerate(gateways)
+                ]
+                await asyncio.gather(faults(parts), *(load.run(SECONDS) for load in loads))
+            finally:
+                statuses = await asyncio.gather(*(gateway.stop() for gateway in gateways))
+                for counter in counters:
+                    await counter.stop()
+            assert statuses == [0] * GATEWAYS
+        first: dict[bytes, float] = {}
+        for node in nodes:
+            for run in node.ran:
+                at = node.began + run.at
+                first[run.request_id] = min(at, first.get(run.request_id, at))
+        moments = list(first.values())
+        plan = settings(site_settings).plans[2]
+        found = bound(plan, GATEWAYS, 0.0, 1.0)
+        over = overshoot(moments, plan.ceiling_rate, plan.ceiling_burst)
+        assert over <= ceiling_overshoot(found) + plan.ceiling_rate * LATE_S
+        over = overshoot(moments, plan.rate, plan.burst)
+        assert over <= (GATEWAYS - 1) * (plan.burst + plan.rate * SECONDS)
+        # It was a flood, and the gateways served what they could.
+        answers = [outcome.answer for load in loads for outcome in load.outcomes]
+        assert len(answers) > 0.8 * GATEWAYS * RATE * SECONDS and "lost" not in answers
+        assert len(moments) >= 0.5 * (plan.ceiling_burst + plan.ceiling_rate * SECONDS)
+
+    play(scenario())
