--- /dev/null
+++ b/benchmarks/mutants.py
@@ -0,0 +1,100 @@
+"""The share of small changes to the decision module that the captures of past failures catch.
+
+``python -m benchmarks.mutants [COUNT]``: so many seeded changes of one number, comparison or sign, each
+through all captures. A mutant is caught if a decision differs, or the module fails.
+"""
+
+from __future__ import annotations
+
+import ast
+import random
+import shutil
+import sys
+import tempfile
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import NamedTuple
+
+from benchmarks.machine import machine
+from glenchute.capture.replay import other_module, replay, runs
+
+ROOT = Path(__file__).resolve().parent.parent
+CAPTURES = ROOT / "tests" / "captures"
+SWAPS: dict[type[ast.AST], type[ast.AST]] = {
+    ast.Lt: ast.LtE, ast.LtE: ast.Gt, ast.Gt: ast.GtE, ast.GtE: ast.Lt, ast.Eq: ast.NotEq, ast.NotEq: ast.Eq,
+    ast.Is: ast.IsNot, ast.IsNot: ast.Is, ast.Add: ast.Sub, ast.Sub: ast.Add, ast.Mult: ast.Div,
+    ast.Div: ast.Mult, ast.And: ast.Or, ast.Or: ast.And, ast.In: ast.NotIn, ast.NotIn: ast.In,
+}  # fmt: skip
+
+
+class Mutant(NamedTuple):
+    """One change."""
+
+    file: str
+    line: int
+    what: str
+    text: str
+
+
+def places(tree: ast.AST) -> Iterator[tuple[ast.AST, str]]:
+    """What may be changed, in a fixed order."""
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Constant) and isinstance(node.value, int | float):
+            if not isinstance(node.value, bool):
+                yield node, "number"
+        elif isinstance(node, ast.Compare) and type(node.ops[0]) in SWAPS:
+            yield node, "comparison"
+        elif isinstance(node, ast.BinOp) and type(node.op) in SWAPS:
+            yield node, "sign"
+        elif isinstance(node, ast.BoolOp):
+            yield node, "logic"
+
+
+def mutants(count: int) -> list[Mutant]:
+    """Seeded changes of `policy.py` and `marks.py`."""
+    rng = random.Random(1)
+    made = []
+    sources = {name: (ROOT / "heathglade" / name).read_text() for name in ("policy.py", "marks.py")}
+    every = [(name, at) for name, text in sources.items() for at, _ in enumerate(places(ast.parse(text)))]
+    for name, at in rng.sample(every, min(count, len(every))):
+        tree = ast.parse(sources[name])
+        node, what = list(places(tree))[at]
+        if isinstance(node, ast.Constant):
+            node.value = node.value * 2 + 1  # type: ignore[operator]
+        elif isinstance(node, ast.Compare):
+            node.ops[0] = SWAPS[type(node.ops[0])]()  # type: ignore[call-overload]
+        elif isinstance(node, ast.BinOp | ast.BoolOp):
+            node.op = SWAPS[type(node.op)]()  # type: ignore[assignment]
+        line = int(getattr(node, "lineno", 0))
+        made.append(Mutant(name, line, what, ast.unparse(tree)))
+    return made
+
+
+def caught(mutant: Mutant) -> bool:
+    """Whether any capture tells it from the module."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder) / "heathglade"
+        shutil.copytree(ROOT / "heathglade", copy, ignore=shutil.ignore_patterns("__pycache__"))
+        (copy / mutant.file).write_text(mutant.text)
+        try:
+            make = other_module(copy)
+            return any(replay(files, make, revived=False).differences for files in runs(CAPTURES).values())
+        except Exception:  # a module that fails is told as well
+            return True
+
+
+def main(count: int) -> None:
+    """Prints the share, and the mutants that live."""
+    found = mutants(count)
+    with ProcessPoolExecutor() as pool:
+        told = list(pool.map(caught, found))
+    print(machine())
+    print(f"{sum(told)} of {len(found)} mutants are caught, {sum(told) / len(found):.0%}")
+    for mutant, was in zip(found, told, strict=True):
+        if not was:
+            print(f"  lives: {mutant.file}:{mutant.line} {mutant.what}")
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]) if len(sys.argv) > 1 else 300)
--- a/glenchute/capture/codec.py
+++ b/glenchute/capture/codec.py
@@ -52,7 +52,6 @@
     api.Subscribe,
     api.Log,
 )
-ENUMS = {"ending": api.Ending}
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder()
 
@@ -75,6 +74,10 @@
 
 
 EVENT_OF = {kind: (number, getter(kind)) for number, kind in enumerate(EVENTS)}
+ENDING_AT = {
+    kind: [field.name for field in fields_of(kind)].index("ending")
+    for kind in (api.AttemptEnded, api.CountReply)
+}
 ACTION_OF = {kind: (number, getter(kind)) for number, kind in enumerate(ACTIONS)}
 
 
@@ -89,23 +92,20 @@
 
 def event_of(record: Record) -> api.Event:
     """The event of a record that was read."""
-    kind = EVENTS[record[1]]
-    values = dict(zip([field.name for field in fields_of(kind)], record[2], strict=True))
+    kind, values = EVENTS[record[1]], record[2]
     if kind is api.ServerList:
-        rows = [{**row, "state": api.ServerState(row["state"])} for row in values["entries"]]
-        return api.ServerList(api.ListKind(values["kind"]), tuple(api.ServerEntry(**row) for row in rows))
-    for name, enum in ENUMS.items():
-        if name in values:
-            values[name] = enum(values[name])
-    event: api.Event = kind(**values)
+        rows = [{**row, "state": api.ServerState(row["state"])} for row in values[1]]
+        return api.ServerList(api.ListKind(values[0]), tuple(api.ServerEntry(**row) for row in rows))
+    at = ENDING_AT.get(kind)
+    if at is not None:
+        values = [*values[:at], api.Ending(values[at]), *values[at + 1 :]]
+    event: api.Event = kind(*values)
     return event
 
 
 def told(actions: Sequence[api.Action]) -> list[Any]:
     """Actions in the form of a record that was read, to be compared with one."""
-    number_and_fields = [(n, t(a)) for a in actions for n, t in (ACTION_OF[type(a)],)]
-    decoded: list[Any] = DECODER.decode(ENCODER.encode(number_and_fields))
-    return decoded
+    return [[n, list(t(a))] for a in actions for n, t in (ACTION_OF[type(a)],)]
 
 
 def readable(action: list[Any]) -> str:
--- /dev/null
+++ b/tests/captures/__main__.py
@@ -0,0 +1,52 @@
+"""Records the captures of this folder anew: ``python -m tests.captures --why "what changed and why"``.
+
+The reason is kept in WHY.md; without one nothing is recorded.
+"""
+
+from __future__ import annotations
+
+import argparse
+import datetime
+from pathlib import Path
+
+from glenchute.capture.codec import Head, batch, module_digest, note
+from heathglade import Gateway
+from heathglade import interface as api
+
+from .scenarios import EVENING_SETTINGS, SCENARIOS, START
+
+HERE = Path(__file__).resolve().parent
+
+
+def record(scenario: object, play: object, seed: int) -> bytes:
+    """A scenario's capture."""
+    module = Gateway(EVENING_SETTINGS, seed)
+    notes = []
+
+    def tell(now: float, event: api.Event) -> list[api.Action]:
+        actions = module.handle(now, event)
+        notes.append(note(now, event, actions))
+        return actions
+
+    assert callable(play)
+    play(tell)
+    head = Head(str(scenario), 0, 0, START, module_digest(), EVENING_SETTINGS, seed, None)
+    return head.encode() + b"".join(batch(notes[at : at + 512]) for at in range(0, len(notes), 512))
+
+
+def main() -> None:
+    """Writes all files and the reason."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--why", required=True)
+    args = parser.parse_args()
+    if len(args.why.strip()) < 10:
+        parser.error("say what changed and why")
+    for seed, play in enumerate(SCENARIOS, 1):
+        (HERE / f"{play.__name__}-000000.glcap").write_bytes(record(play.__name__, play, seed))
+    with (HERE / "WHY.md").open("a") as file:
+        file.write(f"- {datetime.date.today()}, module {module_digest()}: {args.why.strip()}\n")
+
+
+if __name__ == "__main__":
+    main()
+
