--- /dev/null
+++ b/lab/sim/world.py
@@ -0,0 +1,420 @@
+"""The simulated site: gateways with real module instances, nodes, counter, discovery, clients and network.
+
+One scheduler owns time and every draw, and orders what is due at the same moment by a draw too, so that a
+seed is a run. The site keeps its own books (what ran, who was told what, who was answered); `BrokenRule` is
+raised at the step at which a rule breaks, by those books alone.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from heathglade import Gateway
+from heathglade import interface as api
+
+from ..counter import Parts
+
+MAY_HAVE_RUN = (api.Ending.OK, api.Ending.ERROR, api.Ending.RESET, api.Ending.TIMEOUT, api.Ending.CANCELLED)
+GRACE_MS = 250.0
+MARGIN_MS = 10.0  # attempts end this long before the client's time does
+NET_MS = 1.0
+COUNT_TIMEOUT_MS = 50.0
+
+SETTINGS = api.Settings(
+    zone="a",
+    gateways=3,
+    classes=(
+        api.RequestClass("read", 800.0, 1.0, api.Repeat.SAFE),
+        api.RequestClass("order", 1200.0, 2.0, api.Repeat.KEYED, api.Scope.ALL, 2500.0),
+        api.RequestClass("bid", 1200.0, 2.0, api.Repeat.KEYED, api.Scope.ZONE, 600.0),
+        api.RequestClass("charge", 1500.0, 2.0, api.Repeat.UNSAFE),
+    ),
+    plans=(
+        api.Plan("small", rate=4.0, burst=10.0),
+        api.Plan("hard", rate=15.0, burst=30.0, ceiling_rate=20.0, ceiling_burst=50.0, ceiling_slack=5.0),
+        api.Plan("open", max_open=4),
+    ),
+    safety=api.Safety(cold_share=0.25, warm_ms=8000.0, overload_factor=2.0, overload_ms=1500.0),
+    max_attempts=4,
+    max_retry_after_ms=1000.0,
+    counter=True,
+    counter_timeout_ms=COUNT_TIMEOUT_MS,
+)
+DEADLINES = {"read": 2000.0, "order": 3000.0, "bid": 3000.0, "charge": 3000.0}
+
+
+class BrokenRule(AssertionError):  # noqa: N818
+    """A rule was broken; `rule` names it."""
+
+    def __init__(self, rule: str, detail: str) -> None:
+        super().__init__(f"{rule}: {detail}")
+        self.rule = rule
+
+
+@dataclass
+class Node:
+    """A check node of a few slots and a short queue."""
+
+    name: str
+    zone: str
+    started_ms: float = 0.0
+    state: api.ServerState = api.ServerState.ACTIVE
+    alive: bool = True
+    hung: bool = False
+    errors: float = 0.0  # share of commands that fail after they ran
+    resets: float = 0.0
+    slow: float = 1.0
+    slots: int = 6
+    limit: int = 30
+    busy: int = 0
+    queue: list[Callable[[], None]] = field(default_factory=list)
+    recent: list[float] = field(default_factory=list)  # arrivals while cold
+
+
+@dataclass
+class Asked:
+    """A request, in the site's books."""
+
+    ref: str
+    number: int  # of the gateway
+    incarnation: int
+    cls: api.RequestClass
+    plan: str
+    deadline: float
+    key: str
+    answers: int = 0
+    attempts: int = 0
+    out: set[int] = field(default_factory=set)
+    sent_zone: str | None = None  # where the first attempt went that may have run
+    first_left: float | None = None  # when its bytes left
+    ran: int = 0
+    may_have_run: bool = False
+    units: float = 1.0
+
+
+class World:
+    """One run. `make` builds a module; `watch` sees each event and its actions."""
+
+    def __init__(
+        self,
+        seed: int,
+        gateways: int = 3,
+        nodes: int = 5,
+        make: Callable[[api.Settings, int], Any] = Gateway,
+        watch: Callable[[int, float, api.Event, list[api.Action]], None] | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.make, self.watch = make, watch
+        self.settings = api.Settings(**{
+            name: getattr(SETTINGS, name) for name in api.Settings.__dataclass_fields__
+        } | {"gateways": gateways})  # fmt: skip
+        self.now = 1_700_000_000_000.0
+        self.began = self.now
+        self.order = itertools.count()
+        self.due: list[tuple[float, float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.nodes = {f"s{i}": Node(f"s{i}", "ab"[i % 2]) for i in range(nodes)}
+        self.names = itertools.count(nodes)
+        self.parts = Parts(2)
+        self.skew = [self.rng.uniform(0.0, 50.0) for _ in range(gateways)]
+        self.incarnation = [0] * gateways
+        self.alive = [True] * gateways
+        self.modules: list[Any] = [None] * gateways
+        self.told: list[dict[str, float]] = [{} for _ in range(gateways)]  # server: from when nothing may go
+        self.asked: dict[str, Asked] = {}
+        self.serial = itertools.count(1)
+        self.sent: list[tuple[float, str, str, float]] = []  # time, customer, plan, units
+        self.keys: dict[tuple[str, str], float] = {}  # (group, key): when it last ran as new
+        self.steps = self.checks = self.restarts = 0
+        for number in range(gateways):
+            self.start(number)
+
+    # --- the scheduler -----------------------------------------------------------------------------------
+
+    def at(self, delay_ms: float, call: Callable[..., None], *args: Any) -> None:
+        """Later; what is due at one moment goes in a drawn order."""
+        row = (self.now + max(0.0, delay_ms), self.rng.random(), next(self.order), call, args)
+        heapq.heappush(self.due, row)
+
+    def run(self, ms: float) -> None:
+        """Lets time pass, with a check of the books now and then."""
+        end = self.now + ms
+        while self.due and self.due[0][0] <= end:
+            when, _, _, call, args = heapq.heappop(self.due)
+            self.now = max(self.now, when)
+            call(*args)
+            self.steps += 1
+            if self.steps % 64 == 0:
+                self.check()
+        self.now = end
+        self.check()
+
+    # --- gateways ----------------------------------------------------------------------------------------
+
+    def start(self, number: int) -> None:
+        """A gateway starts from nothing, with the list of the moment."""
+        self.incarnation[number] += 1
+        self.alive[number] = True
+        self.told[number] = {}
+        self.modules[number] = self.make(self.settings, self.rng.randrange(1 << 30))
+        self.tell(number, self.incarnation[number], api.ListKind.SAVED, list(self.nodes.values()))
+
+    def die(self, number: int, back_ms: float) -> None:
+        """It dies with all that it held, and comes back."""
+        if not self.alive[number]:
+            return
+        self.alive[number] = False
+        self.restarts += 1
+        for ref in [r for r, asked in self.asked.items() if asked.number == number]:
+            del self.asked[ref]  # its clients try again by themselves
+        self.at(back_ms, self.start, number)
+
+    def tell(self, number: int, incarnation: int, kind: api.ListKind, nodes: list[Node]) -> None:
+        """Discovery's word reaches a gateway."""
+        if not self.lives(number, incarnation):
+            return
+        entries = []
+        for node in nodes:
+            entries.append(api.ServerEntry(node.name, node.zone, 0, 1.0, node.started_ms, node.state))
+            if node.state is api.ServerState.ACTIVE:
+                self.told[number].pop(node.name, None)
+            else:
+                self.told[number].setdefault(node.name, self.now + GRACE_MS)
+        self.feed(number, incarnation, api.ServerList(kind, tuple(entries)))
+
+    def lives(self, number: int, incarnation: int) -> bool:
+        """Whether this life of the gateway goes on."""
+        return self.alive[number] and incarnation == self.incarnation[number]
+
+    def feed(self, number: int, incarnation: int, event: api.Event) -> None:
+        """One event for a module, and its actions."""
+        if not self.lives(number, incarnation):
+            return
+        now = self.now + self.skew[number]
+        actions = self.modules[number].handle(now, event)
+        if self.watch is not None:
+            self.watch(number, now, event, actions)
+        for action in actions:
+            self.perform(number, incarnation, action)
+
+    def perform(self, number: int, incarnation: int, action: api.Action) -> None:
+        """Carries out an action, as the core does."""
+        if isinstance(action, api.Send):
+            self.send(number, incarnation, action)
+        elif isinstance(action, api.Refuse | api.Fail):
+            asked = self.asked.get(action.request_id)
+            if asked is None:
+                raise BrokenRule("one answer", f"{action} for a request that is over")
+            if isinstance(action, api.Refuse) and (asked.may_have_run or asked.out):
+                raise BrokenRule("nothing twice", f"{action} after a try that may have run")
+            self.answered(asked)
+        elif isinstance(action, api.SetTimer):
+            delay = action.at_ms - self.skew[number] - self.now
+            self.at(delay, self.feed, number, incarnation, api.TimerFired(action.token))
+        elif isinstance(action, api.Count):
+            self.at(NET_MS, self.count, number, incarnation, action, self.now)
+
+    def count(self, number: int, incarnation: int, call: api.Count, began: float) -> None:
+        """A call reaches the counter."""
+        told = self.parts.call(self.now, f"g{number}", str(call.name), call.amount, call.ttl_ms)
+        if told is None or told[1] + 2 * NET_MS > COUNT_TIMEOUT_MS:
+            reply = api.CountReply(call.name, 0.0, api.Ending.TIMEOUT, COUNT_TIMEOUT_MS)
+            self.at(began + COUNT_TIMEOUT_MS - self.now, self.feed, number, incarnation, reply)
+        else:
+            took = told[1] + 2 * NET_MS
+            reply = api.CountReply(call.name, float(f"{told[0]:.7g}"), api.Ending.OK, took)
+            self.at(told[1] + NET_MS, self.feed, number, incarnation, reply)
+
+    def answered(self, asked: Asked) -> None:
+        """The one final answer."""
+        asked.answers += 1
+        if asked.answers > 1:
+            raise BrokenRule("one answer", f"{asked.ref} has {asked.answers}")
+        if self.now > asked.deadline + 1.0:
+            raise BrokenRule("one answer", f"{asked.ref}: {self.now - asked.deadline:.0f} ms late")
+        del self.asked[asked.ref]
+
+    # --- attempts ----------------------------------------------------------------------------------------
+
+    def send(self, number: int, incarnation: int, action: api.Send) -> None:
+        """An attempt starts, and the books say whether it may."""
+        asked = self.asked.get(action.request_id)
+        if asked is None:
+            raise BrokenRule("one answer", f"{action} for a request that is over")
+        attempt = asked.attempts
+        asked.attempts += 1
+        if asked.out:
+            raise BrokenRule("no overlap", f"attempt {attempt} of {asked.ref} beside {sorted(asked.out)}")
+        if attempt >= self.settings.max_attempts:
+            raise BrokenRule("attempts", f"attempt {attempt} of {asked.ref}")
+        stop = self.told[number].get(action.server)
+        if stop is not None and self.now > stop:
+            raise BrokenRule("drains", f"{asked.ref} to {action.server}, {self.now - stop:.0f} ms late")
+        if asked.may_have_run and asked.cls.repeat is api.Repeat.UNSAFE:
+            raise BrokenRule("nothing twice", f"unsafe {asked.ref} went out again after it may have run")
+        node = self.nodes.get(action.server)
+        if asked.may_have_run and asked.cls.repeat is api.Repeat.KEYED:
+            if asked.first_left is not None and self.now - asked.first_left > asked.cls.memory_ms:
+                raise BrokenRule("nothing twice", f"{asked.ref} went out again when its key was forgotten")
+            if asked.cls.scope is api.Scope.ZONE and node is not None and node.zone != asked.sent_zone:
+                raise BrokenRule("nothing twice", f"{asked.ref} went out again in another zone")
+        if attempt == 0:
+            self.sent.append((self.now, f"c-{asked.plan}", asked.plan, asked.units))
+        asked.out.add(attempt)
+        left = asked.deadline - MARGIN_MS - self.now
+        timeout = min(action.timeout_ms or left, left)
+        began = self.now
+        back = (number, incarnation, asked, attempt, action.server, began)
+        if node is None or not node.alive:
+            self.at(NET_MS, self.ended, *back, api.Ending.UNREACHABLE)
+            return
+        self.at(max(0.0, timeout), self.ended, *back, api.Ending.TIMEOUT)
+        self.at(NET_MS, self.arrive, node, back)
+
+    def arrive(self, node: Node, back: tuple[Any, ...]) -> None:
+        """A command comes to a node."""
+        asked, attempt = back[2], back[3]
+        if not node.alive:
+            self.at(NET_MS, self.ended, *back, api.Ending.UNREACHABLE)
+            return
+        if attempt in asked.out and asked.first_left is None:
+            asked.first_left, asked.sent_zone = back[5], node.zone
+        if self.now - node.started_ms < self.settings.safety.warm_ms:
+            node.recent = [at for at in node.recent if at > self.now - 1500.0] + [self.now]
+        if node.busy + len(node.queue) >= node.limit:
+            self.at(NET_MS, self.ended, *back, api.Ending.FULL)
+            return
+        node.queue.append(lambda: self.serve(node, back))
+        self.turn(node)
+
+    def turn(self, node: Node) -> None:
+        """Free slots take what waits."""
+        while node.alive and node.queue and node.busy < node.slots:
+            node.busy += 1
+            node.queue.pop(0)()
+
+    def serve(self, node: Node, back: tuple[Any, ...]) -> None:
+        """A command runs."""
+        asked = back[2]
+        group = "all" if asked.cls.scope is api.Scope.ALL else node.zone
+        if asked.cls.repeat is not api.Repeat.KEYED:
+            asked.ran += 1
+        elif self.now - self.keys.get((group, asked.key), -1e12) > asked.cls.memory_ms:
+            self.keys[group, asked.key] = self.now
+            asked.ran += 1
+        if asked.cls.repeat is not api.Repeat.SAFE and asked.ran > 1:
+            raise BrokenRule("nothing twice", f"{asked.ref} of class {asked.cls.name} ran {asked.ran} times")
+        warmth = min(1.0, 0.25 + 0.75 * (self.now - node.started_ms) / self.settings.safety.warm_ms)
+        took = self.rng.expovariate(1.0 / 25.0) * node.slow / warmth
+        self.at(took, self.served, node, back, self.rng.random())
+
+    def served(self, node: Node, back: tuple[Any, ...], luck: float) -> None:
+        """It is done; what the gateway hears of it."""
+        node.busy -= 1
+        if node.alive and not node.hung:
+            ending = api.Ending.OK
+            if luck < node.errors:
+                ending = api.Ending.ERROR
+            elif luck < node.errors + node.resets:
+                ending = api.Ending.RESET
+            self.at(NET_MS, self.ended, *back, ending)
+        self.turn(node)
+
+    def ended(
+        self, number: int, incarnation: int, asked: Asked, attempt: int, server: str, began: float,
+        ending: api.Ending,
+    ) -> None:  # fmt: skip
+        """An attempt's one ending, at the gateway."""
+        if attempt not in asked.out or not self.lives(number, incarnation):
+            return
+        asked.out.discard(attempt)
+        if ending in MAY_HAVE_RUN:
+            asked.may_have_run = True
+            if asked.first_left is None:
+                asked.first_left = began
+        final = ending is api.Ending.OK and asked.ref in self.asked
+        if final:
+            self.answered(asked)
+        done = asked.ref not in self.asked
+        event = api.AttemptEnded(asked.ref, attempt, server, ending, self.now - began, done)
+        self.feed(number, incarnation, event)
+
+    # --- clients -----------------------------------------------------------------------------------------
+
+    def ask(self, cls: str, plan: str, customer: str, units: float = 1.0) -> None:
+        """A client's request, at a gateway that lives."""
+        living = [number for number, alive in enumerate(self.alive) if alive]
+        if not living:
+            return
+        number = self.rng.choice(living)
+        kind = next(c for c in self.settings.classes if c.name == cls)
+        ref = str(next(self.serial))
+        deadline = self.now + DEADLINES[cls] * self.rng.choice((0.1, 0.5, 1.0, 1.0))
+        asked = Asked(ref, number, self.incarnation[number], kind, plan, deadline, ref, units=units)
+        self.asked[ref] = asked
+        left = deadline - self.now
+        event = api.Request(ref, cls, plan, customer, left, units, self.settings.gateways)
+        self.feed(number, self.incarnation[number], event)
+        if ref in self.asked and self.rng.random() < 0.02:
+            self.at(self.rng.uniform(1.0, 300.0), self.leave, asked)
+
+    def leave(self, asked: Asked) -> None:
+        """The client has gone; no answer is owed."""
+        if self.asked.pop(asked.ref, None) is not None:
+            self.feed(asked.number, asked.incarnation, api.RequestGone(asked.ref))
+
+    def load(self, ms: float, rate: float) -> None:
+        """A mixed load of ordinary customers."""
+        at = 0.0
+        while (at := at + self.rng.expovariate(rate / 1000.0)) < ms:
+            cls = self.rng.choice(("read", "read", "read", "order", "bid", "charge"))
+            plan = self.rng.choice(("small", "small", "open"))
+            self.at(at, self.ask, cls, plan, f"{plan}{self.rng.randrange(30)}")
+
+    def flood(self, ms: float, rate: float, plan: str = "hard") -> None:
+        """One account asks far past its quota."""
+        at = 0.0
+        while (at := at + self.rng.expovariate(rate / 1000.0)) < ms:
+            self.at(at, self.ask, "read", plan, f"c-{plan}")
+
+    # --- the books ---------------------------------------------------------------------------------------
+
+    def check(self) -> None:
+        """What must hold at every step."""
+        self.checks += 1
+        for asked in self.asked.values():
+            if self.lives(asked.number, asked.incarnation) and self.now > asked.deadline + 300.0:
+                late = self.now - asked.deadline
+                raise BrokenRule("one answer", f"{asked.ref} has none, {late:.0f} ms late")
+        for number, module in enumerate(self.modules):
+            if not self.alive[number]:
+                continue
+            out: dict[str, int] = {}
+            for attempt in module.attempts.values():
+                if attempt.opened.customer is not None:
+                    key = attempt.opened.customer.key
+                    out[key] = out.get(key, 0) + 1
+            for key, customer in module.quota.customers.items():
+                if customer.open != out.get(key, 0):
+                    raise BrokenRule("open counts", f"{key}: {customer.open} booked, {out.get(key, 0)} out")
+                if customer.store > customer.plan.burst + 1e-6 or customer.part < -1e-6:
+                    raise BrokenRule("stores", f"{key}: store {customer.store}, part {customer.part}")
+        self.check_ceiling()
+
+    def check_ceiling(self) -> None:
+        """The ceiling of the flooded account, by what was sent on first."""
+        plan = self.settings.plans[1]
+        level, last = plan.ceiling_burst, None
+        most = plan.ceiling_slack + plan.ceiling_rate * 0.15
+        fresh = (plan.ceiling_burst - plan.burst) / 2.0 + plan.ceiling_slack
+        most += self.restarts * fresh / self.settings.gateways
+        for at, _, name, units in self.sent:
+            if name == plan.name:
+                filled = 0.0 if last is None else plan.ceiling_rate * (at - last) / 1000.0
+                level, last = min(plan.ceiling_burst, level + filled) - units, at
+                if level < -most:
+                    raise BrokenRule("ceilings", f"{-level:.1f} units past, {most:.1f} allowed")
