--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -10,7 +10,8 @@
 import statistics
 import sys
 import tempfile
-from collections.abc import Sequence
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import uvloop
@@ -52,46 +53,40 @@
     return (int(fields[11]) + int(fields[12])) / 100.0
 
 
+@asynccontextmanager
+async def serving(site: LabSite, operator: str | None) -> AsyncIterator[GatewayProcess]:
+    """A gateway that is ready, with fifty plans."""
+    with tempfile.TemporaryDirectory() as folder:
+        gateway = GatewayProcess(Path(folder), site.platform({**SETTINGS, "packages": MANY}), operator)
+        gateway.start()
+        try:
+            await gateway.ready()
+            yield gateway
+        finally:
+            gateway.signal(signal.SIGKILL)
+            if gateway.process is not None:
+                gateway.process.wait()
+
+
 async def cost(operator: str | None, seconds: float, seed: int) -> float:
     """Microseconds of the gateway's processor for each request."""
-    nodes = [Node(f"n{i}", TRADE) for i in range(4)]
-    settings = {**SETTINGS, "packages": MANY}
-    async with LabSite(nodes) as site:
-        with tempfile.TemporaryDirectory() as folder:
-            gateway = GatewayProcess(Path(folder), site.platform(settings), operator)
-            gateway.start()
-            try:
-                await gateway.ready()
-                assert gateway.process is not None
-                load = Load(lambda: gateway.port, KINDS, accounts(), RATE, seed)
-                before = cpu(gateway.process.pid)
-                await load.run(seconds)
-                used = cpu(gateway.process.pid) - before
-            finally:
-                gateway.signal(signal.SIGKILL)
-                if gateway.process is not None:
-                    gateway.process.wait()
+    async with LabSite([Node(f"n{i}", TRADE) for i in range(4)]) as site, serving(site, operator) as gateway:
+        assert gateway.process is not None
+        load = Load(lambda: gateway.port, KINDS, accounts(), RATE, seed)
+        before = cpu(gateway.process.pid)
+        await load.run(seconds)
+        used = cpu(gateway.process.pid) - before
     assert all(outcome.answer == "served" for outcome in load.outcomes)
     return 1e6 * used / len(load.outcomes)
 
 
 async def buried(operator: str | None, seconds: float) -> tuple[int, int]:
     """Requests and attempts at a fleet that fails wholly."""
-    faults: Sequence[Fault] = [Fault(Kind.RESET, 0.0, 1e9)]
+    faults = [Fault(Kind.RESET, 0.0, 1e9)]
     nodes = [Node(f"n{i}", TRADE, Script(faults, i)) for i in range(4)]
-    settings = {**SETTINGS, "packages": MANY}
-    async with LabSite(nodes) as site:
-        with tempfile.TemporaryDirectory() as folder:
-            gateway = GatewayProcess(Path(folder), site.platform(settings), operator)
-            gateway.start()
-            try:
-                await gateway.ready()
-                load = Load(lambda: gateway.port, KINDS[:1], accounts(), RATE / 2, 5)
-                await load.run(seconds)
-            finally:
-                gateway.signal(signal.SIGKILL)
-                if gateway.process is not None:
-                    gateway.process.wait()
+    async with LabSite(nodes) as site, serving(site, operator) as gateway:
+        load = Load(lambda: gateway.port, KINDS[:1], accounts(), RATE / 2, 5)
+        await load.run(seconds)
     return len(load.outcomes), sum(node.received for node in nodes)
 
 
