--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -199,7 +199,8 @@
 
 
 def test_past_the_limit_those_that_never_asked_make_room_first(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(places_module, "IDLE_S", 1000.0)  # room is made at need only
+    monkeypatch.setattr(places_module, "IDLE_S", 1000.0)  # room is made at need only ...
+    monkeypatch.setattr(places_module, "CHECK_S", (1000.0, 1000.0))  # ... and by no sweep before that
 
     async def scenario() -> None:
         async with site(always(SERVED), decisions=Script(send_to("s0"))) as one:
@@ -208,7 +209,7 @@
             assert await asked.ask(b"CALL.GET", CUSTOMER, b"1", GET) == b"value"
             silent = await one.client()
             await until(lambda: len(one.program.listener.clients) == 2)
-            await asyncio.sleep(FIRST_COMMAND_S)
+            await asyncio.sleep(2.0 * FIRST_COMMAND_S)  # clearly past: the loop's clock is coarse
             pinging = await one.client()
             assert await pinging.ask(b"PING") == b"PONG"
             assert await silent.ended()
