External processor: proxies ask for each request and each attempt (ext_proc v3)

Installations that already run a proxy want the gateway's decisions without its forwarding. A request's attempts are now made by its carrier, which for a proxy's request is an entry of a bounded table: the core and the module see the same events as inline. Streams of the client's side are admitted, refused or sent on with the chosen node; streams of the node's side ask for each attempt. A signed token tells a fresh process what it can't know. The rate limit service asks the same quotas. Off unless the operator's file names it.

--- a/glenchute/backends/resp2.py
+++ b/glenchute/backends/resp2.py
@@ -367,6 +367,18 @@
         pool.idle.pop(0).abort()
         return True
 
+    def open_pool(self, server: str) -> Pool | None:
+        """The pool of a server that takes work, or has until its drain's grace ends."""
+        pool = self.pools.get(server)
+        if pool is None or (pool.stop_at is not None and self.loop.time() > pool.stop_at):
+            return None
+        return pool
+
+    def address(self, server: str) -> Address | None:
+        """Where it listens; None if it takes nothing (any more)."""
+        pool = self.open_pool(server)
+        return pool.address if pool is not None else None
+
     def attempt(
         self,
         server: str,
@@ -376,10 +388,8 @@
         write_by: float = math.inf,
     ) -> Attempt | None:
         """Makes an attempt, not started yet; None if the server takes nothing (any more)."""
-        pool = self.pools.get(server)
-        if pool is None or (pool.stop_at is not None and self.loop.time() > pool.stop_at):
-            return None
-        return Attempt(pool, payload, timeout_s, done, write_by)
+        pool = self.open_pool(server)
+        return Attempt(pool, payload, timeout_s, done, write_by) if pool is not None else None
 
     def sweep(self) -> None:
         """Closes what has stood idle before the server does, and forgets pools that have emptied."""
--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from glenchute.capture.recorder import Recorder
     from glenchute.config.operator import Operator
+    from glenchute.fronts.extproc.server import Server as ExtProc
 
 OPERATOR = "GLENCHUTE_OPERATOR"  # the variable that names the operator's file
 LIST_WAIT_S = 0.3  # a start waits this long for the list of the day before it serves by the saved one
@@ -80,6 +81,9 @@
         if operator is not None:
             self.bind(operator)
         self.listener = Listener(loop, self.gateway, Catalogue(made, config.bounds), config.sockets)
+        self.extproc: ExtProc | None = None
+        if operator is not None and operator.fronts and "extproc" in operator.fronts:
+            self.extproc = self.processing(operator.fronts["extproc"])
         self.discovery = Discovery(loop, config.discovery, self.gateway.news)
         self.stopping = asyncio.Event()
 
@@ -97,6 +101,14 @@
         )
         return Recorder(decisions, self.config.settings, self.config.seed, rule, self.loop.time)
 
+    def processing(self, raw: dict[str, Any]) -> ExtProc:
+        """The front for proxies; imported, with its libraries, only where the operator's file names it."""
+        try:
+            from glenchute.fronts.extproc.start import front
+        except ImportError as error:
+            raise ConfigError(f"fronts.extproc needs glenchute[extproc]: {error}") from None
+        return front(raw, self.config, self.loop, self.gateway)
+
     def bind(self, operator: Operator) -> None:
         """The operator's routes hold for requests from now on; those that are open keep theirs."""
         from glenchute.deciders.routes import Routes
@@ -131,6 +143,8 @@
         # The saved list may be old: a moment is given for today's, but no start hangs on discovery.
         await wait(self.discovery.first, LIST_WAIT_S)
         await self.listener.start(*self.config.listen)
+        if self.extproc is not None:
+            await self.extproc.start()
 
     def reload(self) -> None:
         """Reads the configuration again. Its addresses are followed; the rest holds until a restart. The
@@ -160,10 +174,16 @@
     async def leave(self) -> None:
         """A planned end: takes what still comes, finishes what is held, and is gone before the kill."""
         began = self.loop.time()
+        proxies = None
+        if self.extproc is not None:
+            # GOAWAY at once: a proxy opens its next stream elsewhere, and what is open is served to its end.
+            proxies = self.loop.create_task(self.extproc.stop(LEAVE_S))
         await asyncio.sleep(ACCEPT_S)
         self.listener.stop()
         while self.listener.clients and self.loop.time() - began < LEAVE_S:
             await asyncio.sleep(0.02)
+        if proxies is not None:
+            await proxies
         self.gateway.close_all()
         await asyncio.sleep(LINGER_S)  # for the last replies to leave
         await self.close()
@@ -171,6 +191,8 @@
     async def close(self) -> None:
         """Closes all sockets."""
         self.listener.close()
+        if self.extproc is not None:
+            await self.extproc.stop(0.0)
         self.discovery.close()
         if self.counter is not None:
             self.counter.close()
@@ -227,6 +249,9 @@
         return 2
     try:
         uvloop.run(serve(config, environ, operator, hangups))
+    except ConfigError as error:
+        print(f"glenchute: {error}", file=sys.stderr)
+        return 2
     except OSError as error:
         print(f"glenchute: can't start: {error}", file=sys.stderr)
         return 1
--- /dev/null
+++ b/glenchute/config/fronts.py
@@ -0,0 +1,50 @@
+"""The shape of the operator's file where it names fronts. What it means is checked in a module of its own
+(`extproc.py`), which is imported only for a file that names that front."""
+
+from __future__ import annotations
+
+from .schema import Number, Rows, Switch, Table, Word, Words
+
+MOST_OPERATIONS = 500
+SOURCE = Word("[a-z]{4,10}:[^\\x00-\\x1f]{0,200}", "a source, as header:x-account")
+FILE = Word("[^\\x00-\\x1f]{1,400}", "the path of a file")
+HEADER = Word("[!#$%&'*+.^_`|~0-9a-z-]{1,100}", "the name of a header in small letters")
+NAMED = Word("[^\\x00-\\x1f]{1,100}", "a name")
+MAP = Table(
+    {
+        "class": SOURCE, "account": SOURCE, "plan": SOURCE, "units": SOURCE, "spread": SOURCE, "id": SOURCE,
+        "key": SOURCE, "deadline_ms": SOURCE,
+    },
+    ("account", "plan"),
+)  # fmt: skip
+OPERATION = Table(
+    {
+        "class": NAMED,
+        "method": Word("[A-Z]{1,20}", "a method in capitals"),
+        "path": Word("/[^\\x00-\\x20?#]{0,199}", "a path template, as /v1/checks/{account}"),
+    },
+    ("class", "path"),
+)
+EXTPROC = Table(
+    {
+        "listen": Word(
+            r"(127\.[0-9]{1,3}\.[0-9]{1,3}\.[0-9]{1,3}|localhost|\[::1\]):[0-9]{1,5}|unix:/[^\x00-\x1f]{1,100}",
+            "a loopback address with its port, or unix: and the path of a socket",
+        ),
+        "token_key_file": FILE,
+        "most_calls": Number(1, 1_000_000, whole=True),
+        "most_streams": Number(1, 1_000_000, whole=True),
+        "reopen_ms": Number(0, 10_000),
+        "attempt_streams": Switch(),
+        "endpoint_header": HEADER,
+        "load_header": HEADER,
+        "full_status": Number(0, 599, whole=True),
+        "restart_open": Words(),
+        "tls": Table({"certificate": FILE, "key": FILE, "client_ca": FILE}, ("certificate", "key")),
+        "map": MAP,
+        "operation": Rows(OPERATION, MOST_OPERATIONS),
+        "ratelimit": Table({"domain": NAMED, "map": MAP}, ("domain", "map")),
+    },
+    ("listen", "map"),
+)
+FRONTS = Table({"extproc": EXTPROC})
--- a/glenchute/config/operator.py
+++ b/glenchute/config/operator.py
@@ -17,6 +17,7 @@
 
 from .facts import Facts
 from .findings import Finding, fatal, ordered
+from .fronts import FRONTS
 from .rules import violations
 from .schema import MISSING, Number, Path, Rows, Table, Word, Words, label
 
@@ -59,6 +60,7 @@
     {
         "defaults": Table(BOUNDS),
         "capture": CAPTURE,
+        "fronts": FRONTS,
         "route": Rows(Table({"name": NAME, "match": MATCH, **BOUNDS}, ("name", "match")), MOST_ROUTES),
     }
 )
@@ -90,6 +92,7 @@
     table: dict[tuple[str, str], Route]
     routes: tuple[Matched, ...] = ()
     capture: dict[str, Any] | None = None
+    fronts: dict[str, Any] | None = None
 
 
 class Reading(NamedTuple):
@@ -191,6 +194,11 @@
 
 def build(good: dict[str, Any], facts: Facts | None, faults: Faults) -> Operator:
     """Routes from the checked values, and the rules between and about them."""
+    fronts = good.get("fronts", {})
+    if "extproc" in fronts:
+        from .extproc import check  # only for a file that names this front
+
+        check(fronts["extproc"], facts, faults)
     base = bounds_of("defaults", good["defaults"]) if "defaults" in good else None
     if base is not None:
         own_sense(good["defaults"], ("defaults",), faults)
@@ -214,7 +222,7 @@
         routes.append(Matched(at, bounds_of(name, row, base), *found))
     if facts is None:
         equal_ranks(routes, None, faults)
-        return Operator({}, tuple(routes), good.get("capture"))
+        return Operator({}, tuple(routes), good.get("capture"), fronts)
     known = True
     for one in routes:
         for key, given, there in (("class", one.classes, facts.classes), ("plan", one.plans, facts.plans)):
@@ -226,7 +234,7 @@
                            )  # fmt: skip
     if known:
         equal_ranks(routes, facts, faults)
-    return Operator(resolved(routes, base, facts, faults), tuple(routes), good.get("capture"))
+    return Operator(resolved(routes, base, facts, faults), tuple(routes), good.get("capture"), fronts)
 
 
 def own_sense(raw: dict[str, Any], path: Path, faults: Faults) -> None:
--- a/glenchute/config/schema.py
+++ b/glenchute/config/schema.py
@@ -68,6 +68,19 @@
         return {"type": "integer" if self.whole else "number", lower: self.least, "maximum": self.most}
 
 
+class Switch(Kind):
+    """true or false."""
+
+    def check(self, value: Any, path: Path, report: Report) -> Any:
+        if not isinstance(value, bool):
+            report("wrong-type", path, f"is {named(value)}; write true or false")
+            return MISSING
+        return value
+
+    def schema(self) -> dict[str, Any]:
+        return {"type": "boolean"}
+
+
 class Word(Kind):
     """A string of a form."""
 
--- a/glenchute/core/gateway.py
+++ b/glenchute/core/gateway.py
@@ -248,7 +248,8 @@
             write_by = math.inf
             if action.write_by_ms > 0:
                 write_by = self.loop.time() + (action.write_by_ms - self.clock.now()) / 1000.0
-            attempt = self.servers.attempt(server, live.call.encode, wait, done, write_by)
+            carrier = live.call.carrier or self.servers
+            attempt = carrier.attempt(server, live.call.encode, wait, done, write_by)
         if attempt is None:
             ending = api.Ending.UNREACHABLE if wait > 0 else api.Ending.UNSENT
             again = self.next_after(live, ending)
@@ -281,7 +282,7 @@
             self.answer(live.ref, Served(result.value))
         queue, active = report(result.report)
         final = live.ref not in self.live
-        again = 0.0 if final else self.next_after(live, result.ending)
+        again = math.inf if result.last else 0.0 if final else self.next_after(live, result.ending)
         self.post(
             api.AttemptEnded(live.ref, number, server, result.ending, took_ms, final, queue, active, again)
         )
--- a/glenchute/core/types.py
+++ b/glenchute/core/types.py
@@ -27,6 +27,11 @@
         """The bytes for a server, told that the gateway will wait so long."""
         raise NotImplementedError
 
+    @property
+    def carrier(self) -> Carrier | None:
+        """Who makes this request's attempts in place of the gateway's own backend: the proxy it came from."""
+        return None
+
 
 @dataclass(frozen=True, slots=True)
 class Served:
@@ -52,12 +57,14 @@
 
 @dataclass(slots=True)
 class Result:
-    """How an attempt ended; `sound` where the connection can be used again."""
+    """How an attempt ended; `sound` where the connection can be used again, `last` where whoever carries the
+    attempts makes no further one."""
 
     ending: Ending
     value: bytes | None = None
     report: bytes | None = None
     sound: bool = False
+    last: bool = False
 
 
 @dataclass(slots=True)
@@ -88,7 +95,22 @@
         """Ends it early. `done` is called once the connection is closed."""
 
 
-class Backend(Protocol):
+class Carrier(Protocol):
+    """Makes attempts."""
+
+    def attempt(
+        self,
+        server: str,
+        payload: Callable[[int], bytes],
+        timeout_s: float,
+        done: Callable[[Result], None],
+        write_by: float,
+    ) -> Attempt | None:
+        """Makes an attempt, not started yet; None if the server takes nothing (any more). Not a byte of it
+        leaves after `write_by`, the loop's time: it then ends as "could not connect"."""
+
+
+class Backend(Carrier, Protocol):
     """The servers, by their ids."""
 
     def listed(self, server: str, address: Address, started_anew: bool) -> None:
@@ -103,16 +125,8 @@
     def known(self) -> list[str]:
         """All that are listed or drain."""
 
-    def attempt(
-        self,
-        server: str,
-        payload: Callable[[int], bytes],
-        timeout_s: float,
-        done: Callable[[Result], None],
-        write_by: float,
-    ) -> Attempt | None:
-        """Makes an attempt, not started yet; None if the server takes nothing (any more). Not a byte of it
-        leaves after `write_by`, the loop's time: it then ends as "could not connect"."""
+    def address(self, server: str) -> Address | None:
+        """Where it listens; None if it takes nothing (any more)."""
 
 
 class Counting(Protocol):
--- /dev/null
+++ b/glenchute/deciders/exchange.py
@@ -0,0 +1,116 @@
+"""What an external processor decides besides the module: pure functions of what a proxy told.
+
+The module chooses server, retry and refusal. Left for here: what a proxy's response means as an attempt's
+ending, whether an attempt of an earlier process may go on, whether an attempt that asks may go now, and what
+the client is shown at the end. No I/O, no clock; the tables are in docs/design/extproc.md.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from enum import Enum
+
+from heathglade.interface import Ending, Repeat
+
+# Response code details of a proxy's own replies, as Envoy's page "Response code details" lists them. Only
+# these prove that no byte reached a node; every other one, and any of tomorrow's, counts as "may have run".
+UNSENT_DETAILS = re.compile(
+    r"no_healthy_upstream|cluster_not_found|route_not_found|no_cluster|maintenance_mode|"
+    r"upstream_reset_before_response_started\{(?:connection_failure|remote_connection_failure|"
+    r"local_connection_failure|connection_timeout|overflow)\b"
+)
+TIMEOUT_DETAILS = re.compile(r"(?:upstream_)?(?:response_timeout|per_try_timeout)|upstream_per_try_timeout")
+CALLED_OFF = re.compile(r"downstream_remote_disconnect|downstream_local_disconnect")
+
+
+def ending(status: int, details: str, full_status: int) -> Ending:
+    """An attempt's ending from what the proxy saw: the status of the response (0: none), and the response
+    code details where the proxy sends that attribute. `full_status`: the status by which nodes turn a
+    request away unseen, 0 if they have none."""
+    if details.startswith("via_upstream") or not details:
+        pass
+    elif UNSENT_DETAILS.match(details):
+        return Ending.UNREACHABLE
+    elif TIMEOUT_DETAILS.match(details):
+        return Ending.TIMEOUT
+    elif CALLED_OFF.match(details):
+        return Ending.CANCELLED
+    elif details.startswith("upstream_reset"):
+        return Ending.RESET
+    if full_status and status == full_status:
+        return Ending.FULL
+    if 200 <= status < 500:
+        return Ending.OK
+    if status == 504 and not details:
+        return Ending.TIMEOUT  # a proxy that says no more
+    return Ending.ERROR if status else Ending.RESET
+
+
+def may_follow(repeat: Repeat, open_after_restart: bool, age_ms: float, memory_ms: float) -> bool:
+    """Whether a request that another process decided on `age_ms` ago may be sent, though nobody here knows
+    whether it was sent before. An unsafe one never; a keyed one while the nodes drop repeats, by the age of
+    its first decision, which is before its first sending; where the operator has the class closed, none. An
+    age below zero is another clock's or a forgery, and proves nothing."""
+    if not open_after_restart or repeat is Repeat.UNSAFE or age_ms < 0.0:
+        return False
+    return repeat is Repeat.SAFE or age_ms < memory_ms - 5.0
+
+
+class Gate(Enum):
+    """What an attempt that asks is told."""
+
+    PASS = "pass"
+    HOLD = "hold"  # until what it waits for has happened; each such wait ends at the deadline
+    OVER = "over"  # the request has its final answer
+    NODE = "node"  # goes to another node than the chosen one
+    LATE = "late"  # the chosen node takes nothing any more, or repeats are no longer dropped
+
+
+@dataclass(frozen=True, slots=True)
+class Asking:
+    """What is known where an attempt asks."""
+
+    final: bool  # the request has its final answer
+    offered: bool  # the module has chosen, and this choice has not been used
+    others_open: bool  # an earlier attempt's stream is open: its connection may be
+    going_to: str  # the node's address as the proxy tells it, "" if it does not
+    chosen: str  # the chosen node's address
+    takes_work: bool  # the node's, by the list and its drain
+    in_time: bool  # before the moment after which no byte may leave
+
+
+def gate(asking: Asking) -> Gate:
+    """Whether the attempt may go. Where it may not, no byte of it has left and none will."""
+    if asking.final:
+        return Gate.OVER
+    if not asking.offered or asking.others_open:
+        return Gate.HOLD
+    if not asking.takes_work or not asking.in_time:
+        return Gate.LATE
+    if asking.going_to and asking.going_to != asking.chosen:
+        return Gate.NODE
+    return Gate.PASS
+
+
+class Show(Enum):
+    """What becomes of the response that a proxy is about to give its client."""
+
+    THROUGH = "through"  # as it is
+    REFUSAL = "refusal"  # replaced by a refusal, which promises that nothing ran
+    UNKNOWN = "unknown"  # replaced by a failure without a promise
+
+
+PROMISES = (429, 503)  # statuses that clients take for "not done, come again"
+
+
+def show(outcome: str, may_have_run: bool, status: int) -> Show:
+    """`outcome` is "served", "refused", "failed", or "" where the proxy answers by itself. What may have run
+    must not leave with a status that clients read as a promise that it did not."""
+    if outcome == "served":
+        return Show.THROUGH
+    if outcome == "refused":
+        return Show.REFUSAL
+    if outcome == "failed" or may_have_run:
+        return Show.UNKNOWN if status in PROMISES or status < 400 else Show.THROUGH
+    return Show.THROUGH
--- /dev/null
+++ b/glenchute/deciders/mapping.py
@@ -0,0 +1,269 @@
+"""What of a proxy's request is which field of a call: rules of the operator's file, applied without I/O.
+
+A source is written as text: `header:x-account`, `query:units`, `path:account` (a variable of the operation's
+path template), `metadata:namespace/key` (the proxy's filter metadata), `json:/order/id` (a pointer into a
+buffered JSON body, RFC 6901), `descriptor:account` (rate limit calls only) or `value:basic`.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qsl, unquote
+
+MOST_VALUE = 512  # bytes of one field
+MOST_PATH = 8192
+SOURCE = re.compile(
+    r"header:[!#$%&'*+.^_`|~0-9a-z-]{1,100}|query:[^&=#\s]{1,100}|path:[a-z_][a-z_0-9]{0,40}|"
+    r"metadata:[^/\s]{1,100}/[^\s]{1,100}|json:(?:/[^/]*){1,16}|descriptor:[!-~]{1,100}|value:.{0,100}"
+)
+SEGMENT = re.compile(r"\{([a-z_][a-z_0-9]{0,40})(=\*\*)?\}")
+FIELDS = ("class", "account", "plan", "units", "spread", "id", "key", "deadline_ms")
+CUSTOMER = re.compile(r"[0-9a-fA-F]{16}")
+MOST_CUSTOMER = 1 << 33
+WORD = re.compile(r"[!-~]{1,128}")
+DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,9})?")
+WHOLE = re.compile(r"[0-9]{1,6}")
+
+
+class MappingError(ValueError):
+    """A request that the rules can't read: a stable word, and the status for the client."""
+
+    def __init__(self, reason: str, status: int = 400) -> None:
+        super().__init__(reason)
+        self.reason, self.status = reason, status
+
+
+class NeedsBody(Exception):  # noqa: N818
+    """A field lies in the body, which has not come yet."""
+
+
+@dataclass(frozen=True, slots=True)
+class Template:
+    """A path template: literals, `{name}` for one segment, and `{name=**}` at the end for the rest."""
+
+    text: str
+    parts: tuple[tuple[str, str], ...]  # ("=", literal), ("1", name) or ("*", name)
+
+    @classmethod
+    def parse(cls, text: str) -> Template:
+        """Raises ValueError with the reason."""
+        if not text.startswith("/") or len(text) > 200:
+            raise ValueError("begins with / and has at most 200 characters")
+        parts: list[tuple[str, str]] = []
+        for segment in text[1:].split("/"):
+            found = SEGMENT.fullmatch(segment)
+            if found is None and ("{" in segment or "}" in segment):
+                raise ValueError("has a variable that is not {name} or {name=**}")
+            if parts and parts[-1][0] == "*":
+                raise ValueError("has {name=**} before its end")
+            parts.append(("=", segment) if found is None else ("*" if found[2] else "1", found[1]))
+        names = [name for kind, name in parts if kind != "="]
+        if len(set(names)) != len(names):
+            raise ValueError("names a variable twice")
+        return cls(text, tuple(parts))
+
+    @property
+    def rank(self) -> tuple[int, ...]:
+        """Which of two that match counts: literals before variables before the rest, from the left."""
+        return tuple("=1*".index(kind) for kind, _ in self.parts)
+
+    @property
+    def shape(self) -> tuple[tuple[str, str], ...]:
+        """Equal for two that match the same paths."""
+        return tuple((kind, name if kind == "=" else "") for kind, name in self.parts)
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Its variables."""
+        return tuple(name for kind, name in self.parts if kind != "=")
+
+    def match(self, segments: list[str]) -> dict[str, str] | None:
+        """The variables, if the path is of this form."""
+        found: dict[str, str] = {}
+        for at, (kind, name) in enumerate(self.parts):
+            if kind == "*":
+                found[name] = "/".join(segments[at:])
+                return found
+            if at >= len(segments):
+                return None
+            if kind == "=":
+                if segments[at] != name:
+                    return None
+            elif segments[at]:
+                found[name] = segments[at]
+            else:
+                return None
+        return found if len(segments) == len(self.parts) else None
+
+
+@dataclass(frozen=True, slots=True)
+class Operation:
+    """Requests of one method and form of path, and their class."""
+
+    class_name: str
+    method: str  # "" for any
+    template: Template
+
+
+@dataclass(slots=True)
+class View:
+    """What a proxy tells of one request. Names of headers are in small letters."""
+
+    headers: Mapping[str, list[bytes]]
+    metadata: Mapping[str, Any] = field(default_factory=dict)
+    descriptors: Mapping[str, str] = field(default_factory=dict)
+    body: bytes | None = None  # whole, or None while it has not come
+    variables: Mapping[str, str] = field(default_factory=dict)
+
+    def header(self, name: str) -> str | None:
+        """The one value of a header. Of two values each of both sides could take another."""
+        values = self.headers.get(name)
+        if not values:
+            return None
+        if len(values) > 1:
+            raise MappingError(f"repeated-{name}"[:60])
+        if len(values[0]) > (MOST_PATH if name == ":path" else MOST_VALUE):
+            raise MappingError(f"long-{name}"[:60], 431)
+        try:
+            return values[0].decode("ascii")
+        except UnicodeDecodeError:
+            raise MappingError(f"binary-{name}"[:60]) from None
+
+
+@dataclass(frozen=True, slots=True)
+class Fields:
+    """A call as the rules read it."""
+
+    class_name: str
+    plan: str
+    account: str
+    units: float
+    spread: int
+    request_id: str  # "" where the proxy gave none
+    key: str
+    deadline_ms: float  # 0 where it gave none
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """The mapping of one front. `sources` by field; `keyed` are the classes that need a key."""
+
+    sources: Mapping[str, str]
+    operations: tuple[Operation, ...]
+    classes: Mapping[str, bool]  # name: whether it is keyed
+    plans: tuple[str, ...]
+    gateways: int
+    most_units: float = 1e6
+
+    def fields(self, view: View) -> Fields:
+        """The fields of one request; raises MappingError, or NeedsBody where the body must come first."""
+        path = view.header(":path") or "/"
+        if "path" not in view.variables and self.operations:
+            operation, view.variables = self.operation(view, path)
+            named = operation.class_name if operation else ""
+        else:
+            named = ""
+        name = named or self.text(view, "class", path)
+        if name not in self.classes:
+            raise MappingError("unknown-class", 404 if self.operations else 400)
+        plan = self.text(view, "plan", path)
+        if plan not in self.plans:
+            raise MappingError("unknown-plan")
+        account = self.text(view, "account", path)
+        if CUSTOMER.fullmatch(account) is None or int(account, 16) >= MOST_CUSTOMER:
+            raise MappingError("bad-account")
+        key = self.text(view, "key", path)
+        if (key or self.classes[name]) and WORD.fullmatch(key) is None:
+            raise MappingError("no-key" if not key else "bad-key")
+        request_id = self.text(view, "id", path)
+        if request_id and WORD.fullmatch(request_id) is None:
+            raise MappingError("bad-id")
+        units = self.number(view, "units", path, 1.0)
+        if not 0.0 < units <= self.most_units:
+            raise MappingError("bad-units")
+        spread = self.text(view, "spread", path) or str(self.gateways)
+        if WHOLE.fullmatch(spread) is None or not 1 <= int(spread) <= self.gateways:
+            raise MappingError("bad-spread")
+        deadline = self.number(view, "deadline_ms", path, 0.0)
+        return Fields(name, plan, account.lower(), units, int(spread), request_id, key, deadline)
+
+    def operation(self, view: View, path: str) -> tuple[Operation | None, dict[str, str]]:
+        """The operation that matches, the most literal one, with its variables decoded."""
+        method = view.header(":method") or ""
+        segments = path.partition("?")[0][1:].split("/")
+        best: tuple[Operation, dict[str, str]] | None = None
+        for one in self.operations:
+            if one.method and one.method != method:
+                continue
+            found = one.template.match(segments)
+            if found is not None and (best is None or one.template.rank < best[0].template.rank):
+                best = one, {name: unquote(value) for name, value in found.items()}
+        return best or (None, {})
+
+    def number(self, view: View, name: str, path: str, default: float) -> float:
+        """A number that is not negative."""
+        text = self.text(view, name, path)
+        if not text:
+            return default
+        if DECIMAL.fullmatch(text) is None:
+            raise MappingError(f"bad-{name}")
+        return float(text)
+
+    def text(self, view: View, name: str, path: str) -> str:
+        """A field's text, "" where its source has nothing."""
+        kind, _, where = self.sources.get(name, "value:").partition(":")
+        found: Any = None
+        match kind:
+            case "header":
+                found = view.header(where)
+            case "path":
+                found = view.variables.get(where)
+            case "value":
+                found = where
+            case "descriptor":
+                found = view.descriptors.get(where)
+            case "query":
+                pairs = parse_qsl(path.partition("?")[2], max_num_fields=None, keep_blank_values=True)
+                values = [value for key, value in pairs if key == where]
+                if len(values) > 1:
+                    raise MappingError(f"repeated-{where}"[:60])
+                found = values[0] if values else None
+            case "metadata":
+                space, _, key = where.partition("/")
+                inner = view.metadata.get(space)
+                found = inner.get(key) if isinstance(inner, Mapping) else None
+            case "json":
+                found = self.pointed(view, where)
+        if found is None:
+            return ""
+        if isinstance(found, float) and found.is_integer():
+            found = int(found)  # numbers of protobuf's Struct are all doubles
+        if isinstance(found, bool) or not isinstance(found, str | int | float):
+            raise MappingError(f"bad-{name}")
+        text = str(found)
+        if len(text) > MOST_VALUE:
+            raise MappingError(f"long-{name}", 431)
+        return text
+
+    @staticmethod
+    def pointed(view: View, pointer: str) -> Any:
+        """What a JSON pointer finds in the body."""
+        if view.body is None:
+            raise NeedsBody
+        try:
+            at: Any = json.loads(view.body)
+        except (ValueError, RecursionError):
+            raise MappingError("body-not-json") from None
+        for step in pointer[1:].split("/"):
+            step = step.replace("~1", "/").replace("~0", "~")
+            if isinstance(at, dict):
+                at = at.get(step)
+            elif isinstance(at, list) and WHOLE.fullmatch(step) and int(step) < len(at):
+                at = at[int(step)]
+            else:
+                return None
+        return at
--- /dev/null
+++ b/glenchute/fronts/extproc/__init__.py
@@ -0,0 +1,1 @@
+"""The external processor: proxies ask for each request. Needs the extra `extproc`."""
--- /dev/null
+++ b/glenchute/fronts/extproc/events.py
@@ -0,0 +1,81 @@
+"""What a proxy says on a stream and is told on it. `messages.py` makes protobufs of these and back."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+
+@dataclass(slots=True)
+class RequestHeaders:
+    """A request's headers, names in small letters; `end` where no body follows."""
+
+    headers: dict[str, list[bytes]]
+    end: bool = True
+    attributes: Mapping[str, Any] = field(default_factory=dict)
+    metadata: Mapping[str, Any] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class RequestBody:
+    """A buffered body, or a part of one."""
+
+    body: bytes
+    end: bool
+
+
+@dataclass(slots=True)
+class ResponseHeaders:
+    """A response's headers: of an attempt on an upstream stream, for the client on a downstream one."""
+
+    headers: dict[str, list[bytes]]
+    end: bool = False
+    attributes: Mapping[str, Any] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Other:
+    """A message that needs an answer of its own kind and no more: bodies and trailers that were not asked
+    for. `kind` is the field of ProcessingRequest."""
+
+    kind: str
+
+
+@dataclass(slots=True)
+class Observed:
+    """Observability mode: the proxy does not wait, and what it is told has no effect."""
+
+
+@dataclass(slots=True)
+class Unknown:
+    """A message without anything that is known."""
+
+
+Said = RequestHeaders | RequestBody | ResponseHeaders | Other | Observed | Unknown
+
+
+@dataclass(slots=True)
+class Go:
+    """Go on, with changes. `kind` is the field of ProcessingResponse; `endpoint` goes into `envoy.lb`."""
+
+    kind: str
+    set_headers: dict[str, str] = field(default_factory=dict)
+    remove_headers: tuple[str, ...] = ()
+    endpoint: str = ""
+    want_response: bool = False  # by mode_override: the response's headers are to come here
+    want_body: bool = False  # by mode_override: the request's body is to come here, buffered
+
+
+@dataclass(slots=True)
+class Reply:
+    """ImmediateResponse: the proxy answers with this and does nothing else."""
+
+    status: int
+    headers: dict[str, str]
+    body: str
+    details: str
+
+
+Told = Go | Reply
+Answer = Callable[[Told | None], None]  # None: nothing is to be said
--- /dev/null
+++ b/glenchute/fronts/extproc/start.py
@@ -0,0 +1,85 @@
+"""Brings the front up from the operator's table."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import stat
+from typing import Any
+
+from glenchute.config.extproc import rules
+from glenchute.config.platform import Config, ConfigError
+from glenchute.core.gateway import Gateway
+
+from .calls import Calls, Ways
+from .ratelimit import Limiter
+from .server import Server, Tls
+from .token import KEY_BYTES, Signer
+
+MOST_FILE = 1024 * 1024
+
+
+def contents(path: str, what: str, secret: bool = False) -> bytes:
+    """A small file; a secret one must be its owner's alone."""
+    try:
+        with open(path, "rb") as file:
+            about = os.fstat(file.fileno())
+            if secret and stat.S_IMODE(about.st_mode) & 0o077:
+                raise ConfigError(f"{what} {path} can be read by others; chmod 600 it")
+            return file.read(MOST_FILE)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"can't read {what} {path}: {error}") from None
+
+
+def signer(raw: dict[str, Any]) -> Signer:
+    """With the operators' key, or one of this process's own."""
+    if "token_key_file" not in raw:
+        return Signer()
+    key = contents(raw["token_key_file"], "token_key_file", secret=True)
+    if len(key) < KEY_BYTES:
+        raise ConfigError(f"token_key_file has {len(key)} bytes; write {KEY_BYTES} random ones at least")
+    return Signer(key)
+
+
+def tls(raw: dict[str, Any] | None) -> Tls | None:
+    """The certificates, where any are named."""
+    if raw is None:
+        return None
+    client_ca = contents(raw["client_ca"], "client_ca") if "client_ca" in raw else None
+    return Tls(contents(raw["certificate"], "certificate"), contents(raw["key"], "key", True), client_ca)
+
+
+def ways(raw: dict[str, Any], config: Config) -> tuple[Ways, Any]:
+    """The settings of the front, and the rules for rate limit calls."""
+    facts, made = config.facts, config.settings
+    requests, limits = rules(raw, facts, made.gateways, config.bounds.units)
+    repeats = {
+        name: (cls.repeat, cls.memory_ms, min(cls.deadline_ms, config.bounds.wait_ms))
+        for name, cls in facts.classes.items()
+    }
+    found = Ways(
+        requests,
+        repeats,
+        most_calls=raw.get("most_calls", 10_000),
+        reopen_s=raw.get("reopen_ms", 250.0) / 1000.0,
+        attempt_streams=raw.get("attempt_streams", True),
+        endpoint_header=raw.get("endpoint_header", "x-gateway-destination-endpoint"),
+        load_header=raw.get("load_header", "x-glenchute-load"),
+        full_status=raw.get("full_status", 429),
+        open_classes=frozenset(raw.get("restart_open", ())),
+        max_attempts=made.max_attempts,
+    )
+    return found, limits
+
+
+def front(raw: dict[str, Any], config: Config, loop: asyncio.AbstractEventLoop, gateway: Gateway) -> Server:
+    """The front, not listening yet; ConfigError where a file that it needs can't be used."""
+    found, limits = ways(raw, config)
+    calls = Calls(loop, gateway, found, signer(raw))
+    limiter = None
+    if limits is not None:
+        wait_ms = min(config.bounds.wait_ms, 1000.0)
+        limiter = Limiter(gateway, limits, raw["ratelimit"]["domain"], wait_ms, calls.counts)
+    most = raw.get("most_streams", 4 * found.most_calls)
+    longest_s = max(wait for _, _, wait in found.repeats.values()) / 1000.0
+    return Server(calls, limiter, raw["listen"], most, tls(raw.get("tls")), longest_s)
--- /dev/null
+++ b/lab/http_nodes.py
@@ -0,0 +1,143 @@
+"""A check node that speaks HTTP/1.1 (RFC 9112): runs what comes, keeps the truth about it, fails by a script.
+
+Requests carry `x-class`, `x-request-id` and, where the class is keyed, `idempotency-key`, whose repeats are
+dropped for `memory_s`. Turned away unseen is told as 429.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import h11
+
+from .faults import Kind, Script
+from .nodes import Run, Trade
+from .peers import Peer
+
+REASONS = {200: b"OK", 429: b"Too Many Requests", 500: b"Internal Server Error"}
+MOST_BODY = 1024 * 1024
+
+
+async def received(conn: h11.Connection, reader: asyncio.StreamReader) -> Any:
+    """The next event of the other end; h11's own events and errors."""
+    while True:
+        event = conn.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        conn.receive_data(await reader.read(64 * 1024))
+
+
+async def whole(conn: h11.Connection, reader: asyncio.StreamReader) -> tuple[Any, bytes] | None:
+    """A request or response with its body; None where the other end is done."""
+    head = await received(conn, reader)
+    while isinstance(head, h11.InformationalResponse):
+        head = await received(conn, reader)
+    if not isinstance(head, h11.Request | h11.Response):
+        return None
+    body = bytearray()
+    while True:
+        event = await received(conn, reader)
+        if isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > MOST_BODY:
+                raise h11.RemoteProtocolError("too large a body")
+        elif isinstance(event, h11.EndOfMessage):
+            return head, bytes(body)
+        else:
+            raise h11.RemoteProtocolError("the message broke off")
+
+
+class HttpNode(Peer):
+    """One node. `ran` holds each effect; `received` each request that came whole, in order."""
+
+    def __init__(self, name: str, trade: Trade, script: Script | None = None) -> None:
+        super().__init__()
+        self.name, self.trade, self.script = name, trade, script or Script()
+        self.began = 0.0
+        self.ran: list[Run] = []
+        self.received: list[tuple[float, str]] = []
+        self.inflight = 0
+        self.free = asyncio.Semaphore(trade.slots)
+        self.keys: dict[bytes, float] = {}
+
+    async def start(self, port: int = 0) -> None:
+        self.began = asyncio.get_running_loop().time()
+        await super().start(port)
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        loop = asyncio.get_running_loop()
+        if self.script.fault(loop.time() - self.began, (Kind.DOWN,)) is not None:
+            writer.transport.abort()
+            return
+        conn = h11.Connection(h11.SERVER)
+        while True:
+            try:
+                found = await whole(conn, reader)
+            except (h11.ProtocolError, ConnectionError):
+                return
+            if found is None or not await self.answer(conn, writer, found[0]):
+                return
+            if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+                return
+            conn.start_next_cycle()
+
+    async def answer(self, conn: h11.Connection, writer: asyncio.StreamWriter, head: Any) -> bool:
+        """Serves one request; whether the connection goes on."""
+        loop = asyncio.get_running_loop()
+        given = {name.decode(): value for name, value in head.headers}
+        request = given.get("x-request-id", b"").decode()
+        self.received.append((loop.time(), request))
+        fault = self.script.fault(loop.time() - self.began)
+        kind = fault.kind if fault is not None else None
+        if kind is Kind.REFUSE or self.inflight >= self.trade.slots + self.trade.queue:
+            return await self.reply(conn, writer, 429, b"")
+        if kind is Kind.FAIL:
+            return await self.reply(conn, writer, 500, b"")
+        self.inflight += 1
+        try:
+            async with self.free:
+                name = given.get("x-class", b"").decode()
+                self.run(name, given, loop.time())
+                await asyncio.sleep(self.trade.service_ms.get(name, 1.0) / 1000.0)
+        finally:
+            self.inflight -= 1
+        if fault is not None and kind is Kind.DELAY:
+            await asyncio.sleep(fault.delay_s)
+        elif kind is Kind.RESET:
+            writer.transport.abort()
+            return False
+        elif kind in (Kind.VANISH, Kind.STALL):
+            if kind is Kind.STALL:
+                writer.write(b"HTTP/1.1 200 OK\r\ncontent-le")
+            await asyncio.sleep(60.0)  # until the other end gives up
+            return False
+        return await self.reply(conn, writer, 200, request.encode())
+
+    def run(self, name: str, given: dict[str, bytes], now: float) -> None:
+        """The effect, unless it is a repeat that is dropped."""
+        key = given.get("idempotency-key") if name in self.trade.keyed else None
+        if key is not None:
+            if now - self.keys.get(key, -1e9) < self.trade.memory_s:
+                return
+            self.keys[key] = now
+        request = given.get("x-request-id", b"")
+        self.ran.append(Run(now, name, given.get("x-account", b""), request, key))
+
+    async def reply(
+        self, conn: h11.Connection, writer: asyncio.StreamWriter, status: int, body: bytes
+    ) -> bool:
+        """Writes a response."""
+        load = b"inflight=%d,queue=0" % self.inflight
+        fields = [(b"content-length", b"%d" % len(body)), (b"x-glenchute-load", load)]
+        head = h11.Response(status_code=status, headers=fields, reason=REASONS[status])
+        parts = [conn.send(head), conn.send(h11.Data(data=body)), conn.send(h11.EndOfMessage())]
+        writer.write(b"".join(part for part in parts if part))
+        await writer.drain()
+        return True
+
+
+def charged_twice(nodes: list[HttpNode], class_name: str = "check-charge") -> list[bytes]:
+    """Requests of a class that ran more than once, by the nodes' own books."""
+    ran = [run.request_id for node in nodes for run in node.ran if run.class_name == class_name]
+    return sorted({request for request in ran if ran.count(request) > 1})
--- /dev/null
+++ b/tests/proxied.py
@@ -0,0 +1,252 @@
+"""A proxy under the simulated clock of `simulated.py`, before the table of calls of the external processor.
+
+It does what the operators' page has a proxy do: asks for each request and each attempt, retries only where it
+is told to (or, where it `tells` nothing of how an attempt ended, after a reset), and gives its client what
+the downstream stream says. Its records are the servers' truth, checked as those of the inline gateway are.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+from glenchute.core.types import Answer, Failed, Refused, Served
+from glenchute.deciders.mapping import Rules
+from glenchute.fronts.extproc import events as ev
+from glenchute.fronts.extproc.calls import Calls, Downstream, Upstream, Ways
+from glenchute.fronts.extproc.token import Signer
+from heathglade.interface import Ending, Repeat
+
+from .simulated import Fate, Order, Record, Site
+from .sites import FACTS
+
+SOURCES = {
+    "class": "header:x-class", "account": "header:x-account", "plan": "header:x-plan",
+    "id": "header:x-request-id", "key": "header:idempotency-key", "deadline_ms": "header:x-deadline-ms",
+    "spread": "value:1",
+}  # fmt: skip
+ACCOUNT = "00000000000000c1"
+DETAILS = {
+    Ending.OK: (200, "via_upstream"),
+    Ending.ERROR: (500, "via_upstream"),
+    Ending.FULL: (429, "via_upstream"),
+    Ending.RESET: (503, "upstream_reset_before_response_started{connection_termination}"),
+    Ending.TIMEOUT: (504, "upstream_per_try_timeout"),
+    Ending.UNREACHABLE: (503, "upstream_reset_before_response_started{remote_connection_failure}"),
+}
+
+
+def ways(**changes: Any) -> Ways:
+    """The settings of the front, for the platform of `sites.py`."""
+    classes = {name: cls.repeat is Repeat.KEYED for name, cls in FACTS.classes.items()}
+    rules = Rules(SOURCES, (), classes, FACTS.plans, 1)
+    repeats = {name: (cls.repeat, cls.memory_ms, 1e6) for name, cls in FACTS.classes.items()}
+    return Ways(rules, repeats, **{"max_attempts": 5, **changes})
+
+
+def headers(**named: str) -> dict[str, list[bytes]]:
+    """Headers by their names, with - for _."""
+    return {name.replace("_", "-"): [value.encode()] for name, value in named.items()}
+
+
+def responded(status: int, details: str) -> ev.ResponseHeaders:
+    """A response, with the attribute that says where it comes from."""
+    given = headers(**{":status": str(status)})
+    return ev.ResponseHeaders(given, attributes={"response.code_details": details})
+
+
+@dataclass
+class Asker:
+    """One request at the proxy."""
+
+    proxy: Proxy
+    request: bytes
+    down: Downstream
+    attempts: int = 0
+    up: Upstream | None = None
+    record: Record | None = None
+    token: str = ""
+    node: str = ""
+    most: int = 0
+    retry_on: str = ""
+    over: bool = False
+    answers: list[tuple[float, Answer]] = field(default_factory=list)
+
+    def decided(self, told: ev.Told | None) -> None:
+        """The first decision."""
+        if self.over:
+            return
+        if isinstance(told, ev.Reply):
+            self.finish(self.proxy.read(told))
+            self.down.close(True)
+            return
+        assert isinstance(told, ev.Go)
+        self.node = told.set_headers["x-gateway-destination-endpoint"]
+        self.token = told.set_headers["x-glenchute-token"]
+        self.most = 1 + int(told.set_headers["x-envoy-max-retries"])
+        self.retry_on = told.set_headers["x-envoy-retry-on"]
+        left = int(told.set_headers["x-envoy-upstream-rq-timeout-ms"]) / 1000.0
+        self.proxy.loop.call_later(left, self.route_timeout)
+        self.attempt()
+
+    def attempt(self) -> None:
+        """Asks for an attempt."""
+        self.attempts += 1
+        up = self.up = Upstream(self.proxy.calls)
+        up.abort = lambda: self.proxy.loop.call_later(0.0, self.aborted, up) and None
+        said = headers(x_glenchute_token=self.token)
+        up.receive(
+            ev.RequestHeaders(said, attributes={"upstream.address": self.node}),
+            lambda told: self.let_through(up, told),
+        )
+
+    def let_through(self, up: Upstream, told: ev.Told | None) -> None:
+        """Whether the attempt may go."""
+        if self.up is not up or self.over:
+            return
+        if isinstance(told, ev.Reply):
+            self.up = None
+            up.close(True)
+            if told.headers.get("x-glenchute-retry") and self.attempts < self.most:
+                self.node = told.headers["x-gateway-destination-endpoint"]
+                self.attempt()
+            else:
+                self.show(told.status, "")
+            return
+        assert isinstance(told, ev.Go)
+        server = self.proxy.names[self.node]
+        timeout_s = int(told.set_headers["x-envoy-upstream-rq-per-try-timeout-ms"]) / 1000.0
+        record = self.record = Record(self.request, server, self.proxy.loop.now, timeout_s=timeout_s)
+        fate = self.proxy.site.servers.fate(record)
+        loop, connect_s = self.proxy.loop, self.proxy.site.connect_s
+        loop.call_later(timeout_s, self.ended, up, record, Ending.TIMEOUT)
+        up_in_time = fate.connect_s <= connect_s
+        connects = fate if up_in_time else None
+        loop.call_later(min(fate.connect_s, connect_s), self.connected, up, record, connects)
+
+    def connected(self, up: Upstream, record: Record, fate: Fate | None) -> None:
+        """The connection is up, or won't come up; the request's bytes leave."""
+        if record.ending is not None:
+            return
+        if fate is None:
+            self.ended(up, record, Ending.UNREACHABLE)
+            return
+        record.left = self.proxy.loop.now
+        self.proxy.site.servers.check(record)
+        if fate.took_s < 1e6:
+            self.proxy.loop.call_later(fate.took_s, self.ended, up, record, fate.ending)
+
+    def ended(self, up: Upstream, record: Record, ending: Ending) -> None:
+        """The attempt's ending, told as a response, or by the stream's end alone."""
+        if record.ending is not None:
+            return
+        record.ended, record.ending = self.proxy.loop.now, ending
+        status, details = DETAILS[ending]
+        if self.proxy.tells or details == "via_upstream":
+            up.receive(responded(status, details), lambda told: self.follow(up, told, status, details))
+            return
+        self.up = None
+        up.close(False)
+        if "reset" in self.retry_on and self.attempts < self.most and not self.over:
+            self.attempt()
+        else:
+            self.show(status, details)
+
+    def follow(self, up: Upstream, told: ev.Told | None, status: int, details: str) -> None:
+        """What follows from an attempt's response."""
+        if self.up is not up:
+            return
+        self.up = None
+        up.close(True)
+        assert isinstance(told, ev.Go)
+        if told.set_headers.get("x-glenchute-retry") and self.attempts < self.most and not self.over:
+            self.node = told.set_headers["x-gateway-destination-endpoint"]
+            self.attempt()
+        else:
+            self.show(status, details)
+
+    def aborted(self, up: Upstream) -> None:
+        """The processor broke the attempt's stream: the attempt is reset."""
+        if self.up is up:
+            self.cut()
+            self.show(500, "")
+
+    def cut(self, why: Ending = Ending.CANCELLED) -> None:
+        """Closes the connection of an attempt that is out."""
+        up, self.up = self.up, None
+        if self.record is not None and self.record.ending is None:
+            self.record.ended, self.record.ending = self.proxy.loop.now, why
+        if up is not None:
+            up.close(False)
+
+    def route_timeout(self) -> None:
+        """The proxy's own time for the request is up."""
+        if not self.over and not self.answers:
+            self.cut(Ending.TIMEOUT)
+            self.show(504, "response_timeout")
+
+    def show(self, status: int, details: str) -> None:
+        """The client's response, as the downstream stream lets it through."""
+        if self.over:
+            return
+        self.over = True
+
+        def shown(told: ev.Told | None) -> None:
+            if isinstance(told, ev.Reply):
+                self.finish(self.proxy.read(told))
+            else:
+                self.finish(Served(self.request) if status < 500 and status != 429 else Failed())
+            self.down.close(True)
+
+        self.down.receive(responded(status, details), shown)
+
+    def finish(self, answer: Answer) -> None:
+        """The client has its answer."""
+        self.over = True
+        self.answers.append((self.proxy.loop.now, answer))
+
+    def leave(self, clean: bool = False) -> None:
+        """The client is gone, or the whole proxy."""
+        self.over = True
+        self.cut()
+        self.down.close(clean)
+
+
+class Proxy:
+    """The proxy. `tells`: it says by a local reply how an attempt ended that got no response."""
+
+    def __init__(self, site: Site, tells: bool = True, **changes: Any) -> None:
+        self.site, self.tells = site, tells
+        self.loop = cast(Any, site.loop)
+        self.calls = Calls(self.loop, site.gateway, ways(**changes), Signer(b"k" * 32))
+        self.calls.wall = lambda: float(site.loop.now)
+        self.names = {f"127.0.0.1:{7000 + n}": f"s{n}" for n in range(6)}
+        self.asked: dict[bytes, Asker] = {}
+
+    def ask(self, class_name: str, left_ms: float, plan: str = "osnovni", **more: str) -> Asker:
+        """A client's request."""
+        request = b"%d" % (len(self.asked) + 1)
+        order = Order(request, class_name, plan, ACCOUNT, left_ms, 1.0, 1, self.site.repeats[class_name])
+        self.site.servers.orders[request] = order
+        asker = self.asked[request] = Asker(self, request, Downstream(self.calls))
+        said = headers(
+            x_class=class_name, x_account=ACCOUNT, x_plan=plan, x_request_id=request.decode(),
+            idempotency_key="k1", x_deadline_ms=str(left_ms), **more,
+        )  # fmt: skip
+        asker.down.receive(ev.RequestHeaders(said), asker.decided)
+        return asker
+
+    def read(self, told: ev.Reply) -> Answer:
+        """An immediate response in the core's terms."""
+        if told.status == 429:
+            assert told.headers["x-glenchute-effect"] == "none"
+            return Refused(float(told.headers.get("x-glenchute-retry-after-ms", 0)))
+        return Failed()
+
+
+def drawn(seed: int, draw: Callable[[Any], Fate]) -> Callable[[bytes, int], Fate]:
+    """Fates that hang on the seed, the request and the attempt's number only."""
+    import random
+
+    return lambda request, number: draw(random.Random(f"{seed}-{request.decode()}-{number}"))
--- a/tests/simulated.py
+++ b/tests/simulated.py
@@ -161,9 +161,11 @@
     def __init__(self, loop: Loop, fates: Callable[[], Fate], overlap: bool, connect_s: float) -> None:
         self.loop, self.fates, self.overlap, self.connect_s = loop, fates, overlap, connect_s
         self.records: list[Record] = []
+        self.by_request: dict[bytes, list[Record]] = {}
         self.orders: dict[bytes, Order] = {}
         self.names: list[str] = []
         self.memory_s = 0.0
+        self.drawn: Callable[[bytes, int], Fate] | None = None  # by request and attempt, in place of `fates`
 
     def listed(self, server: str, address: Address, started_anew: bool) -> None:
         if server not in self.names:
@@ -177,6 +179,9 @@
     def known(self) -> list[str]:
         return list(self.names)
 
+    def address(self, server: str) -> Address | None:
+        return ("127.0.0.1", 7000 + int(server[1:])) if server in self.names else None
+
     def attempt(
         self,
         server: str,
@@ -187,14 +192,22 @@
     ) -> Try | None:
         if server not in self.names:
             return None
+        if self.drawn is not None:
+            timeout_s = max(1, int(1000.0 * timeout_s + 1e-6)) / 1000.0  # as told to nodes and proxies
         record = Record(payload(0), server, self.loop.now, timeout_s=timeout_s)
+        return Try(self, record, self.fate(record), done, write_by)
+
+    def fate(self, record: Record) -> Fate:
+        """Books an attempt and draws what becomes of it."""
+        number = len(self.of(record.request)) if self.drawn is not None else 0
         self.records.append(record)
-        return Try(self, record, self.fates(), done, write_by)
+        self.by_request.setdefault(record.request, []).append(record)
+        return self.drawn(record.request, number) if self.drawn is not None else self.fates()
 
     def check(self, record: Record) -> None:
         """The bytes of an attempt leave: what has been before it must allow that."""
         order = self.orders[record.request]
-        before = [r for r in self.records if r.request == record.request and r is not record]
+        before = [r for r in self.of(record.request) if r is not record]
         if not self.overlap:
             assert all(r.ended is not None for r in before), "two attempts at once"
         ran = [r for r in before if r.left is not None and (r.ending is None or r.ending in MAY_HAVE_RUN)]
@@ -205,7 +218,7 @@
             assert self.loop.now - first <= self.memory_s, "a keyed attempt left beyond the memory span"
 
     def of(self, request: bytes) -> list[Record]:
-        return [r for r in self.records if r.request == request]
+        return self.by_request.get(request, [])
 
 
 @dataclass
