--- a/glenchute/fronts/extproc/server.py
+++ b/glenchute/fronts/extproc/server.py
@@ -11,7 +11,7 @@
 
 from . import events as ev
 from . import messages
-from .calls import Calls
+from .calls import Calls, Downstream, Upstream
 from .ratelimit import Limiter, RateLimitRequest, RateLimitResponse
 
 log = logging.getLogger("glenchute")
@@ -59,6 +59,28 @@
         return self.told
 
 
+class Cut:
+    """Cuts a stream off, from without its task; `clean` where it ended in order before that."""
+
+    __slots__ = ("clean", "cut", "loop", "task")
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self.loop, self.task = loop, task
+        self.cut = self.clean = False
+
+    def soon(self) -> None:
+        """Not from within what the table is doing."""
+        self.loop.call_soon(self.now)
+
+    def now(self) -> None:
+        """Its end goes to the other side as ABORTED."""
+        if not self.task.done():
+            self.cut = True
+            self.task.cancel()
+
+
 class Server:
     """The two services on one listener."""
 
@@ -117,53 +139,65 @@
         """One stream. Whatever ends it, the table hears of that once."""
         given = dict(context.invocation_metadata() or ())
         stream = self.calls.stream(given.get(ROLE) == "upstream")
-        task = asyncio.current_task()
-        assert task is not None
-
-        def abort() -> None:
-            self.loop.call_soon(task.cancel)  # not from within what the table is doing
-
-        stream.abort = abort
-        last = self.loop.call_later(self.last_s, task.cancel)
-        clean = over = False
+        cut = Cut(self.loop)
+        stream.abort = cut.soon
+        last = self.loop.call_later(self.last_s, cut.now)
         self.streams += 1
         try:
-            while not over:
-                message = await context.read()
-                if message is grpc.aio.EOF:
-                    clean = True
+            try:
+                if not await self.exchange(stream, context, cut):
                     return
-                box = Box(self.loop)
-                try:
-                    stream.receive(messages.read(message), box.put)
-                except Exception:
-                    log.exception("a message of a proxy failed")
-                    box.put(ev.Reply(500, {"x-glenchute-effect": "unknown"}, "", "glenchute_fault"))
-                told = await box.get()
-                if told is None:
-                    continue
-                stuck = self.loop.call_later(WRITE_S, task.cancel)
-                try:
-                    await context.write(messages.write(told))
-                finally:
-                    stuck.cancel()
-                clean = over = isinstance(told, ev.Reply)  # which ends the exchange
-        finally:
+            finally:
+                self.streams -= 1
+                self.close(stream, cut)
+            # The other end closes. Ending first would reset the stream, and some clients then lose what they
+            # have not read yet (RFC 9113, section 8.1, forbids that, and it happens).
             last.cancel()
-            self.streams -= 1
-            try:
-                stream.close(clean)
-            except Exception:
-                log.exception("the end of a stream failed")
-        # The other end closes. Ending first would reset the stream, and some clients then lose what they have
-        # not read yet (RFC 9113, section 8.1, forbids that, and it happens).
-        last = self.loop.call_later(WRITE_S, task.cancel)
-        try:
+            last = self.loop.call_later(WRITE_S, cut.now)
             while await context.read() is not grpc.aio.EOF:
                 pass
+        except asyncio.CancelledError:
+            if not cut.cut:
+                raise  # the other end has gone
+            # Without a status of its own a cancelled handler would leave the other end waiting for ever.
+            cut.task.uncancel()
+            await context.abort(grpc.StatusCode.ABORTED, "cut off")
         finally:
             last.cancel()
 
+    async def exchange(self, stream: Downstream | Upstream, context: Any, cut: Cut) -> bool:
+        """Messages and answers, one by one; True after an immediate response, which ends the exchange, and
+        False where the other end has no more to say."""
+        while True:
+            message = await context.read()
+            if message is grpc.aio.EOF:
+                cut.clean = True
+                return False
+            box = Box(self.loop)
+            try:
+                stream.receive(messages.read(message), box.put)
+            except Exception:
+                log.exception("a message of a proxy failed")
+                box.put(ev.Reply(500, {"x-glenchute-effect": "unknown"}, "", "glenchute_fault"))
+            told = await box.get()
+            if told is None:
+                continue
+            stuck = self.loop.call_later(WRITE_S, cut.now)
+            try:
+                await context.write(messages.write(told))
+            finally:
+                stuck.cancel()
+            if isinstance(told, ev.Reply):
+                cut.clean = True
+                return True
+
+    def close(self, stream: Downstream | Upstream, cut: Cut) -> None:
+        """Tells the table; a fault there must not keep the stream."""
+        try:
+            stream.close(cut.clean)
+        except Exception:
+            log.exception("the end of a stream failed")
+
     async def limit(self, request: Any, context: Any) -> Any:
         """One rate limit call."""
         assert self.limiter is not None
--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -65,6 +65,7 @@
     "report-read": ("GET", "/v1/reports/1"), "check-order": ("POST", "/v1/orders"),
     "check-charge": ("POST", "/v1/charges"),
 }  # fmt: skip
+DEADLINES = {row["name"]: row["hard_limit_ms"] / 1000.0 for row in SETTINGS["profiles"]}
 SERVICE = {"report-read": 3.0, "check-order": 4.0, "check-charge": 4.0}
 ACCOUNT = "00000000000003e8"
 
@@ -143,6 +144,12 @@
         writer.transport.abort()
 
 
+async def in_time(port: int, name: str, request: str, account: int) -> tuple[int, dict[str, str]]:
+    """The same, within the class's deadline; half a second is for a busy machine."""
+    async with asyncio.timeout(DEADLINES[name] + 0.5):
+        return await call(port, name, request, account=account)
+
+
 async def settled(front: Server) -> None:
     """Nothing is left in the table, the core or the module."""
     calls = front.calls
@@ -167,7 +174,7 @@
             asked = []
             for number in range(150):
                 name = rng.choice(list(TARGETS))
-                asked.append(asyncio.create_task(call(proxy.port, name, f"r{number}", account=number % 5)))
+                asked.append(asyncio.create_task(in_time(proxy.port, name, f"r{number}", number % 5)))
                 await asyncio.sleep(0.01)
             answers = await asyncio.gather(*asked)
             assert all(status for status, _ in answers)
@@ -289,7 +296,7 @@
             asked = []
             for number in range(90):
                 name = ("check-charge", "check-order", "report-read")[number % 3]
-                asked.append(asyncio.create_task(call(proxy.port, name, f"r{number}")))
+                asked.append(asyncio.create_task(in_time(proxy.port, name, f"r{number}", number % 5)))
                 await asyncio.sleep(0.005)
             answers = await asyncio.gather(*asked)
             assert all(status for status, _ in answers)
--- a/tests/test_operator_files.py
+++ b/tests/test_operator_files.py
@@ -376,10 +376,22 @@
     assert f"{file}:2: error out-of-range" in done.stderr and f"{file}:3: error unknown-key" in done.stderr
 
 
+def test_a_file_without_fronts_imports_none_of_them() -> None:
+    code = (
+        "import sys; from glenchute.config.operator import parse; parse('[defaults]\\nattempts = 2', None); "
+        "print([m for m in ('glenchute.config.extproc', 'glenchute.deciders.mapping', 'grpc') "
+        "if m in sys.modules])"
+    )
+    done = subprocess.run([sys.executable, "-c", code], env={**os.environ, "PYTHONPATH": str(ROOT)},
+                          capture_output=True, text=True, check=True)  # fmt: skip
+    assert done.stdout.strip() == "[]"
+
+
 def test_without_the_file_nothing_of_it_is_imported() -> None:
     code = (
         "import sys; import glenchute.cli.run; import glenchute.cli.main; "
-        "print([m for m in ('tomllib', 'argparse', 'glenchute.deciders.routes', 'glenchute.config.operator') "
+        "print([m for m in ('tomllib', 'argparse', 'glenchute.deciders.routes', 'glenchute.config.operator', "
+        "'glenchute.fronts.extproc', 'glenchute.deciders.mapping', 'grpc', 'google.protobuf', 'envoy') "
         "if m in sys.modules])"
     )
     done = subprocess.run([sys.executable, "-c", code], env={**os.environ, "PYTHONPATH": str(ROOT)},
