External processor: a line for the operators, retry headers of nodes removed

Counts were kept and never told. A reload says what of the file waits for a restart. Tests for each, and one of a reader that grants no window: 50 streams cut off after their time, table empty.

--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -85,6 +85,8 @@
         if operator is not None and operator.fronts and "extproc" in operator.fronts:
             self.extproc = self.processing(operator.fronts["extproc"])
         self.discovery = Discovery(loop, config.discovery, self.gateway.news)
+        # What of the operator's file holds until a restart.
+        self.begun = (operator.capture, operator.fronts) if operator is not None else None
         self.stopping = asyncio.Event()
 
     def recording(self, decisions: Decisions, raw: dict[str, Any]) -> Recorder:
@@ -170,6 +172,8 @@
                 return
             self.bind(operator)
             log.info("the operator's file was read again")
+            if self.begun is not None and (operator.capture, operator.fronts) != self.begun:
+                log.warning("what changed in [capture] and [fronts] waits for a restart")
 
     async def leave(self) -> None:
         """A planned end: takes what still comes, finishes what is held, and is gone before the kill."""
--- a/glenchute/fronts/extproc/calls.py
+++ b/glenchute/fronts/extproc/calls.py
@@ -33,6 +33,7 @@
 TIMEOUT = "x-envoy-upstream-rq-timeout-ms"
 TRY_TIMEOUT = "x-envoy-upstream-rq-per-try-timeout-ms"
 EXPECTED = "x-envoy-expected-rq-timeout-ms"  # what a node is told of the time that it has
+PASSED = ev.Go("response_headers", {}, (RETRY,))  # a node must not ask for a retry in the module's name
 SWEEP_S = 0.25
 AFTERMATH_S = 1.0  # an entry outlives its request's deadline by this at most
 MARGIN_S = 0.01  # the proxy's time ends this long before the client's, as the core's attempts do
@@ -214,8 +215,8 @@
             ask(self.last_word())
         if self.held is not None:
             held, self.held = self.held, None
-            held(self.last_word() if self.detached and not isinstance(answer, Served)
-                 else ev.Go("response_headers"))  # fmt: skip
+            unserved = self.detached and not isinstance(answer, Served)
+            held(self.last_word() if unserved else PASSED)
         self.judge()
         self.reveal()
         self.leave()
@@ -283,7 +284,7 @@
         """An attempt's response headers came: its ending, unless it has one."""
         attempt = stream.attempt
         if attempt is None or attempt.over or self.settled:
-            answer(ev.Go("response_headers"))  # too late to matter: the downstream stream shows what counts
+            answer(PASSED)  # too late to matter: the downstream stream shows what counts
             return
         how = ending(status, details, self.calls.ways.full_status)
         self.held = answer
@@ -332,7 +333,8 @@
         match show(outcome, self.may_have_run, status):
             case Show.THROUGH:
                 extra = {EFFECT: "unknown"} if status >= 500 and self.may_have_run else {}
-                answer(ev.Go("response_headers", extra, (RETRY, TOKEN)))
+                hidden = (RETRY, TOKEN, self.calls.ways.endpoint_header)
+                answer(ev.Go("response_headers", extra, hidden))
             case Show.REFUSAL:
                 answer(self.last_word())
             case Show.UNKNOWN:
--- a/glenchute/fronts/extproc/server.py
+++ b/glenchute/fronts/extproc/server.py
@@ -23,6 +23,7 @@
 WRITE_S = 5.0  # a proxy that does not read what it asked for is cut off after this
 LAST_S = 30.0  # a stream ends this long after the longest deadline at the latest
 SWEEP_S = 1.0
+REPORT_S = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +97,7 @@
         self.streams = 0
         self.cuts: set[Cut] = set()  # of all streams
         self.sweeper: asyncio.TimerHandle | None = None
+        self.said = "", self.loop.time()  # the last line for the operators, and when
         self.server = grpc.aio.server(
             options=(
                 ("grpc.so_reuseport", 0),
@@ -143,9 +145,18 @@
         """Cuts off the streams whose time is up."""
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
         now = self.loop.time()
+        if now - self.said[1] >= REPORT_S:
+            self.report(now)
         for cut in [cut for cut in self.cuts if cut.until < now]:
             cut.now()
 
+    def report(self, now: float) -> None:
+        """A line for the operators, while anything happens."""
+        counts = " ".join(f"{name}={n}" for name, n in sorted(self.calls.counts.items()))
+        if counts != self.said[0]:
+            log.info("proxies: open=%d streams=%d %s", len(self.calls.by_ref), self.streams, counts)
+        self.said = counts, now
+
     async def process(self, requests: Any, context: Any) -> None:
         """One stream. Whatever ends it, the table hears of that once."""
         given = dict(context.invocation_metadata() or ())
@@ -220,5 +231,6 @@
     async def stop(self, grace_s: float) -> None:
         """GOAWAY at once; streams that are open are served until they end, or the time is up."""
         await self.server.stop(grace_s)
+        self.report(self.loop.time())
         if self.sweeper is not None:
             self.sweeper.cancel()
--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -15,6 +15,8 @@
 
 import grpc
 import grpclib.client
+import h2.connection
+import h2.settings
 import h11
 import pytest
 import trustme
@@ -24,6 +26,7 @@
 from glenchute.cli.run import Program
 from glenchute.config.operator import parse
 from glenchute.config.platform import build
+from glenchute.fronts.extproc import server as server_module
 from glenchute.fronts.extproc.server import Server
 from lab.faults import Fault, Kind, Script
 from lab.http_nodes import HttpNode, charged_twice, whole
@@ -527,6 +530,41 @@
     play(scenario())
 
 
+def test_a_reader_without_a_window_is_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
+    """HTTP/2's flow control at its worst: the proxy asks 50 times and grants no byte for the answers."""
+    monkeypatch.setattr(server_module, "WRITE_S", 2.0)
+    monkeypatch.setattr(server_module, "SWEEP_S", 0.1)
+
+    async def scenario() -> None:
+        async with place() as one:
+            _, writer = await asyncio.open_connection("127.0.0.1", one.port)
+            conn = h2.connection.H2Connection()
+            conn.local_settings[h2.settings.SettingCodes.INITIAL_WINDOW_SIZE] = 0
+            conn.initiate_connection()
+            for at in range(50):
+                stream = conn.get_next_available_stream_id()
+                given = [
+                    (":method", "POST"), (":scheme", "http"), (":authority", "x"), (":path", METHOD),
+                    ("te", "trailers"), ("content-type", "application/grpc"),
+                ]  # fmt: skip
+                conn.send_headers(stream, given)
+                said = heads(f"r{at}").SerializeToString()
+                conn.send_data(stream, b"\0" + len(said).to_bytes(4, "big") + said)
+            writer.write(conn.data_to_send())
+            async with asyncio.timeout(10.0):
+                await until(lambda: one.front().calls.serial == 50)
+                assert one.front().streams == 50
+                await until(lambda: one.front().streams == 0)
+            await settled(one.front())
+            proxy = one.proxy()
+            await proxy.start()
+            assert (await call(proxy.port, "check-charge", "after", account=7))[0] == 200
+            await proxy.stop()
+            writer.transport.abort()
+
+    play(scenario())
+
+
 # --- rate limit calls ------------------------------------------------------------------------------------
 
 
--- a/tests/test_extproc_calls.py
+++ b/tests/test_extproc_calls.py
@@ -336,6 +336,24 @@
     settled(proxy)
 
 
+def test_a_node_can_not_ask_for_a_retry_in_the_modules_name() -> None:
+    site = place(1, lambda rng: NEVER)
+    proxy = Proxy(site)
+    down, told = opened(proxy, heads())
+    replies: list[Any] = []
+    up = Upstream(proxy.calls)
+    token = told[0].set_headers["x-glenchute-token"]
+    up.receive(ev.RequestHeaders(headers(x_glenchute_token=token)), replies.append)
+    said = responded(200, "via_upstream")
+    said.headers["x-glenchute-retry"] = [b"1"]
+    up.receive(said, replies.append)
+    down.receive(said, replies.append)
+    assert all("x-glenchute-retry" in reply.remove_headers for reply in replies[1:]) and len(replies) == 3
+    up.close(True)
+    down.close(True)
+    settled(proxy)
+
+
 @pytest.mark.parametrize("first", ["attempt", "client"])
 def test_the_attempts_end_and_the_clients_response_in_either_order(first: str) -> None:
     site = place(1, lambda rng: NEVER)
--- a/tests/test_routes_loopback.py
+++ b/tests/test_routes_loopback.py
@@ -157,6 +157,12 @@
                 gateway.signal(signal.SIGHUP)
                 await until(lambda: "operator's file was read again" in gateway.log.read_text())
                 assert await waited() >= 0.48
+                assert "waits for a restart" not in gateway.log.read_text()
+                more = f"[capture]\nfolder = '{tmp_path}'\n[fronts.extproc]\nlisten = 'unix:/nowhere'\n"
+                mapped = "account = 'header:a'\nplan = 'header:p'\nclass = 'header:c'\nkey = 'header:k'\n"
+                gateway.operator.write_text(f"{more}[fronts.extproc.map]\n{mapped}{reads(500)}")
+                gateway.signal(signal.SIGHUP)
+                await until(lambda: "[capture] and [fronts] waits for a restart" in gateway.log.read_text())
             finally:
                 assert await gateway.stop() == 0
 
