--- a/glenchute/capture/recorder.py
+++ b/glenchute/capture/recorder.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import contextlib
+import hashlib
 import logging
 import os
 import queue
@@ -15,6 +16,7 @@
 import threading
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -41,6 +43,7 @@
     segment_bytes: int = 4 * 1024 * 1024
     segments: int = 12  # kept; the oldest goes
     refusal_share: float = 1.0  # a trigger; 1: none
+    account_key: bytes | None = None  # the module is told a keyed hash of each account in its place
 
 
 class Writer:
@@ -86,6 +89,13 @@
         self.thread.join(patience_s)
 
 
+def hashed(account: str, key: bytes) -> str:
+    """What stands for an account where captures leave the house: BLAKE2b (RFC 7693) with a key. The module is
+    told this and nothing else, so that a replay is exact: a capture hashed afterwards would not replay, as
+    the starts of an account's windows and its names on the counter hang on its name."""
+    return hashlib.blake2b(account.encode(), key=key[:64], digest_size=8).hexdigest()
+
+
 class Recorder:
     """The module, seen from the core; each call is recorded. `clock` tells the loop's seconds."""
 
@@ -113,6 +123,8 @@
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         """One event of the core's. The snapshot of a new segment is of the state before it."""
         rule = self.rule
+        if rule.account_key is not None and type(event) is api.Request:
+            event = replace(event, customer=hashed(event.customer, rule.account_key))
         full = self.size > rule.segment_bytes or self.clock() - self.opened_at > rule.segment_s
         if full or not self.name:
             self.open(now_ms)
--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -92,7 +92,9 @@
     def recording(self, decisions: Decisions, raw: dict[str, Any]) -> Recorder:
         """The module behind a recorder; imported only where the operator's file asks for one."""
         from glenchute.capture.recorder import Recorder, Rule
+        from glenchute.config.files import secret_key
 
+        named = raw.get("account_key_file")
         rule = Rule(
             folder=raw["folder"],
             ring=raw.get("mode", "ring") == "ring",
@@ -100,6 +102,7 @@
             segment_bytes=int(raw.get("segment_mb", 4.0) * 1024 * 1024),
             segments=raw.get("segments", 12),
             refusal_share=raw.get("refusal_share", 1.0),
+            account_key=secret_key(named, "account_key_file") if named else None,
         )
         return Recorder(decisions, self.config.settings, self.config.seed, rule, self.loop.time)
 
--- a/glenchute/config/operator.py
+++ b/glenchute/config/operator.py
@@ -53,6 +53,7 @@
         "segment_mb": Number(0.01, 64),
         "segments": Number(1, 10_000, whole=True),
         "refusal_share": Number(0, 1, above=True),
+        "account_key_file": Word("[^\\x00-\\x1f]{1,400}", "the path of a file"),
     },
     ("folder",),
 )
--- a/glenchute/fronts/extproc/calls.py
+++ b/glenchute/fronts/extproc/calls.py
@@ -379,6 +379,8 @@
             if waiting is not None:
                 waiting(failure("expired"))
         self.ask = self.held = self.shown = None
+        if self.stream is not None and self.stream.abort is not None:
+            self.stream.abort()  # its proxy neither reads nor ends it
         self.calls.drop(self)
 
     def leave(self) -> None:
--- a/glenchute/fronts/extproc/start.py
+++ b/glenchute/fronts/extproc/start.py
@@ -3,42 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import stat
 from typing import Any
 
 from glenchute.config.extproc import rules
-from glenchute.config.platform import Config, ConfigError
+from glenchute.config.files import contents, secret_key
+from glenchute.config.platform import Config
 from glenchute.core.gateway import Gateway
 
 from .calls import Calls, Ways
 from .ratelimit import Limiter
 from .server import Server, Tls
-from .token import KEY_BYTES, Signer
-
-MOST_FILE = 1024 * 1024
-
-
-def contents(path: str, what: str, secret: bool = False) -> bytes:
-    """A small file; a secret one must be its owner's alone."""
-    try:
-        with open(path, "rb") as file:
-            about = os.fstat(file.fileno())
-            if secret and stat.S_IMODE(about.st_mode) & 0o077:
-                raise ConfigError(f"{what} {path} can be read by others; chmod 600 it")
-            return file.read(MOST_FILE)
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"can't read {what} {path}: {error}") from None
+from .token import Signer
 
 
 def signer(raw: dict[str, Any]) -> Signer:
     """With the operators' key, or one of this process's own."""
     if "token_key_file" not in raw:
         return Signer()
-    key = contents(raw["token_key_file"], "token_key_file", secret=True)
-    if len(key) < KEY_BYTES:
-        raise ConfigError(f"token_key_file has {len(key)} bytes; write {KEY_BYTES} random ones at least")
-    return Signer(key)
+    return Signer(secret_key(raw["token_key_file"], "token_key_file"))
 
 
 def tls(raw: dict[str, Any] | None) -> Tls | None:
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -32,7 +32,7 @@
     revive,
     snapshot,
 )
-from glenchute.capture.recorder import Recorder, Rule
+from glenchute.capture.recorder import Recorder, Rule, hashed
 from glenchute.capture.replay import other_module, read, replay, runs
 from glenchute.cli.main import main
 from heathglade import Gateway
@@ -74,6 +74,30 @@
     return recorders[0]
 
 
+def test_hashed_accounts_stand_nowhere_and_the_capture_replays(tmp_path: Path) -> None:
+    """Nor in the state, which snapshots hold; two gateways with one key call an account the same."""
+    plain, hidden = tmp_path / "plain", tmp_path / "hidden"
+    for folder, key in ((plain, None), (hidden, b"k" * 32)):
+        folder.mkdir()
+        recorded(folder, account_key=key)
+    accounts = {
+        event.customer
+        for file in only_run(plain)
+        for event in map(event_of, read(file).records)
+        if isinstance(event, api.Request)
+    }
+    assert len(accounts) >= 2 and len(only_run(hidden)) > 2
+    written = b"".join(file.read_bytes() for file in only_run(hidden))
+    bare = [file.read_bytes() for file in only_run(plain)[1:]]
+    assert all(account.encode() in found for account in accounts for found in bare)
+    for account in accounts:
+        assert account.encode() not in written
+        assert hashed(account, b"k" * 32).encode() in written
+        assert hashed(account, b"q" * 32) != hashed(account, b"k" * 32)
+    report = replay(only_run(hidden))
+    assert report.records > 100 and not report.differences and not report.notes
+
+
 @pytest.fixture(scope="module")
 def capture(tmp_path_factory: pytest.TempPathFactory) -> Path:
     folder = tmp_path_factory.mktemp("capture")
