Refusals by cause; the simulation keeps the rule of cold servers

After a bad evening the first question is which limit refused. A replay now overhears the module's gates and counts causes, with the units that were left; tested on the corpus, whose captures hold every cause. The simulated site had no cold-server rule: it has one, a rush at fresh nodes, and a bug put in on purpose that it finds.

--- a/glenchute/cli/main.py
+++ b/glenchute/cli/main.py
@@ -59,6 +59,7 @@
     parsers["replay"].add_argument("--until", type=float, default=float("inf"), metavar="MS")
     parsers["replay"].add_argument("--diff", action="store_true", help="all differences, not the first")
     parsers["replay"].add_argument("--explain", metavar="REQUEST", help="the story of one request")
+    parsers["replay"].add_argument("--refusals", action="store_true", help="which limits refused, how often")
     parsers["replay"].add_argument("--against", metavar="FOLDER", help="another version of the module")
     parsers["quota"].add_argument("what", choices=("bound",))
     parsers["quota"].add_argument("--spread", type=int, default=0, help="gateways of an account; else all")
--- a/glenchute/cli/replay.py
+++ b/glenchute/cli/replay.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from glenchute.capture.codec import CaptureError, Record, event_of, module_digest, readable
+from glenchute.capture.refusals import CAUSES, Refusals
 from glenchute.capture.replay import Difference, Report, kinds, other_module, read, replay, runs
 from heathglade import Gateway
 from heathglade import interface as api
@@ -25,7 +26,8 @@
         make = other_module(Path(args.against)) if args.against else Gateway
         equal = True
         for run, files in found.items():
-            seen = Story(args.explain) if args.explain else None
+            causes = Refusals() if args.refusals else None
+            seen = Story(args.explain) if args.explain else causes
             most = MOST_COMPARED if args.against or args.diff else 1
             version = version_of(files)
             own = args.against is None and version == module_digest()
@@ -33,7 +35,8 @@
                 print(f"{run}: captured by module {version}, replayed by {module_digest()}")
             report = replay(files, make, args.since, args.until, most, own, seen)
             equal = equal and not report.differences
-            for line in [*(seen.lines if seen else ()), *told(run, report, bool(args.against))]:
+            lines = seen.lines if isinstance(seen, Story) else causes_told(causes) if causes else ()
+            for line in [*lines, *told(run, report, bool(args.against))]:
                 print(line)
     except CaptureError as error:
         print(f"glenchute: {error}", file=sys.stderr)
@@ -41,6 +44,15 @@
     return 0 if equal else 1
 
 
+def causes_told(found: Refusals) -> Iterator[str]:
+    """Refusals by cause."""
+    rows = found.rows()
+    yield f"{found.requests} requests, {sum(row.refusals for row in rows)} refused"
+    for row in rows:
+        left = f"{row.store_left:.1f} units left in the store" if row.units else ""
+        yield f"  {row.cause:12} {row.refusals:7} {row.units:9.0f} units  {left:32} {CAUSES[row.cause]}"
+
+
 def version_of(files: list[Path]) -> str:
     """The module's version by the first segment that can be read."""
     for file in files:
--- a/lab/sim/swarm.py
+++ b/lab/sim/swarm.py
@@ -23,6 +23,7 @@
 KINDS = (
     "half die", "rolling", "hang", "errors", "resets", "slow nodes", "drain", "gone", "restart node", "flood",
     "counter killed", "counter replaced", "counter split", "counter slow", "burst", "clock step",
+    "cold in a rush",
 )  # fmt: skip
 
 
@@ -125,10 +126,22 @@
         case "counter slow":
             world.parts.slow(20.0 + 200.0 * fault.size)
             world.at(span, world.parts.slow, 0.0)
+        case "cold in a rush":  # new processes while so much comes that an even share would push them over
+            warm = 240.0 * len(world.nodes)
+            world.load(2500.0, (0.6 + 0.2 * fault.size) * warm, ("wide",))
+            for at, name in enumerate(names[: 1 + fault.which % 2]):
+                world.at(300.0 + 10.0 * at, restarted, world, world.nodes[name])
         case "clock step":
             world.skew[fault.which % count] += 100.0 * fault.size  # forward only: clocks never go back
 
 
+def restarted(world: World, node: Node) -> None:
+    """A node's process is replaced within a moment."""
+    node.alive = False
+    node.queue.clear()
+    world.at(100.0, risen, world, node)
+
+
 def back(world: World, node: Node) -> None:
     """A node that drained is there again, under a new start."""
     if node.name in world.nodes and node.state is api.ServerState.DRAINING:
--- a/lab/sim/world.py
+++ b/lab/sim/world.py
@@ -10,6 +10,7 @@
 import heapq
 import itertools
 import random
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -23,6 +24,7 @@
 GRACE_MS = 250.0
 MARGIN_MS = 10.0  # attempts end this long before the client's time does
 NET_MS = 1.0
+SERVICE_MS = 25.0  # the mean, by a warm node
 COUNT_TIMEOUT_MS = 50.0
 
 SETTINGS = api.Settings(
@@ -38,6 +40,7 @@
         api.Plan("small", rate=4.0, burst=10.0),
         api.Plan("hard", rate=15.0, burst=30.0, ceiling_rate=20.0, ceiling_burst=50.0, ceiling_slack=5.0),
         api.Plan("open", max_open=4),
+        api.Plan("wide", rate=1e4, burst=1e4),
     ),
     safety=api.Safety(cold_share=0.25, warm_ms=8000.0, overload_factor=2.0, overload_ms=1500.0),
     max_attempts=4,
@@ -73,6 +76,7 @@
     limit: int = 30
     busy: int = 0
     queue: list[Callable[[], None]] = field(default_factory=list)
+    came: deque[float] = field(default_factory=deque)  # commands of the last moments, while cold
 
 
 @dataclass
@@ -278,14 +282,37 @@
         if not node.alive:
             self.at(NET_MS, self.ended, *back, api.Ending.UNREACHABLE)
             return
-        if attempt in asked.out and asked.first_left is None:
-            asked.first_left, asked.sent_zone = back[5], node.zone
+        self.check_cold(node)
         if node.busy + len(node.queue) >= node.limit:
-            self.at(NET_MS, self.ended, *back, api.Ending.FULL)
+            self.at(NET_MS, self.ended, *back, api.Ending.FULL)  # did not run: its zone binds nothing
             return
+        if attempt in asked.out and asked.first_left is None:
+            asked.first_left, asked.sent_zone = back[5], node.zone
         node.queue.append(lambda: self.serve(node, back))
         self.turn(node)
 
+    def check_cold(self, node: Node) -> None:
+        """A cold node that is sent more than `overload_factor` times what it can do for `overload_ms` falls
+        over."""
+        safety = self.settings.safety
+        if node.started_ms <= 0 or self.warmth(node) >= 1.0:
+            node.came.clear()
+            return
+        node.came.append(self.now)
+        while node.came[0] < self.now - safety.overload_ms:
+            node.came.popleft()
+        age = self.now - node.started_ms
+        mean = 0.5 * (self.warmth(node) + self.warmth(node, safety.overload_ms))
+        able = node.slots / SERVICE_MS * mean * safety.overload_ms
+        if age >= safety.overload_ms and len(node.came) > safety.overload_factor * able:
+            raise BrokenRule("cold servers", f"{len(node.came)} commands to {node.name}, {age:.0f} ms old")
+
+    def warmth(self, node: Node, before_ms: float = 0.0) -> float:
+        """The share of its capacity that a node has, or had a while before."""
+        safety = self.settings.safety
+        age = max(0.0, self.now - before_ms - node.started_ms) / safety.warm_ms
+        return min(1.0, safety.cold_share + (1.0 - safety.cold_share) * age)
+
     def turn(self, node: Node) -> None:
         """Free slots take what waits."""
         while node.alive and node.queue and node.busy < node.slots:
@@ -303,8 +330,7 @@
             asked.ran += 1
         if asked.cls.repeat is not api.Repeat.SAFE and asked.ran > 1:
             raise BrokenRule("nothing twice", f"{asked.ref} of class {asked.cls.name} ran {asked.ran} times")
-        warmth = min(1.0, 0.25 + 0.75 * (self.now - node.started_ms) / self.settings.safety.warm_ms)
-        took = self.rng.expovariate(1.0 / 25.0) * node.slow / warmth
+        took = self.rng.expovariate(1.0 / SERVICE_MS) * node.slow / self.warmth(node)
         self.at(took, self.served, node, back, self.rng.random())
 
     def served(self, node: Node, back: tuple[Any, ...], luck: float) -> None:
@@ -362,12 +388,14 @@
         if self.asked.pop(asked.ref, None) is not None:
             self.feed(asked.number, asked.incarnation, api.RequestGone(asked.ref))
 
-    def load(self, ms: float, rate: float) -> None:
+    def load(
+        self, ms: float, rate: float, plans: tuple[str, ...] = ("small", "small", "open")
+    ) -> None:
         """A mixed load of ordinary customers."""
         at = 0.0
         while (at := at + self.rng.expovariate(rate / 1000.0)) < ms:
             cls = self.rng.choice(("read", "read", "read", "order", "bid", "charge"))
-            plan = self.rng.choice(("small", "small", "open"))
+            plan = self.rng.choice(plans)
             self.at(at, self.ask, cls, plan, f"{plan}{self.rng.randrange(30)}")
 
     def flood(self, ms: float, rate: float, plan: str = "hard") -> None:
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -17,6 +17,7 @@
 
 from glenchute.capture import recorder as recorder_module
 from glenchute.capture.codec import (
+    ACTIONS,
     FORMAT,
     FRAME,
     MAGIC,
@@ -33,6 +34,7 @@
     snapshot,
 )
 from glenchute.capture.recorder import Recorder, Rule, hashed
+from glenchute.capture.refusals import CAUSES, Refusals
 from glenchute.capture.replay import other_module, read, replay, runs
 from glenchute.cli.main import main
 from heathglade import Gateway
@@ -303,6 +305,32 @@
         assert word in out
 
 
+CORPUS = sorted((ROOT / "tests" / "captures").glob("*.glcap"))
+
+
+def test_refusals_are_told_by_cause(capsys: pytest.CaptureFixture[str]) -> None:
+    """As many as each capture holds; together the corpus has every cause."""
+    causes: set[str] = set()
+    for file in CORPUS:
+        told = [action for record in read(file).records for action in record[3] or ()]
+        refused = sum(number == ACTIONS.index(api.Refuse) for number, _ in told)
+        found = Refusals()
+        assert not replay([file], seen=found).differences
+        rows = found.rows()
+        assert sum(row.refusals for row in rows) == refused, file.name
+        assert all(row.store_left < 6.0 for row in rows if row.cause == "empty")
+        assert all(row.store_left >= 1.0 for row in rows if row.cause == "lot")
+        causes |= {row.cause for row in rows}
+    assert causes == CAUSES.keys()
+    mute = next(file for file in CORPUS if "mute" in file.name)
+    assert main(["replay", str(mute), "--refusals"]) == 0
+    assert "this gateway's lot is used up" in capsys.readouterr().out
+
+
+def test_overheard_gates_change_no_decision(capture: Path) -> None:
+    assert replay(only_run(capture), seen=Refusals()).differences == []
+
+
 def test_a_fault_of_the_module_is_recorded_and_replayed(tmp_path: Path) -> None:
     made = fleet_settings(1)
     clock = [0.0]
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -12,7 +12,7 @@
 from heathglade import interface as api
 from heathglade.interface import Repeat
 from heathglade.marks import Name
-from heathglade.policy import Fleet, Gateway, Open, Quota
+from heathglade.policy import Fleet, Gateway, Open, Quota, Server
 from lab.sim.swarm import Fault, Script, captured, drawn, play, search, tried
 
 SEEDS = range(24)
@@ -136,6 +136,17 @@
     patch.setattr(Gateway, "finish", finish)
 
 
+@bug
+def newcomers_look_idle_and_get_it_all(patch: pytest.MonkeyPatch) -> None:
+    sound = Fleet.delay
+
+    def delay(self: Fleet, server: Server, now: float, mean: float) -> float:
+        return 0.0 if server.entry.started_ms > 0 else sound(self, server, now, mean)
+
+    patch.setattr(Fleet, "delay", delay)
+    patch.setattr(Fleet, "warmth", lambda self, server, now: 1.0)
+
+
 @bug
 def a_time_out_raises(patch: pytest.MonkeyPatch) -> None:
     sound = Name.heard
