--- /dev/null
+++ b/glenchute/backends/lines.py
@@ -0,0 +1,621 @@
+"""Connections to the servers on which several attempts may stand, answered in order.
+
+Which attempt joins which connection, and when a connection is given up for the sake of those that wait on it,
+is decided in `deciders/pipeline.py`; which bytes belong to which attempt, and how each ends when the
+connection does, in `deciders/line.py`. Here are the sockets, the timers, and the gathering of commands into
+one write: what is placed in one turn of the loop leaves together at its end, so that no timer holds anything.
+
+Bytes are handed to the transport only while it holds none, so that at a break only one batch is in doubt. A
+break told by the machine leaves no count of what had left: all that was handed over may have. Where the
+gateway itself closes, the transport is asked first.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from glenchute.core.types import About, Address, Result
+from glenchute.deciders.line import Entry, Line
+from glenchute.deciders.pipeline import Condemn, Copy, Cut, How, Pipeline, Placement, Rules, job_of
+from glenchute.deciders.sharing import Sharing
+from glenchute.wire import resp
+from heathglade.interface import Ending, RequestClass
+
+from .resp2 import STALL_S, Connection, Limits, Pool, Servers, classify
+
+log = logging.getLogger("glenchute")
+
+REPORT_S = 10.0  # a line for the operators this often, while anything happens
+CROSSING_MS = 5.0  # a command handed over so shortly before a reply may not have been at the node by then
+MOST_WAITING = 1024  # attempts that wait for a connection to one node
+
+
+class Gather(NamedTuple):
+    """What leaves in one write at most."""
+
+    most: int = 16
+    most_bytes: int = 16 * 1024
+
+
+class LineAttempt:
+    """One request on its way to one server, from `Send` to its one ending."""
+
+    __slots__ = (
+        "about", "conn", "done", "ended", "entry", "payload", "pool", "ref", "started", "timer", "until",
+        "wait_timer", "wait_until", "write_by", "written",
+    )  # fmt: skip
+
+    def __init__(
+        self, pool: LinePool, payload: Callable[[int], bytes], timeout_s: float,
+        done: Callable[[Result], None], write_by: float, about: About | None,
+    ) -> None:  # fmt: skip
+        servers = pool.lines
+        servers.serial += 1
+        self.ref = servers.serial
+        self.pool, self.payload, self.done, self.about = pool, payload, done, about
+        self.started = servers.loop.time()
+        self.until = self.started + timeout_s
+        self.write_by = write_by
+        self.ended = self.written = False
+        self.conn: LineConnection | None = None
+        self.entry: Entry[LineAttempt] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.wait_timer: asyncio.TimerHandle | None = None
+        self.wait_until = math.inf  # its one wait ends then, however often it asks meanwhile
+
+    def start(self) -> None:
+        """Finds its place."""
+        self.timer = self.pool.lines.loop.call_at(self.until, self.stop, Ending.TIMEOUT)
+        self.seek()
+
+    def seek(self) -> None:
+        """Asks the decider; again where the connection that it names is closing."""
+        self.wait_timer = None
+        if self.ended:
+            return
+        pool, servers = self.pool, self.pool.lines
+        pool.waiting.pop(self.ref, None)
+        while True:
+            now = servers.loop.time()
+            if now > self.write_by or (pool.stop_at is not None and now > pool.stop_at):
+                self.finish(Result(Ending.UNREACHABLE))
+                return
+            found = servers.place(self, now, now >= self.wait_until)
+            if found.how is How.NONE or (found.how is How.WAIT and len(pool.waiting) >= MOST_WAITING):
+                self.finish(Result(Ending.UNREACHABLE))
+                return
+            if found.how is How.WAIT:
+                pool.waiting[self.ref] = self
+                if self.wait_until == math.inf:
+                    self.wait_until = now + servers.pipeline.rules.wait_ms / 1000.0
+                until = min(self.wait_until, found.until / 1000.0)
+                self.wait_timer = servers.loop.call_later(max(0.0, until - now) + 0.001, self.seek)
+                return
+            if found.how is How.OPEN:
+                self.conn = pool.opened(found.line)
+                if self.conn is None:
+                    servers.pipeline.lost(1000.0 * now, found.line)
+                    self.finish(Result(Ending.UNREACHABLE))
+                    return
+                break
+            conn = pool.by_line.get(found.line)
+            if conn is not None and conn.usable():
+                self.conn = conn
+                break
+            servers.pipeline.lost(1000.0 * now, found.line)
+        if self.about is not None and self.about.placed is not None:
+            self.about.placed(f"{pool.server}: {found.reason(1000.0 * servers.loop.time())}")
+        self.conn.join(self)
+
+    def unsend(self) -> None:
+        """Its server drains: it ends, unless it was handed over meanwhile."""
+        if not self.ended and not self.written:
+            self.stop(Ending.CANCELLED)
+
+    def stop(self, ending: Ending) -> None:
+        """A time-out or a cancel. The ending is told once the connection is closed. An attempt that is called
+        off while others stand on its connection only loses its reply: what it leaves behind is out until
+        then, and no other attempt of its request goes."""
+        if self.ended:
+            return
+        conn, entry = self.conn, self.entry
+        if conn is None or entry is None or conn.line.withdraw(entry):
+            if conn is not None:
+                conn.dropped(self)
+            self.finish(Result(Ending.UNREACHABLE))  # nothing was handed over: it can't have run
+        elif ending is Ending.CANCELLED and len(conn.line) > 1:
+            entry.called_off = True
+        else:
+            if ending is Ending.TIMEOUT:
+                # As in `resp2.Attempt.stop`: a machine that vanished resets what it finds open later.
+                self.pool.close_idle(self.started)
+            conn.cut(entry, ending, "its time is up" if ending is Ending.TIMEOUT else "called off")
+
+    def finish(self, result: Result) -> None:
+        """The one ending; later ones are dropped."""
+        if self.ended:
+            return
+        self.ended = True
+        for timer in (self.timer, self.wait_timer):
+            if timer is not None:
+                timer.cancel()
+        self.timer = self.wait_timer = None
+        self.pool.waiting.pop(self.ref, None)
+        self.pool.lines.attempts.pop(self.ref, None)
+        self.conn = self.entry = None
+        self.done(result)
+
+
+class LineConnection(Connection):
+    """One connection with a line of attempts on it."""
+
+    __slots__ = ("booked", "connect_timer", "endings", "full", "line", "number", "stuck", "task", "up")
+
+    def __init__(self, pool: LinePool, number: int) -> None:
+        super().__init__(pool)
+        rules = pool.lines.pipeline.rules
+        self.number = number
+        self.line: Line[LineAttempt] = Line(CROSSING_MS if rules.settle_ms > 0 else 0.0, rules.settle_ms)
+        self.endings: list[tuple[LineAttempt, Result]] | None = None  # fixed when the gateway closes it
+        self.up = self.full = self.booked = False
+        self.task: asyncio.Task[None] | None = None
+        self.connect_timer: asyncio.TimerHandle | None = None
+        self.stuck: asyncio.TimerHandle | None = None
+
+    @property
+    def lines(self) -> Lines:
+        """The backend."""
+        pool = self.pool
+        assert isinstance(pool, LinePool)
+        return pool.lines
+
+    def usable(self) -> bool:
+        """Whether an attempt may still join."""
+        return self.endings is None and (not self.up or (self.transport is not None
+                                                         and not self.transport.is_closing()))  # fmt: skip
+
+    # --- coming up ---------------------------------------------------------------------------------------
+
+    async def connect(self) -> None:
+        """Comes up, or tells those that wait for it that they were never sent."""
+        servers = self.lines
+        host, port = self.pool.address
+        try:
+            await servers.loop.create_connection(lambda: self, host, port)
+        except OSError:
+            self.no_connection()
+            return
+        finally:
+            servers.connecting -= 1
+        self.task = None
+        if self.connect_timer is not None:
+            self.connect_timer.cancel()
+        if self.endings is not None:
+            self.abort()  # came up too late
+            return
+        self.up = True
+        servers.pipeline.connected(1000.0 * servers.loop.time(), self.number)
+        if not self.line:
+            self.pool.give_back(self)
+        self.flush()
+        servers.arm()
+
+    def no_connection(self) -> None:
+        """It was refused or did not come up in time."""
+        if self.up or self.endings is not None:
+            return
+        if self.task is not None and self.task is not asyncio.current_task(self.lines.loop):
+            self.task.cancel()
+        self.task = None
+        ended = self.line.cut()
+        self.endings = []
+        self.forgotten(False)
+        for item, ending in ended:
+            item.finish(Result(ending))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        assert self.transport is not None
+        self.transport.set_write_buffer_limits(high=0)  # told as soon as anything stays behind
+
+    # --- writing -----------------------------------------------------------------------------------------
+
+    def join(self, attempt: LineAttempt) -> None:
+        """An attempt takes its place at the end; it leaves at the end of the loop's turn."""
+        if self in self.pool.idle:
+            self.pool.idle.remove(self)
+        attempt.entry = self.line.put(attempt, b"")
+        self.book()
+
+    def book(self) -> None:
+        """Commands wait to be handed over."""
+        if self.up and not self.booked and not self.full:
+            self.booked = True
+            self.lines.loop.call_soon(self.flush)
+
+    def flush(self) -> None:
+        """Hands over what waits, in one write, while the transport holds nothing."""
+        self.booked = False
+        transport = self.transport
+        if not self.up or self.full or self.endings is not None:
+            return
+        if transport is None or transport.is_closing():
+            return
+        now = self.lines.loop.time()
+        stop_at = self.pool.stop_at
+        late: list[LineAttempt] = []
+        for entry in list(self.line.waiting):
+            attempt = entry.item
+            left = int(1000.0 * (attempt.until - now))
+            if left < 1 or now > attempt.write_by or (stop_at is not None and now > stop_at):
+                self.line.withdraw(entry)
+                self.lines.pipeline.withdrawn(1000.0 * now, self.number, attempt.ref)
+                late.append(attempt)
+            elif not entry.data:
+                entry.data = attempt.payload(left)
+        gather = self.lines.gather
+        parts = self.line.batch(1000.0 * now, gather.most, gather.most_bytes)
+        if parts:
+            for entry in list(self.line.out)[-len(parts) :]:
+                entry.item.written = True
+            self.lines.counts["writes"] += 1
+            self.lines.counts["commands"] += len(parts)
+            transport.write(parts[0] if len(parts) == 1 else b"".join(parts))
+            self.sample()
+            if self.line.waiting:
+                self.book()
+        for attempt in late:
+            attempt.finish(Result(Ending.UNREACHABLE))
+        if late and not self.line and self.endings is None:
+            self.pool.give_back(self)
+
+    def sample(self) -> None:
+        """Learns how much of what was handed over may have left."""
+        if self.transport is not None:
+            self.line.gone(self.transport.get_write_buffer_size())
+
+    def pause_writing(self) -> None:
+        """Some bytes stay behind. None may leave once the server's drain has run out, nor a keyed command's
+        once its repeats are no longer dropped: the connection is closed before that."""
+        self.full = True
+        limits = [entry.item.write_by for entry in self.line.out]
+        if self.pool.stop_at is not None:
+            limits.append(self.pool.stop_at)
+        end = min(limits, default=math.inf)
+        if self.stuck is None and end < math.inf:
+            self.stuck = self.lines.loop.call_at(end, self.still_stuck)
+
+    def resume_writing(self) -> None:
+        self.full = False
+        if self.stuck is not None:
+            self.stuck.cancel()
+            self.stuck = None
+        self.sample()
+        if self.line.waiting:
+            self.book()
+
+    def still_stuck(self) -> None:
+        """What was handed over has not left, and may not any more."""
+        self.stuck = None
+        if self.full and self.endings is None:
+            self.cut(None, Ending.RESET, "its bytes could no longer leave in time")
+
+    # --- reading -----------------------------------------------------------------------------------------
+
+    def data_received(self, data: bytes) -> None:
+        if self.endings is not None:
+            return
+        if self.stall is not None:
+            self.stall.cancel()
+            self.stall = None
+        now = 1000.0 * self.lines.loop.time()
+        self.sample()
+        done: list[tuple[LineAttempt, Result]] = []
+        fault = ""
+        try:
+            self.parser.feed(data)
+            while not fault and (reply := self.parser.next()) is not False:
+                fault = self.replied(now, reply, done)
+        except resp.ProtocolError:
+            fault = "a reply that can't be read"
+            if self.line.out:
+                self.spoil_head(now, done)
+        if not fault and self.parser.rest():
+            if self.line.out:
+                # A length that does not fit leaves an answer without an end, on a connection that stays open.
+                self.stall = self.lines.loop.call_later(STALL_S, self.spoilt)
+            else:
+                fault = "more than was asked for"
+        if fault:
+            self.cut(None, Ending.RESET, fault)
+            # What was spoilt may be tried again: that too must wait until the connection is closed.
+            assert self.endings is not None
+            self.endings[:0] = [row for row in done if row[1].ending is not Ending.OK]
+            done = [row for row in done if row[1].ending is Ending.OK]
+        elif done and not self.line:
+            self.pool.give_back(self)
+        for attempt, result in done:
+            attempt.finish(result)
+        if not fault and done:
+            self.lines.wake(self.pool)
+        self.lines.arm()
+
+    def replied(self, now: float, reply: object, done: list[tuple[LineAttempt, Result]]) -> str:
+        """One whole reply; what is wrong with it, if the line can't go on after it."""
+        found = self.line.reply(now)
+        if found is None:
+            return "a reply too many"
+        entry, trusted = found
+        result = classify(reply)
+        if not trusted:
+            result = Result(Ending.ERROR)
+        self.lines.pipeline.answered(now, self.number, result.ending is Ending.OK)
+        if entry.called_off:
+            result = Result(Ending.CANCELLED, sound=result.sound)
+        done.append((entry.item, result))
+        if not trusted:
+            return "a reply that may be another's"
+        return "" if result.sound else "a reply of no known form"
+
+    def spoil_head(self, now: float, done: list[tuple[LineAttempt, Result]]) -> None:
+        """What came for the head is no answer, but it may have run."""
+        entry = self.line.out[0]
+        if self.line.may_have_left(entry):
+            self.line.out.popleft()
+            self.lines.pipeline.answered(now, self.number, False)
+            done.append((entry.item, Result(Ending.CANCELLED if entry.called_off else Ending.ERROR)))
+
+    def spoilt(self) -> None:
+        """An answer that began does not go on."""
+        self.stall = None
+        if self.endings is None:
+            done: list[tuple[LineAttempt, Result]] = []
+            self.sample()
+            if self.line.out:
+                self.spoil_head(1000.0 * self.lines.loop.time(), done)
+            self.cut(None, Ending.RESET, "an answer that stopped midway")
+            assert self.endings is not None
+            self.endings[:0] = done
+
+    # --- the end -----------------------------------------------------------------------------------------
+
+    def cut(self, cause: Entry[LineAttempt] | None, ending: Ending, why: str) -> None:
+        """The gateway closes it. Each attempt's ending is fixed now and told when it is closed."""
+        if self.endings is not None:
+            return
+        self.sample()
+        ended = self.line.cut(cause, ending)
+        self.endings = [(item, Result(how)) for item, how in ended]
+        if len(ended) > 1:
+            log.info("line %d to %s with %d attempts is cut: %s", self.number, self.pool.address,
+                     len(ended), why)  # fmt: skip
+        self.lines.counts["cut"] += 1
+        self.forgotten(ending is Ending.TIMEOUT or bool(ended))
+        if self.up:
+            self.abort()
+        else:
+            if self.task is not None:
+                self.task.cancel()
+                self.task = None
+            self.tell()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.stall is not None:
+            self.stall.cancel()
+        if self.stuck is not None:
+            self.stuck.cancel()
+        self.pool.forget(self)
+        if self.endings is None:
+            # The machine does not say how much it had sent: all that was handed over may have left.
+            self.line.gone(0)
+            ended = self.line.cut()
+            self.endings = [(item, Result(how)) for item, how in ended]
+            self.forgotten(bool(ended))
+        # uvloop closes the socket only after this call; see `resp2.Connection.connection_lost`.
+        self.lines.loop.call_soon(self.tell)
+
+    def tell(self) -> None:
+        """The endings, once the connection is closed."""
+        endings, self.endings = self.endings or [], []
+        for attempt, result in endings:
+            attempt.finish(result)
+        self.lines.wake(self.pool)
+
+    def forgotten(self, trouble: bool) -> None:
+        """Nothing is placed here any more."""
+        if self.connect_timer is not None:
+            self.connect_timer.cancel()
+        pool = self.pool
+        assert isinstance(pool, LinePool)
+        pool.by_line.pop(self.number, None)
+        self.lines.pipeline.lost(1000.0 * self.lines.loop.time(), self.number, trouble)
+
+    def dropped(self, attempt: LineAttempt) -> None:
+        """An attempt was taken back before any of it was handed over."""
+        servers = self.lines
+        servers.pipeline.withdrawn(1000.0 * servers.loop.time(), self.number, attempt.ref)
+        if self.up and not self.line and self.endings is None:
+            self.pool.give_back(self)
+
+
+class LinePool(Pool):
+    """The connections to one server."""
+
+    __slots__ = ("by_line", "lines", "server", "waiting")
+
+    def __init__(self, lines: Lines, server: str, address: Address) -> None:
+        super().__init__(lines, address)
+        self.lines, self.server = lines, server
+        self.by_line: dict[int, LineConnection] = {}
+        self.waiting: dict[int, LineAttempt] = {}  # for a connection, the longest waiting first
+
+    def opened(self, number: int) -> LineConnection | None:
+        """A connection that begins to come up; None where there is no room for it."""
+        servers = self.lines
+        if not servers.make_room():
+            return None
+        conn = self.by_line[number] = LineConnection(self, number)
+        servers.connecting += 1
+        conn.task = servers.loop.create_task(conn.connect())
+        conn.connect_timer = servers.loop.call_later(servers.limits.connect_s, conn.no_connection)
+        return conn
+
+    def stop(self) -> None:
+        """The server drains or is gone. What was handed over may be answered; what was not goes elsewhere."""
+        super().stop()
+        assert self.stop_at is not None
+        unsent = list(self.waiting.values())
+        for conn in list(self.by_line.values()):
+            unsent += [entry.item for entry in list(conn.line.waiting)]
+            if conn.full and conn.stuck is None:
+                conn.stuck = self.lines.loop.call_at(self.stop_at, conn.still_stuck)
+        for attempt in unsent:
+            # In the loop's next round: nothing here may call the core while the core tells the news.
+            self.lines.loop.call_soon(attempt.unsend)
+
+
+class Lines(Servers):
+    """All pools, by the servers' ids, with one decider for the lines of all."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        limits: Limits,
+        classes: Iterable[RequestClass],
+        rules: Rules,
+        sharing: Sharing,
+        gather: Gather,
+    ) -> None:
+        super().__init__(loop, limits)
+        self.pipeline = Pipeline(rules, sharing)
+        self.classes = {cls.name: cls for cls in classes}
+        self.gather = gather
+        self.serial = 0
+        self.attempts: dict[int, LineAttempt] = {}
+        self.counts: Counter[str] = Counter()
+        self.said = "", loop.time()
+        self.timer: asyncio.TimerHandle | None = None
+        self.alarm = math.inf  # when the timer fires, in the loop's seconds
+
+    def pool(self, server: str, address: Address) -> Pool:
+        """A pool for a server that was not listed at this address before."""
+        return LinePool(self, server, address)
+
+    def listed(self, server: str, address: Address, started_anew: bool) -> None:
+        """A server that takes work."""
+        before = self.pools.get(server)
+        super().listed(server, address, started_anew)
+        if started_anew or self.pools[server] is not before:
+            self.pipeline.renewed(server)
+
+    def stopped(self, server: str) -> None:
+        """A server that drains: nothing new, what is out may finish."""
+        self.pipeline.stopped(server)
+        super().stopped(server)
+
+    def gone(self, server: str) -> None:
+        """A server that left the list."""
+        self.pipeline.stopped(server)
+        super().gone(server)
+        self.pipeline.gone(server)
+
+    def attempt(
+        self, server: str, payload: Callable[[int], bytes], timeout_s: float, done: Callable[[Result], None],
+        write_by: float = math.inf, about: About | None = None,
+    ) -> LineAttempt | None:  # fmt: skip
+        """Makes an attempt, not started yet; None if the server takes nothing (any more)."""
+        pool = self.open_pool(server)
+        if pool is None:
+            return None
+        assert isinstance(pool, LinePool)
+        attempt = LineAttempt(pool, payload, timeout_s, done, write_by, about)
+        self.attempts[attempt.ref] = attempt
+        return attempt
+
+    def place(self, attempt: LineAttempt, now: float, waited: bool) -> Placement:
+        """Asks the decider. What nothing is known of goes alone, as a class that is not shared does."""
+        about, ms = attempt.about, 1000.0 * now
+        cls = self.classes.get(about.class_name) if about is not None else None
+        server = attempt.pool.server
+        if about is None or cls is None:
+            cls = RequestClass("", 1e6, 0.0, next(iter(self.classes.values())).repeat)
+            job = job_of(cls, 0.0, ms, 1000.0 * attempt.until, ms, 1000.0 * attempt.until, math.inf, False, 1)
+        else:
+            job = job_of(
+                cls, self.pipeline.times.mean(cls.name, server), ms, 1000.0 * attempt.until,
+                1000.0 * about.came, 1000.0 * about.deadline, 1000.0 * attempt.write_by, about.again,
+                about.depth or 1 << 30,
+            )  # fmt: skip
+        found = self.pipeline.place(ms, server, attempt.ref, job, self.has_room, waited)
+        if found.how is How.JOIN:
+            self.arm()
+        return found
+
+    def wake(self, pool: Pool) -> None:
+        """A connection may have freed: the longest waiting attempt asks again."""
+        assert isinstance(pool, LinePool)
+        for attempt in list(pool.waiting.values())[:1]:
+            if attempt.wait_timer is not None:
+                attempt.wait_timer.cancel()
+            attempt.seek()
+
+    def arm(self) -> None:
+        """One timer for all lines, at the moment at which the decider has something to look at."""
+        at = self.pipeline.next_check() / 1000.0
+        if at >= self.alarm or at == math.inf:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        self.alarm = at
+        self.timer = self.loop.call_at(at, self.check)
+
+    def check(self) -> None:
+        """Carries out what the decider says of stalled heads and reached bounds."""
+        self.alarm, self.timer = math.inf, None
+        for action in self.pipeline.check(1000.0 * self.loop.time()):
+            match action:
+                case Condemn():
+                    self.counts["condemned"] += 1
+                case Copy(ref):
+                    attempt = self.attempts.get(ref)
+                    if attempt is not None and attempt.about is not None:
+                        attempt.about.held()
+                case Cut(line, ref, why):
+                    self.cut(line, ref, why)
+        self.arm()
+
+    def cut(self, line: int, ref: int, why: str) -> None:
+        """A line is given up for the sake of those that wait on it."""
+        attempt = self.attempts.get(ref)
+        if attempt is None or attempt.conn is None or attempt.conn.number != line:
+            return
+        said = "its head is stalled" if why == "stall" else "those behind its head can't wait longer"
+        attempt.conn.cut(attempt.entry, Ending.RESET, said)
+
+    def sweep(self) -> None:
+        """As before, with a line for the operators now and then."""
+        super().sweep()
+        now = self.loop.time()
+        if now - self.said[1] >= REPORT_S:
+            counts = {**self.pipeline.counts, **self.counts}
+            line = " ".join(f"{name}={count}" for name, count in sorted(counts.items()))
+            if line != self.said[0]:
+                log.info("lines: %s", line)
+            self.said = line, now
+
+    def close(self) -> None:
+        """Closes everything, at the end of the process."""
+        if self.timer is not None:
+            self.timer.cancel()
+        for pool in [*self.pools.values(), *self.leaving]:
+            if isinstance(pool, LinePool):
+                for conn in list(pool.by_line.values()):
+                    if not conn.up:
+                        conn.no_connection()
+        super().close()
+
--- a/glenchute/backends/resp2.py
+++ b/glenchute/backends/resp2.py
@@ -13,7 +13,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from glenchute.core.types import Address, Result
+from glenchute.core.types import About, Address, Result
+from glenchute.core.types import Attempt as AnAttempt
 from glenchute.wire import resp
 from heathglade.interface import Ending
 
@@ -323,6 +324,10 @@
         self.connecting = 0
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
 
+    def pool(self, server: str, address: Address) -> Pool:
+        """A pool for a server that was not listed at this address before."""
+        return Pool(self, address)
+
     def listed(self, server: str, address: Address, started_anew: bool) -> None:
         """A server that takes work."""
         pool = self.pools.get(server)
@@ -330,7 +335,7 @@
             if pool is not None:
                 self.leaving.add(pool)
                 pool.stop()
-            self.pools[server] = Pool(self, address)
+            self.pools[server] = self.pool(server, address)
         elif started_anew:
             pool.close_idle()  # they lead to the process that ended
 
@@ -356,6 +361,10 @@
         pools = [*self.pools.values(), *self.leaving]
         return self.connecting + sum(len(pool.open) for pool in pools)
 
+    def has_room(self) -> bool:
+        """Whether `make_room` would succeed."""
+        return self.count() < self.limits.connections or any(pool.idle for pool in self.pools.values())
+
     def make_room(self) -> bool:
         """Whether one more connection may be opened; the longest idle one is closed for it if need be."""
         if self.count() < self.limits.connections:
@@ -386,8 +395,10 @@
         timeout_s: float,
         done: Callable[[Result], None],
         write_by: float = math.inf,
-    ) -> Attempt | None:
-        """Makes an attempt, not started yet; None if the server takes nothing (any more)."""
+        about: About | None = None,
+    ) -> AnAttempt | None:
+        """Makes an attempt, not started yet; None if the server takes nothing (any more). Each has a
+        connection to itself, so that `about` says nothing of use here."""
         pool = self.open_pool(server)
         return Attempt(pool, payload, timeout_s, done, write_by) if pool is not None else None
 
--- a/glenchute/capture/codec.py
+++ b/glenchute/capture/codec.py
@@ -41,6 +41,8 @@
     api.RequestGone,
     api.TimerFired,
     api.CountReply,
+    api.AttemptHeld,
+    api.AttemptPlaced,
 )
 ACTIONS: tuple[type[Any], ...] = (
     api.Send,
--- a/glenchute/cli/files.py
+++ b/glenchute/cli/files.py
@@ -5,7 +5,7 @@
 import os
 
 from glenchute.config.facts import Facts
-from glenchute.config.platform import ConfigError, load
+from glenchute.config.platform import Config, ConfigError, load
 
 from .run import OPERATOR
 
@@ -18,6 +18,14 @@
     return path
 
 
+def platform(given: str | None) -> Config:
+    """The platform's file; one has to be named."""
+    path = given or os.environ.get("EDGE_CONFIG")
+    if not path:
+        raise ConfigError("name the platform's file by --platform or EDGE_CONFIG")
+    return load({**os.environ, "EDGE_CONFIG": path})
+
+
 def platform_facts(given: str | None) -> Facts | None:
     """What the platform's file says; None where none is named."""
     path = given or os.environ.get("EDGE_CONFIG")
--- a/glenchute/cli/main.py
+++ b/glenchute/cli/main.py
@@ -15,6 +15,7 @@
     "explain": "tell which route binds a kind of request, and the attempts that it allows",
     "replay": "feed a capture to the decision module and compare each decision",
     "quota": "state what quotas and ceilings may be overshot by when the counter fails",
+    "pipeline": "print which classes may share a connection to a node, and within what",
     "demo": "play a small site on loopback, with a node that fails midway",
     "schema": "print the JSON Schema of the operator's file",
 }
@@ -42,11 +43,11 @@
     parser.add_argument("--version", action="version", version=f"glenchute {__version__}")
     commands = parser.add_subparsers(dest="command", metavar="COMMAND")
     parsers = {name: commands.add_parser(name, help=text) for name, text in COMMANDS.items()}
-    for name in ("run", "check", "explain"):
+    for name in ("run", "check", "explain", "pipeline"):
         parsers[name].add_argument(
             "--operator", metavar="FILE", help="the operator's file; else GLENCHUTE_OPERATOR names it"
         )
-    for name in ("check", "explain", "quota"):
+    for name in ("check", "explain", "quota", "pipeline"):
         parsers[name].add_argument(
             "--platform", metavar="FILE", help="the platform's file; else EDGE_CONFIG names it"
         )
--- a/glenchute/cli/replay.py
+++ b/glenchute/cli/replay.py
@@ -106,6 +106,9 @@
         actions = [action for action in record[3] or () if action[1] and action[1][0] == self.request]
         if not mine and not actions:
             return
+        if isinstance(event, api.AttemptPlaced):  # decides nothing: the state is the one told just before
+            self.lines.append(f"{record[0]:.3f}  attempt {event.attempt} to {event.reason}")
+            return
         self.lines.append(f"{record[0]:.3f}  {event}")
         if isinstance(event, api.Request):
             self.customer = event.customer
--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -68,7 +68,7 @@
         self.environ = environ or {}
         self.loop = loop
         made = config.settings
-        self.servers = Servers(loop, config.limits)
+        self.servers = self.backend(operator)
         self.counter = (
             Counter(loop, config.counter, made.counter_timeout_ms / 1000.0) if config.counter else None
         )
@@ -78,6 +78,9 @@
             decisions = self.recorder = self.recording(decisions, operator.capture)
         self.gateway = Gateway(loop, decisions, self.servers, self.counter)
         self.gateway.overlap = made.overlap
+        if operator is not None and operator.pipeline is not None:
+            self.gateway.most_attempts = made.max_attempts
+            self.gateway.tells_places = self.recorder is not None
         if operator is not None:
             self.bind(operator)
         self.listener = Listener(loop, self.gateway, Catalogue(made, config.bounds), config.sockets)
@@ -86,9 +89,18 @@
             self.extproc = self.processing(operator.fronts["extproc"])
         self.discovery = Discovery(loop, config.discovery, self.gateway.news)
         # What of the operator's file holds until a restart.
-        self.begun = (operator.capture, operator.fronts) if operator is not None else None
+        self.begun = started(operator) if operator is not None else None
         self.stopping = asyncio.Event()
 
+    def backend(self, operator: Operator | None) -> Servers:
+        """The connections to the servers: one for each attempt, or shared where the operator's file says
+        so."""
+        if operator is None or operator.pipeline is None:
+            return Servers(self.loop, self.config.limits)
+        from .lines import backend
+
+        return backend(operator.pipeline, self.config, self.loop)
+
     def recording(self, decisions: Decisions, raw: dict[str, Any]) -> Recorder:
         """The module behind a recorder; imported only where the operator's file asks for one."""
         from glenchute.capture.recorder import Recorder, Rule
@@ -175,8 +187,8 @@
                 return
             self.bind(operator)
             log.info("the operator's file was read again")
-            if self.begun is not None and (operator.capture, operator.fronts) != self.begun:
-                log.warning("what changed in [capture] and [fronts] waits for a restart")
+            if self.begun is not None and started(operator) != self.begun:
+                log.warning("what changed in [capture], [fronts] and [pipeline] waits for a restart")
 
     async def leave(self) -> None:
         """A planned end: takes what still comes, finishes what is held, and is gone before the kill."""
@@ -209,6 +221,11 @@
         await asyncio.sleep(0)
 
 
+def started(operator: Operator) -> tuple[Any, ...]:
+    """What of an operator's file is followed only from a start on."""
+    return operator.capture, operator.fronts, operator.pipeline
+
+
 async def wait(event: asyncio.Event, seconds: float) -> None:
     """Waits for an event, but not for ever."""
     try:
--- a/glenchute/config/facts.py
+++ b/glenchute/config/facts.py
@@ -32,3 +32,5 @@
     attempts_cap: int
     overlap: bool
     connect_ms: float
+    streams: int = 0  # commands of one connection that a server begins at once; 0: not told
+    idle_ms: float = 15_000.0  # connections are closed after this long without use
--- a/glenchute/config/operator.py
+++ b/glenchute/config/operator.py
@@ -15,9 +15,11 @@
 from glenchute.deciders.routes import Backoff, BudgetRule, Route
 from heathglade.interface import Ending
 
+from . import pipeline
 from .facts import Facts
 from .findings import Finding, fatal, ordered
 from .fronts import FRONTS
+from .pipeline import MOST_DEPTH, PIPELINE
 from .rules import violations
 from .schema import MISSING, Number, Path, Rows, Table, Word, Words, label
 
@@ -42,6 +44,7 @@
     "retry_on": Words(tuple(CAUSES), alone=False, code="unknown-cause"),
     "second_copy_after_ms": Number(0, LONGEST_MS, above=True),
     "retry_budget": Table({"share": Number(0, 1), "least_per_s": Number(0, 1e6)}, ("share",)),
+    "pipeline_depth": Number(1, MOST_DEPTH, whole=True),
 }
 MATCH = Table({"class": Words(), "plan": Words(), "command": Words(COMMANDS, code="unknown-command")})
 NAME = Word("[A-Za-z0-9_.-]{1,64}", "1 to 64 letters, digits, '_', '.' or '-'")
@@ -62,6 +65,7 @@
         "defaults": Table(BOUNDS),
         "capture": CAPTURE,
         "fronts": FRONTS,
+        "pipeline": PIPELINE,
         "route": Rows(Table({"name": NAME, "match": MATCH, **BOUNDS}, ("name", "match")), MOST_ROUTES),
     }
 )
@@ -94,6 +98,7 @@
     routes: tuple[Matched, ...] = ()
     capture: dict[str, Any] | None = None
     fronts: dict[str, Any] | None = None
+    pipeline: dict[str, Any] | None = None
 
 
 class Reading(NamedTuple):
@@ -180,6 +185,8 @@
         made = made._replace(attempts=raw["attempts"])
     if "second_copy_after_ms" in raw:
         made = made._replace(copy_after_ms=raw["second_copy_after_ms"])
+    if "pipeline_depth" in raw:
+        made = made._replace(depth=raw["pipeline_depth"])
     if "retry_on" in raw:
         made = made._replace(causes=frozenset(CAUSES[word] for word in raw["retry_on"]))
     backoff, budget = raw.get("backoff", {}), raw.get("retry_budget", {})
@@ -200,6 +207,11 @@
         from .extproc import check  # only for a file that names this front
 
         check(fronts["extproc"], facts, faults)
+    shared = good.get("pipeline")
+    if shared is not None:
+        pipeline.check(shared, good.get("route", []), good.get("defaults", {}), facts, faults)
+    else:
+        pipeline.unused(good.get("route", []), good.get("defaults", {}), faults)
     base = bounds_of("defaults", good["defaults"]) if "defaults" in good else None
     if base is not None:
         own_sense(good["defaults"], ("defaults",), faults)
@@ -223,7 +235,7 @@
         routes.append(Matched(at, bounds_of(name, row, base), *found))
     if facts is None:
         equal_ranks(routes, None, faults)
-        return Operator({}, tuple(routes), good.get("capture"), fronts)
+        return Operator({}, tuple(routes), good.get("capture"), fronts, shared)
     known = True
     for one in routes:
         for key, given, there in (("class", one.classes, facts.classes), ("plan", one.plans, facts.plans)):
@@ -235,7 +247,8 @@
                            )  # fmt: skip
     if known:
         equal_ranks(routes, facts, faults)
-    return Operator(resolved(routes, base, facts, faults), tuple(routes), good.get("capture"), fronts)
+    table = resolved(routes, base, facts, faults)
+    return Operator(table, tuple(routes), good.get("capture"), fronts, shared)
 
 
 def own_sense(raw: dict[str, Any], path: Path, faults: Faults) -> None:
--- /dev/null
+++ b/glenchute/config/pipeline.py
@@ -0,0 +1,115 @@
+"""`[pipeline]` of the operator's file: its shape, what it means, and the rules that it must keep.
+
+The shape is imported with every operator's file; what it means only by those that have the table.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from heathglade.interface import Repeat
+
+from .facts import Facts
+from .schema import MISSING, Number, Path, Report, Switch, Table, Words
+
+HERE: Path = ("pipeline",)
+MOST_DEPTH = 1000
+DEPTH, AT_RISK, WAIT_MS, SETTLE_MS = 4, 8, 5.0, 30.0
+GATHER, GATHER_BYTES = 16, 16 * 1024
+STALL_QUANTILE, STALL_FACTOR, LEAST_STALL_MS, OPEN_PRICE_MS = 0.95, 2.0, 10.0, 2.0
+
+PIPELINE = Table(
+    {
+        "classes": Words(),
+        "behind_unsafe": Switch(),
+        "depth": Number(1, MOST_DEPTH, whole=True),
+        "at_risk": Number(1, 10_000, whole=True),
+        "wait_ms": Number(0, 10_000),
+        "settle_ms": Number(0, 10_000),
+        "gather": Number(1, 1024, whole=True),
+        "gather_bytes": Number(256, 256 * 1024, whole=True),
+        "stall_quantile": Number(0.5, 0.999),
+        "stall_factor": Number(1, 100),
+        "least_stall_ms": Number(1, 60_000),
+        "open_price_ms": Number(0, 1000),
+    },
+    ("classes",),
+)
+
+
+def check(raw: dict[str, Any], rows: list[Any], defaults: dict[str, Any], facts: Facts | None,
+          report: Report) -> None:  # fmt: skip
+    """Reports what is wrong with a table whose shape is right, and with the routes' depths. `rows`: the
+    routes' checked tables."""
+    depth = raw.get("depth", DEPTH)
+    if depth == 1:
+        report("depth-of-one", (*HERE, "depth"), "lets nothing share a connection; write 2 or more, or take "
+               "[pipeline] out")  # fmt: skip
+    if facts is None:
+        return
+    if facts.streams and depth > facts.streams:
+        named = (*HERE, "depth") if "depth" in raw else HERE
+        report("depth-over-settings", named, f"is {depth}; the platform begins {facts.streams} commands "
+               "of a connection at once, and the rest would only wait; write that or less")  # fmt: skip
+    if facts.attempts_cap < 2:
+        report("no-second-attempt", HERE, "the platform allows one attempt a request, so nothing may be put "
+               "where it can be cut; take [pipeline] out")  # fmt: skip
+    settle = raw.get("settle_ms", SETTLE_MS)
+    if settle >= facts.idle_ms:
+        report("settle-over-idle", (*HERE, "settle_ms"), f"connections are closed after {facts.idle_ms:g} ms "
+               "without use, so none would be used again; write less")  # fmt: skip
+    for at, name in enumerate(raw.get("classes", ())):
+        path = (*HERE, "classes", at)
+        cls = facts.classes.get(name)
+        if cls is None:
+            known = ", ".join(facts.classes)
+            report("unknown-class", path, f"{name[:40]!r} is no class of the platform; write one of {known}")
+        elif cls.repeat is Repeat.UNSAFE:
+            report("unsafe-shares", path, f"{name} must never run twice, and a line that is cut would leave "
+                   "it unknown; take it out")  # fmt: skip
+        elif cls.repeat is Repeat.KEYED and not cls.scope_known:
+            report("keyed-scope", path, "the platform's file does not say which servers drop repeats of "
+                   f"{name}; take it out")  # fmt: skip
+        elif cls.repeat is Repeat.KEYED and cls.memory_ms <= raw.get("least_stall_ms", LEAST_STALL_MS):
+            report("keyed-beyond-memory", path, f"repeats of {name} are dropped for {cls.memory_ms:g} ms, in "
+                   "which no stall is found; take it out, or lower least_stall_ms")  # fmt: skip
+    check_routes(raw, rows, defaults, facts, report)
+
+
+def check_routes(raw: dict[str, Any], rows: list[Any], defaults: dict[str, Any], facts: Facts,
+                 report: Report) -> None:  # fmt: skip
+    """What the routes of shared classes must leave room for."""
+    wait = raw.get("wait_ms", WAIT_MS)
+    shared = [name for name in raw.get("classes", ()) if name in facts.classes]
+    bounds: list[tuple[Path, float]] = []
+    for path, row in table_rows(rows, defaults):
+        depth = row.get("pipeline_depth")
+        if depth is not None and facts.streams and depth > facts.streams:
+            report("depth-over-settings", (*path, "pipeline_depth"),
+                   f"is {depth}; the platform begins {facts.streams} commands of a connection at once; "
+                   "write that or less")  # fmt: skip
+        named = row.get("match", {}).get("class", ())
+        if depth is not None and depth > 1 and named and not set(named) & set(shared):
+            report("depth-unused", (*path, "pipeline_depth"), f"{', '.join(named)} is not in "
+                   "pipeline.classes; name it there, or take this out")  # fmt: skip
+        if "attempt_timeout_ms" in row:
+            bounds.append((path, row["attempt_timeout_ms"]))
+    bounds += [(HERE, facts.classes[name].deadline_ms) for name in shared]
+    least = min((bound for _, bound in bounds), default=0.0)
+    if bounds and wait >= least:
+        key = (*HERE, "wait_ms") if "wait_ms" in raw else HERE
+        report("wait-over-timeout", key, f"lets an attempt wait {wait:g} ms for a connection; one is given "
+               f"up after {least:g} ms; write less")  # fmt: skip
+
+
+def table_rows(rows: list[Any], defaults: dict[str, Any]) -> list[tuple[Path, dict[str, Any]]]:
+    """The tables that may hold bounds, with their places."""
+    found: list[tuple[Path, dict[str, Any]]] = [(("defaults",), defaults)] if defaults else []
+    return found + [(("route", at), row) for at, row in enumerate(rows) if row is not MISSING]
+
+
+def unused(rows: list[Any], defaults: dict[str, Any], report: Report) -> None:
+    """Depths in a file without the table that they are for."""
+    for path, row in table_rows(rows, defaults):
+        if "pipeline_depth" in row:
+            report("depth-unused", (*path, "pipeline_depth"), "needs [pipeline]; add it, or take this out")
--- a/glenchute/config/platform.py
+++ b/glenchute/config/platform.py
@@ -109,4 +109,6 @@
         attempts_cap=made.max_attempts,
         overlap=made.overlap,
         connect_ms=num(part(raw, "limits").get("connect_timeout_ms"), 250.0),
+        streams=int(num(part(raw, "limits").get("max_streams"))),
+        idle_ms=num(part(raw, "limits").get("conn_idle_ms"), 15_000.0),
     )
--- a/glenchute/core/gateway.py
+++ b/glenchute/core/gateway.py
@@ -18,7 +18,20 @@
 
 from heathglade import interface as api
 
-from .types import Answer, Attempt, Backend, Call, Counting, Decisions, Failed, News, Refused, Result, Served
+from .types import (
+    About,
+    Answer,
+    Attempt,
+    Backend,
+    Call,
+    Counting,
+    Decisions,
+    Failed,
+    News,
+    Refused,
+    Result,
+    Served,
+)  # fmt: skip
 
 if TYPE_CHECKING:  # only an operator's file brings routes in
     from glenchute.deciders.routes import Course, Routes
@@ -99,6 +112,8 @@
         self.serial = 0
         self.routes: Routes | None = None
         self.overlap = False  # a second copy may be out beside the first
+        self.most_attempts = 0  # of a request; told where attempts are placed on shared connections, else 0
+        self.tells_places = False  # the module is recorded, and is told where attempts went
         self.events: deque[api.Event] = deque()
         self.draining = False
 
@@ -248,8 +263,13 @@
             write_by = math.inf
             if action.write_by_ms > 0:
                 write_by = self.loop.time() + (action.write_by_ms - self.clock.now()) / 1000.0
-            carrier = live.call.carrier or self.servers
-            attempt = carrier.attempt(server, live.call.encode, wait, done, write_by)
+            carrier = live.call.carrier
+            if carrier is None and self.most_attempts:
+                about = self.about(live, number)
+                attempt = self.servers.attempt(server, live.call.encode, wait, done, write_by, about)
+            else:
+                carrier = carrier or self.servers
+                attempt = carrier.attempt(server, live.call.encode, wait, done, write_by)
         if attempt is None:
             ending = api.Ending.UNREACHABLE if wait > 0 else api.Ending.UNSENT
             again = self.next_after(live, ending)
@@ -259,6 +279,23 @@
         live.out.append(attempt)
         attempt.start()
 
+    def about(self, live: Live, number: int) -> About:
+        """What the backend needs to know to place this attempt on a connection that others use too."""
+        call, course = live.call, live.course
+        again = live.attempts < self.most_attempts and (course is None or course.again(api.Ending.RESET))
+
+        def held() -> None:
+            self.post(api.AttemptHeld(live.ref, number))
+
+        def placed(reason: str) -> None:
+            self.post(api.AttemptPlaced(live.ref, number, reason))
+
+        deadline = live.deadline - ANSWER_MARGIN_S
+        came = live.deadline - call.time_left_ms / 1000.0
+        depth = course.route.depth if course is not None else 0
+        told = placed if self.tells_places else None
+        return About(call.class_name, came, deadline, again, depth, held, told)
+
     def may_start(self, live: Live) -> bool:
         """Whether an attempt may go out now, beside what is out and under the request's route."""
         if live.out and not self.overlap:
--- a/glenchute/core/types.py
+++ b/glenchute/core/types.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from heathglade.interface import Action, Ending, Event, ServerList
 
@@ -95,6 +95,19 @@
         """Ends it early. `done` is called once the connection is closed."""
 
 
+class About(NamedTuple):
+    """What a carrier that places attempts on shared connections needs to know of one. Times are the loop's,
+    in seconds."""
+
+    class_name: str
+    came: float  # when its request came
+    deadline: float  # attempts end by then
+    again: bool  # its request may have a further attempt after a reset, as far as numbers and routes go
+    depth: int  # most attempts on its connection, by its route; 0: none said
+    held: Callable[[], None]  # to be told that it waits behind a stalled one
+    placed: Callable[[str], None] | None  # to be told where it went and why, if anybody wants to know
+
+
 class Carrier(Protocol):
     """Makes attempts."""
 
@@ -105,6 +118,7 @@
         timeout_s: float,
         done: Callable[[Result], None],
         write_by: float,
+        about: About | None = None,
     ) -> Attempt | None:
         """Makes an attempt, not started yet; None if the server takes nothing (any more). Not a byte of it
         leaves after `write_by`, the loop's time: it then ends as "could not connect"."""
--- a/glenchute/deciders/routes.py
+++ b/glenchute/deciders/routes.py
@@ -70,6 +70,7 @@
     causes: frozenset[Ending] | None = None
     copy_after_ms: float = 0.0
     budget: BudgetRule | None = None
+    depth: int = 0  # attempts on one connection to a node, where connections are shared; 1: alone
 
 
 class Budget:
@@ -145,6 +146,14 @@
         self.reserved = True
         return route.backoff.draw(max(1, self.started), self.rng) if route.backoff is not None else 0.0
 
+    def again(self, ending: Ending) -> bool:
+        """Whether the route's number and causes leave a further attempt after this ending. Its budget may
+        still refuse that one: what it grants is for endings, not for prospects."""
+        route = self.route
+        if route.attempts and self.started >= route.attempts:
+            return False
+        return route.causes is None or ending in route.causes
+
     def begin(self, now: float, overlapping: bool) -> bool:
         """An attempt is to start, beside one that is out where `overlapping`. False: it must not."""
         route = self.route
--- a/glenchute/fronts/extproc/calls.py
+++ b/glenchute/fronts/extproc/calls.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 
 from glenchute.core.gateway import Gateway, Live
-from glenchute.core.types import Address, Answer, Call, Carrier, Refused, Result, Served
+from glenchute.core.types import About, Address, Answer, Call, Carrier, Refused, Result, Served
 from glenchute.deciders.exchange import Asking, Gate, Show, ending, gate, may_follow, show
 from glenchute.deciders.mapping import Fields, MappingError, NeedsBody, Rules, View
 from heathglade.interface import Ending, Repeat
@@ -181,7 +181,7 @@
 
     def attempt(
         self, server: str, payload: Callable[[int], bytes], timeout_s: float, done: Callable[[Result], None],
-        write_by: float,
+        write_by: float, about: About | None = None,
     ) -> Try | None:  # fmt: skip
         """An attempt that the proxy is to make; None where the node takes nothing (any more)."""
         address = self.calls.gateway.servers.address(server)
--- a/glenchute/fronts/extproc/ratelimit.py
+++ b/glenchute/fronts/extproc/ratelimit.py
@@ -13,7 +13,7 @@
 from envoy.service.ratelimit.v3 import rls_pb2
 
 from glenchute.core.gateway import Gateway, Live
-from glenchute.core.types import Answer, Call, Carrier, Refused, Result
+from glenchute.core.types import About, Answer, Call, Carrier, Refused, Result
 from glenchute.deciders.mapping import MappingError, Rules, View
 from heathglade.interface import Ending
 
@@ -41,7 +41,7 @@
 
     def attempt(
         self, server: str, payload: Callable[[int], bytes], timeout_s: float, done: Callable[[Result], None],
-        write_by: float,
+        write_by: float, about: About | None = None,
     ) -> Unsent:  # fmt: skip
         """The module lets it go on: that is the answer."""
         return Unsent(self, done)
--- a/heathglade/interface.py
+++ b/heathglade/interface.py
@@ -187,6 +187,23 @@
     next_after_ms: float = 0.0  # a further attempt may start no sooner; inf: none may
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptHeld:
+    """An attempt waits behind another whose answer does not come: a second copy elsewhere would help."""
+
+    request_id: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptPlaced:
+    """On which connection an attempt went out, and why. Decides nothing: for captures and their readers."""
+
+    request_id: str
+    attempt: int
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class RequestGone:
     """The client left; no answer is owed."""
@@ -211,7 +228,10 @@
     took_ms: float = 0.0
 
 
-Event = ServerList | Request | AnswerBegan | AttemptEnded | RequestGone | TimerFired | CountReply
+Event = (
+    ServerList | Request | AnswerBegan | AttemptEnded | RequestGone | TimerFired | CountReply | AttemptHeld
+    | AttemptPlaced
+)  # fmt: skip
 
 
 # --- actions -------------------------------------------------------------------------------------------
--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -14,9 +14,9 @@
 from dataclasses import dataclass, field
 
 from .interface import (
-    Action, AnswerBegan, AttemptEnded, Cancel, Count, CountReply, Ending, Event, Fail, ListKind, Log, Plan,
-    Refuse, Repeat, Request, RequestClass, RequestGone, Scope, Send, ServerEntry, ServerList, ServerState,
-    SetTimer, Settings, Subscribe, TimerFired,
+    Action, AnswerBegan, AttemptEnded, AttemptHeld, Cancel, Count, CountReply, Ending, Event, Fail, ListKind,
+    Log, Plan, Refuse, Repeat, Request, RequestClass, RequestGone, Scope, Send, ServerEntry, ServerList,
+    ServerState, SetTimer, Settings, Subscribe, TimerFired,
 )  # fmt: skip
 from .marks import Health, Name, Watch, mark_of
 
@@ -614,6 +614,9 @@
             case CountReply():
                 if waiting := self.requests.get(self.quota.counted(now_ms, event) or ""):
                     self.decide(now_ms, waiting, event.ending is Ending.OK)
+            case AttemptHeld(request_id):
+                if self.settings.overlap and (held := self.requests.get(request_id)):
+                    self.copy(now_ms, held)
             case RequestGone(request_id) | AnswerBegan(request_id):
                 self.requests.pop(request_id, None)
         return self.actions
--- a/tests/simulated.py
+++ b/tests/simulated.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from glenchute.core.gateway import Gateway
-from glenchute.core.types import Address, Answer, Call, Failed, Refused, Result, Served
+from glenchute.core.types import About, Address, Answer, Call, Failed, Refused, Result, Served
 from glenchute.deciders.routes import Routes
 from heathglade import Gateway as Module
 from heathglade.interface import (  # fmt: skip
@@ -189,6 +189,7 @@
         timeout_s: float,
         done: Callable[[Result], None],
         write_by: float,
+        about: About | None = None,
     ) -> Try | None:
         if server not in self.names:
             return None
--- /dev/null
+++ b/tests/test_lines_loopback.py
@@ -0,0 +1,489 @@
+"""Shared connections over loopback sockets: what nodes ran by their own books, what clients were told."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import hiredis
+import pytest
+
+from glenchute.backends.lines import LinePool, Lines
+from glenchute.core.types import Decisions
+from heathglade import interface as api
+
+from .loopback import (
+    CHARGE,
+    CUSTOMER,
+    GET,
+    ORDER,
+    Client,
+    Peer,
+    Script,
+    Site,
+    numbered,
+    play,
+    send_to,
+    site,
+    until,
+)  # fmt: skip
+
+SHARED = '[pipeline]\nclasses = ["read", "order"]\ndepth = 8\nat_risk = 16\nsettle_ms = 0\n'
+Wire = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class Book(Peer):
+    """A node under a test's hand: it answers nothing by itself unless `sound`; `ran` holds what came whole,
+    by connection; the first connections end after as many bytes as `cuts` says."""
+
+    def __init__(self, sound: bool = False) -> None:
+        super().__init__()
+        self.sound = sound
+        self.ran: list[tuple[int, list[bytes]]] = []
+        self.cuts: list[int] = []
+        self.ended: set[int] = set()
+        self.reads = True
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        number = len(self.writers) - 1
+        left = self.cuts.pop(0) if self.cuts else 1 << 40
+        parser = hiredis.Reader()
+        try:
+            while True:
+                if not self.reads:
+                    writer.transport.pause_reading()  # type: ignore[attr-defined]
+                    await until(lambda: self.reads)
+                    writer.transport.resume_reading()  # type: ignore[attr-defined]
+                data = await reader.read(min(left, 65536)) if left else b""
+                parser.feed(data)
+                left -= len(data)
+                while (words := parser.gets()) is not False:
+                    self.ran.append((number, words))
+                    if self.sound:
+                        writer.write(value(words[2]))
+                if not data or not left:
+                    writer.transport.abort()
+                    return
+        finally:
+            self.ended.add(number)
+
+    def ids(self, connection: int | None = None) -> list[bytes]:
+        """The requests that came whole, in order."""
+        return [words[2] for number, words in self.ran if connection in (None, number)]
+
+    def send(self, data: bytes, connection: int = 0) -> None:
+        self.writers[connection].write(data)
+
+
+def value(text: bytes) -> bytes:
+    return b"*3\r\n$%d\r\n%b\r\n*-1\r\n*-1\r\n" % (len(text), text)
+
+
+def teach(program: Any, connect_ms: float = 2000.0) -> Lines:
+    """A decider that knows its classes, and finds a new connection dear: so it shares."""
+    lines = program.servers
+    assert isinstance(lines, Lines)
+    now = 1000.0 * asyncio.get_running_loop().time()
+    for name in ("read", "order"):
+        for share in range(60):
+            lines.pipeline.times.add(now, name, "s0", 20.0 + share / 3.0, False)
+    for server in lines.pools:
+        lines.pipeline.node(server).depth.limit = 8.0
+        lines.pipeline.node(server).connect_ms = connect_ms
+    return lines
+
+
+@asynccontextmanager
+async def sharing(
+    *books: Book, decisions: Decisions | None = None, operator: str = SHARED, **changes: Any
+) -> AsyncIterator[tuple[Site, Lines]]:
+    """A gateway in front of these nodes that shares connections."""
+
+    async def unused(words: list[bytes], writer: asyncio.StreamWriter) -> bytes | None:
+        return None
+
+    async with site(*[unused] * len(books), decisions=decisions, operator=operator, **changes) as one:
+        for number, book in enumerate(books):
+            await book.start()
+            one.program.servers.listed(f"s{number}", ("127.0.0.1", book.port), False)
+        try:
+            yield one, teach(one.program)
+        finally:
+            for book in books:
+                book.reads = True
+                await book.stop()
+
+
+async def burst(client: Client, *words: tuple[bytes, ...]) -> None:
+    """Commands in one write."""
+    client.writer.write(b"".join(packed(each) for each in words))
+
+
+def packed(words: tuple[bytes, ...]) -> bytes:
+    return bytes(hiredis.pack_command(words))  # type: ignore[arg-type]
+
+
+def reads(ids: list[bytes]) -> list[tuple[bytes, ...]]:
+    return [(b"CALL.GET", CUSTOMER, name, GET) for name in ids]
+
+
+def endings(script: Script) -> dict[str, api.Ending]:
+    return {event.request_id: event.ending for event in script.of(api.AttemptEnded)}
+
+
+def test_a_burst_leaves_in_one_write_and_is_answered_in_order() -> None:
+    async def scenario() -> None:
+        book = Book(sound=True)
+        async with sharing(book, decisions=Script(send_to("s0"))) as (one, lines):
+            client = await one.client()
+            await burst(client, *reads([b"a", b"b", b"c", b"d", b"e"]))
+            assert [await client.reply() for _ in range(5)] == [b"a", b"b", b"c", b"d", b"e"]
+            assert len(book.writers) == 1 and lines.counts["writes"] == 1 and lines.counts["commands"] == 5
+            assert book.ids() == [b"a", b"b", b"c", b"d", b"e"]
+            assert not lines.attempts and not one.program.gateway.out
+            await burst(client, *reads([b"f"]))
+            assert await client.reply() == b"f" and len(book.writers) == 1  # on the same, idle again
+
+    play(scenario())
+
+
+def test_endings_of_a_line_in_every_shape_of_reply() -> None:
+    """Three on a line; what comes back, and how each is told to have ended."""
+    ok, busy, failed = value(b"v"), b"-BUSY\r\n", b"-ERR failed\r\n"
+    e = api.Ending
+    table: list[tuple[bytes, bool, list[api.Ending]]] = [
+        (ok + ok + ok, False, [e.OK, e.OK, e.OK]),
+        (ok + busy + ok, False, [e.OK, e.FULL, e.OK]),
+        (failed + ok + busy, False, [e.ERROR, e.OK, e.FULL]),
+        (ok + ok + ok + ok, False, [e.OK, e.OK, e.OK]),  # one too many: the connection ends
+        (ok + b"noise\r\n", False, [e.OK, e.ERROR, e.RESET]),
+        (ok + b"-ERR what\r\n" + ok, False, [e.OK, e.ERROR, e.RESET]),
+        (b"$-1\r\n" + ok, False, [e.ERROR, e.RESET, e.RESET]),
+        (ok, True, [e.OK, e.RESET, e.RESET]),
+        (ok + ok[:9], True, [e.OK, e.RESET, e.RESET]),  # a reply that had begun
+        (b"", True, [e.RESET, e.RESET, e.RESET]),
+        (b"*3\r\n$3000000000\r\n", False, [e.ERROR, e.RESET, e.RESET]),
+        (ok + ok[:9], False, [e.OK, e.ERROR, e.RESET]),  # it stops midway
+    ]
+
+    async def row(data: bytes, ends: bool, expected: list[api.Ending]) -> None:
+        book, script = Book(), Script(send_to("s0"))
+        patient = SHARED + "least_stall_ms = 1500\n"  # or a reply that stops midway would count as a stall
+        async with sharing(book, decisions=script, operator=patient) as (one, lines):
+            client = await one.client()
+            await burst(client, *reads([b"a", b"b", b"c"]))
+            await until(lambda: len(book.ran) == 3)
+            book.send(data)
+            if ends:
+                book.writers[0].close()
+            await until(lambda: len(endings(script)) == 3)
+            assert [endings(script)[str(n)] for n in (1, 2, 3)] == expected, data
+            for ending in expected:
+                reply = await client.reply()
+                assert (reply == b"v") is (ending is e.OK)
+                if ending in (e.ERROR, e.RESET):
+                    assert not str(reply).startswith("BUSY")  # it may have run: that is no refusal
+            if data not in (ok + ok + ok, ok + busy + ok, failed + ok + busy):
+                await until(lambda: not lines.pools["s0"].open)
+                await until(lambda: 0 in book.ended)
+            assert not lines.attempts
+
+    async def scenario() -> None:
+        await asyncio.gather(*[row(*each) for each in table])
+
+    play(scenario())
+
+
+def test_cuts_at_every_byte_of_a_batch_with_a_charge_in_it() -> None:
+    """The node's books against the clients', with the real decisions: the first connections end after N
+    bytes, for every N. Nothing unsafe runs twice, a key is repeated only as a repeat, a refusal means that
+    none ran."""
+
+    async def scenario() -> None:
+        book = Book(sound=True)
+        async with sharing(book) as (one, lines):
+            names = numbered()
+            client = await one.client()
+
+            async def five(cuts: list[int]) -> dict[bytes, Any]:
+                ids = [next(names) for _ in range(5)]
+                await until(lambda: not lines.attempts)
+                for pool in lines.pools.values():
+                    pool.close_idle()
+                await until(lambda: not any(pool.open for pool in lines.pools.values()))
+                teach(one.program)
+                book.cuts[:] = cuts
+                order = re.sub(rb"k=[^,]*", b"k=" + ids[2], ORDER)
+                await burst(
+                    client, *reads(ids[:2]), (b"CALL.POST", CUSTOMER, ids[2], order, b"body"),
+                    (b"CALL.POST", CUSTOMER, ids[3], CHARGE, b"body"), *reads(ids[4:]),
+                )  # fmt: skip
+                return {name: await client.reply() for name in ids}
+
+            name = b"%016x" % 1
+            batch = [*reads([name] * 3), (b"CALL.POST", CUSTOMER, name, ORDER, b"body")]
+            whole = sum(len(packed(words)) for words in batch)
+            served = 0
+            for offset in range(0, whole + 12):
+                replies = await five([offset, offset])
+                ran = Counter(book.ids())
+                charge = list(replies)[3]
+                assert ran[charge] <= 1, offset
+                for name, reply in replies.items():
+                    if reply == name:
+                        served += 1
+                        assert ran[name] >= 1, offset
+                    elif str(reply).startswith("BUSY"):
+                        assert ran[name] == 0, offset
+            assert served > 3 * whole  # most go again and are served
+            assert lines.counts["commands"] > lines.counts["writes"]
+            assert not one.program.gateway.live and not one.program.gateway.out
+
+    play(scenario())
+
+
+def test_a_stalled_head_keeps_nobody_past_his_deadline() -> None:
+    """One node of two holds its first command for ever: all five are served elsewhere, long before time."""
+
+    async def scenario() -> None:
+        stuck, sound = Book(), Book(sound=True)
+        async with sharing(stuck, sound) as (one, lines):
+            # The first goes to the stuck one, and so does what comes while that has the shorter line.
+            one.program.gateway.news(_news(one, "s1", api.ServerState.GONE))
+            teach(one.program)
+            loop = asyncio.get_running_loop()
+            client = await one.client()
+            began = loop.time()
+            await burst(client, *reads([b"a", b"b", b"c", b"d", b"e"]))
+            await until(lambda: len(stuck.ran) == 5)
+            one.program.gateway.news(_news(one, "s1", api.ServerState.ACTIVE, sound.port))
+            assert [await client.reply() for _ in range(5)] == [b"a", b"b", b"c", b"d", b"e"]
+            assert loop.time() - began < 2.0  # of 20 s that they would wait
+            assert lines.pipeline.counts["cut at a stall"] == 1
+            assert sorted(sound.ids()) == [b"a", b"b", b"c", b"d", b"e"] and 0 in stuck.ended
+
+    play(scenario())
+
+
+def _news(one: Site, server: str, state: api.ServerState, port: int = 0) -> Any:
+    from glenchute.core.types import News
+
+    entry = api.ServerEntry(server, "a", state=state)
+    return News(9, api.ServerList(api.ListKind.CHANGES, (entry,)), {server: ("127.0.0.1", port)})
+
+
+def test_second_copies_for_those_behind_where_they_are_allowed() -> None:
+    async def scenario() -> None:
+        book, script = Book(), Script(send_to("s0"))
+        async with sharing(book, decisions=script) as (one, lines):
+            lines.pipeline.rules = lines.pipeline.rules._replace(copies=True)
+            client = await one.client()
+            await burst(client, *reads([b"a", b"b", b"c"]))
+            await until(lambda: len(script.of(api.AttemptHeld)) == 2)
+            assert {event.request_id for event in script.of(api.AttemptHeld)} == {"2", "3"}
+            book.send(value(b"a") + value(b"b") + value(b"c"))
+            assert [await client.reply() for _ in range(3)] == [b"a", b"b", b"c"]
+            assert not book.ended  # the line went on
+
+    play(scenario())
+
+
+def test_the_client_of_the_third_of_five_leaves() -> None:
+    async def scenario() -> None:
+        book, script = Book(), Script(send_to("s0"))
+        async with sharing(book, decisions=script) as (one, lines):
+            stays, leaves = await one.client(), await one.client()
+            await burst(stays, *reads([b"a", b"b"]))
+            await until(lambda: len(book.ran) == 2)
+            await burst(leaves, *reads([b"c"]))
+            await until(lambda: len(book.ran) == 3)
+            await burst(stays, *reads([b"d", b"e"]))
+            await until(lambda: len(book.ran) == 5)
+            leaves.writer.close()
+            await until(lambda: script.of(api.RequestGone))
+            book.send(b"".join(value(name) for name in (b"a", b"b", b"c", b"d", b"e")))
+            assert [await stays.reply() for _ in range(4)] == [b"a", b"b", b"d", b"e"]
+            assert all(ending is api.Ending.OK for ending in endings(script).values())
+            assert len(lines.pools["s0"].idle) == 1 and not lines.attempts
+
+    play(scenario())
+
+
+def test_one_that_is_called_off_keeps_its_place_until_its_reply() -> None:
+    """A cancel in the middle of a line cuts nobody; its ending is told once its reply has come."""
+
+    async def scenario() -> None:
+        book, script = Book(), Script(send_to("s0"))
+        async with sharing(book, decisions=script) as (one, _lines):
+            client = await one.client()
+            await burst(client, *reads([b"a", b"b", b"c"]))
+            await until(lambda: len(book.ran) == 3)
+            middle = one.program.gateway.out["2", 0]
+            middle.stop(api.Ending.CANCELLED)
+            assert "2" not in endings(script) and middle.written
+            book.send(b"".join(value(name) for name in (b"a", b"b", b"c")))
+            await until(lambda: len(endings(script)) == 3)
+            assert [endings(script)[n] for n in "123"] == [api.Ending.OK, api.Ending.CANCELLED, api.Ending.OK]
+            assert not book.ended
+
+    play(scenario())
+
+
+def test_a_reply_in_forty_segments_and_one_of_64_kib() -> None:
+    async def scenario() -> None:
+        book = Book()
+        async with sharing(book, decisions=Script(send_to("s0"))) as (one, _):
+            client = await one.client()
+            await burst(client, *reads([b"a", b"b", b"c"]))
+            await until(lambda: len(book.ran) == 3)
+            large = b"x" * 65536
+            data = value(b"a" * 40) + value(large) + value(b"c")
+            cuts = [*range(2, 80, 2), len(data)]
+            for start, end in zip([0, *cuts], cuts, strict=False):
+                book.send(data[start:end])
+                await asyncio.sleep(0.001)
+            assert [await client.reply() for _ in range(3)] == [b"a" * 40, large, b"c"]
+
+    play(scenario())
+
+
+def test_a_drain_while_a_line_is_half_written() -> None:
+    """The node does not read. What has not been handed over goes elsewhere at once; the rest of the bytes
+    must not leave after the drain's grace, so the line is cut by then."""
+
+    async def scenario() -> None:
+        book, script = Book(), Script(send_to("s0"))
+        book.reads = False
+        operator = SHARED.replace(', "order"', "") + "gather_bytes = 262144\nleast_stall_ms = 2500\n"
+        async with sharing(book, decisions=script, operator=operator) as (one, lines):
+            clients = [await one.client() for _ in range(8)]
+            lines.pipeline.rules = lines.pipeline.rules._replace(depth=200, at_risk=200)
+            lines.pipeline.node("s0").depth.most = 200
+            lines.pipeline.node("s0").depth.limit = 200.0
+            body = b"y" * 60_000
+            for number, client in enumerate(clients):
+                words = [(b"CALL.GET", CUSTOMER, b"%d-%d" % (number, n), GET, body) for n in range(20)]
+                await burst(client, *words)
+            pool = lines.pools["s0"]
+            assert isinstance(pool, LinePool)
+            await until(lambda: len(lines.attempts) == 160)
+            await until(lambda: any(conn.full for conn in pool.by_line.values()))
+            conn = next(iter(pool.by_line.values()))
+            held = len(conn.line.waiting)
+            assert held > 0
+            named = {ref: live.call.request_id for ref, live in one.program.gateway.live.items()}
+            loop = asyncio.get_running_loop()
+            told = loop.time()
+            one.program.gateway.news(_news(one, "s0", api.ServerState.DRAINING))
+            await until(lambda: len(endings(script)) >= held)
+            assert loop.time() - told < 0.2
+            assert list(endings(script).values()).count(api.Ending.UNREACHABLE) >= held
+            await until(lambda: len(endings(script)) == 160)
+            assert 0.1 < loop.time() - told < 0.6 and api.Ending.RESET in endings(script).values()
+            book.reads = True
+            await until(lambda: 0 in book.ended)
+            whole = set(book.ids())
+            for ref, ending in endings(script).items():
+                if ending is api.Ending.UNREACHABLE:
+                    assert named[ref] not in whole, "told as never sent, and it ran"
+
+    play(scenario())
+
+
+def test_a_thousand_reads_in_one_burst() -> None:
+    async def scenario() -> None:
+        books = [Book(sound=True), Book(sound=True)]
+        async with sharing(*books, operator=SHARED.replace("at_risk = 16", "at_risk = 64")) as (one, lines):
+            clients = [await one.client() for _ in range(20)]
+            names = numbered()
+            ids = [[next(names) for _ in range(50)] for _ in clients]
+            for client, mine in zip(clients, ids, strict=True):
+                await burst(client, *reads(mine))
+            for client, mine in zip(clients, ids, strict=True):
+                replies = [await client.reply() for _ in mine]
+                assert all(reply == name or str(reply).startswith("BUSY")
+                           for reply, name in zip(replies, mine, strict=True))  # fmt: skip
+            ran = Counter(books[0].ids() + books[1].ids())
+            assert max(ran.values()) == 1 and sum(ran.values()) > 100
+            assert not lines.attempts and not one.program.gateway.live
+            assert sum(len(book.writers) for book in books) <= lines.limits.connections
+
+    play(scenario())
+
+
+def test_leaving_with_lines_out_answers_them_all() -> None:
+    async def scenario() -> None:
+        book = Book()
+        async with sharing(book, decisions=Script(send_to("s0"))) as (one, _):
+            client = await one.client()
+            await burst(client, *reads([b"a", b"b", b"c"]))
+            await until(lambda: len(book.ran) == 3)
+            leaving = asyncio.create_task(one.program.leave())
+            await asyncio.sleep(0.1)
+            book.send(value(b"a") + value(b"b"))
+            assert [await client.reply() for _ in range(2)] == [b"a", b"b"]
+            book.send(value(b"c"))
+            assert await client.reply() == b"c"
+            await leaving
+            assert await client.ended()
+
+    play(scenario())
+
+
+def test_a_node_that_closes_as_idle_under_a_line() -> None:
+    async def scenario() -> None:
+        book, script = Book(sound=True), Script(send_to("s0"))
+        async with sharing(book, decisions=script) as (one, _lines):
+            client = await one.client()
+            await burst(client, *reads([b"a"]))
+            assert await client.reply() == b"a"
+            book.sound = False
+            book.writers[0].close()
+            await burst(client, *reads([b"b", b"c"]))
+            for _ in range(2):
+                assert str(await client.reply()) == "ERR failed"
+            ended = [endings(script)[n] for n in "23"]
+            assert set(ended) <= {api.Ending.RESET, api.Ending.UNREACHABLE}
+            ran = book.ids()
+            assert all(ending is api.Ending.RESET or name not in ran
+                       for ending, name in zip(ended, (b"b", b"c"), strict=True))  # fmt: skip
+
+    play(scenario())
+
+
+@pytest.mark.parametrize("refused", [True, False])
+def test_a_connection_that_does_not_come_up_ends_all_that_wait_on_it(refused: bool) -> None:
+    async def scenario() -> None:
+        book, script = Book(), Script(send_to("s0"))
+        async with sharing(book, decisions=script) as (one, lines):
+            await book.stop()
+            if not refused:  # a backlog that is full answers nothing; here the connect is called off
+                lines.limits = type(lines.limits)(0.0, 10.0, 0.25, 100)
+            client = await one.client()
+            await burst(client, *reads([b"a", b"b", b"c"]))
+            replies = [str(await client.reply()) for _ in range(3)]
+            assert all(reply.startswith("ERR") for reply in replies)
+            assert set(endings(script).values()) == {api.Ending.UNREACHABLE}
+            assert lines.connecting == 0 and not lines.pipeline.posts
+
+    play(scenario())
+
+
+def test_bare_attempts_of_no_known_class_go_alone() -> None:
+    async def scenario() -> None:
+        book, script = Book(), Script(send_to("s0"))
+        async with sharing(book, decisions=script) as (one, _):
+            client = await one.client()
+            charge = (b"CALL.POST", CUSTOMER, b"x", CHARGE, b"body")
+            await burst(client, *reads([b"a"]), charge, (*charge[:2], b"y", *charge[3:]), *reads([b"b"]))
+            await until(lambda: len(book.ran) == 4)
+            by_line = [set(book.ids(number)) for number in range(len(book.writers))]
+            assert {b"x"} in by_line and {b"y"} in by_line
+
+    play(scenario())
+
+
