--- a/lab/sim/swarm.py
+++ b/lab/sim/swarm.py
@@ -51,10 +51,10 @@
     detail: str
 
 
-def drawn(seed: int) -> Script:
+def drawn(seed: int, of: Sequence[str] = KINDS) -> Script:
     """A seed's script. Half of the kinds are left out of each run, so that rare ones meet undisturbed."""
     rng = random.Random(seed * 2_654_435_761 % (1 << 32))
-    kinds = rng.sample(KINDS, rng.randint(1, len(KINDS) // 2))
+    kinds = rng.sample(of, rng.randint(1, len(of) // 2))
     faults = [
         Fault(round(rng.uniform(0.0, 0.8 * LENGTH_MS)), rng.choice(kinds), rng.random(), rng.randrange(1000))
         for _ in range(rng.randint(1, 10))
@@ -131,6 +131,8 @@
             world.load(2500.0, (0.6 + 0.2 * fault.size) * warm, ("wide",))
             for at, name in enumerate(names[: 1 + fault.which % 2]):
                 world.at(300.0 + 10.0 * at, restarted, world, world.nodes[name])
+        case "stuck lines" | "extra replies" if hasattr(world, "strike_lines"):
+            world.strike_lines(fault.kind, node, fault.size, span)
         case "clock step":
             world.skew[fault.which % count] += 100.0 * fault.size  # forward only: clocks never go back
 
@@ -173,9 +175,10 @@
     script: Script,
     make: Callable[[api.Settings, int], Any] = Gateway,
     watch: Callable[[int, float, api.Event, list[api.Action]], None] | None = None,
+    site: Callable[..., World] = World,
 ) -> World:
-    """One run; raises BrokenRule, or what a module raises."""
-    world = World(script.seed, 2 + script.seed % 4, 3 + script.seed % 5, make, watch)
+    """One run on a site of this kind; raises BrokenRule, or what a module raises."""
+    world = site(script.seed, 2 + script.seed % 4, 3 + script.seed % 5, make, watch)
     world.load(LENGTH_MS, 90.0)
     for fault in script.faults:
         world.at(fault.at_ms, strike, world, fault)
@@ -183,10 +186,12 @@
     return world
 
 
-def tried(script: Script, make: Callable[[api.Settings, int], Any]) -> Failure | None:
+def tried(
+    script: Script, make: Callable[[api.Settings, int], Any] = Gateway, site: Callable[..., World] = World
+) -> Failure | None:
     """What broke, if anything did."""
     try:
-        play(script, make)
+        play(script, make, site=site)
     except BrokenRule as broken:
         return Failure(script, broken.rule, str(broken))
     except Exception as error:  # a module that raises has failed its requests
@@ -194,13 +199,15 @@
     return None
 
 
-def shrunk(failure: Failure, make: Callable[[api.Settings, int], Any]) -> Failure:
+def shrunk(
+    failure: Failure, make: Callable[[api.Settings, int], Any], site: Callable[..., World] = World
+) -> Failure:
     """The same rule broken by as few faults as will do."""
     best, at, kept = failure, 0, 0
     while best.script.faults and kept < len(best.script.faults):  # until each has been tried in vain
         at %= len(best.script.faults)
         fewer = best.script.faults[:at] + best.script.faults[at + 1 :]
-        found = tried(Script(best.script.seed, fewer), make)
+        found = tried(Script(best.script.seed, fewer), make, site)
         if found is not None and found.rule == best.rule:
             best, kept = found, 0
         else:
@@ -208,12 +215,15 @@
     return best
 
 
-def search(seeds: Sequence[int], make: Callable[[api.Settings, int], Any] = Gateway) -> Failure | None:
+def search(
+    seeds: Sequence[int], make: Callable[[api.Settings, int], Any] = Gateway,
+    site: Callable[..., World] = World, of: Sequence[str] = KINDS,
+) -> Failure | None:  # fmt: skip
     """The first failure among the seeds, shrunk."""
     for seed in seeds:
-        failure = tried(drawn(seed), make)
+        failure = tried(drawn(seed, of), make, site)
         if failure is not None:
-            return shrunk(failure, make)
+            return shrunk(failure, make, site)
     return None
 
 
--- a/lab/sim/world.py
+++ b/lab/sim/world.py
@@ -98,6 +98,7 @@
     ran: int = 0
     may_have_run: bool = False
     units: float = 1.0
+    came: float = 0.0
 
 
 class World:
@@ -127,6 +128,7 @@
         self.modules: list[Any] = [None] * gateways
         self.told: list[dict[str, float]] = [{} for _ in range(gateways)]  # server: from when nothing may go
         self.asked: dict[str, Asked] = {}
+        self.zones: dict[str, str] = {}  # of all nodes that there ever were
         self.serial = itertools.count(1)
         self.sent: list[tuple[float, str, str, float]] = []  # time, customer, plan, units
         self.keys: dict[tuple[str, str], float] = {}  # (group, key): when it last ran as new
@@ -180,6 +182,7 @@
             return
         entries = []
         for node in nodes:
+            self.zones[node.name] = node.zone
             entries.append(api.ServerEntry(node.name, node.zone, 0, 1.0, node.started_ms, node.state))
             if node.state is api.ServerState.ACTIVE:
                 self.told[number].pop(node.name, None)
@@ -268,12 +271,15 @@
         asked.out.add(attempt)
         left = asked.deadline - MARGIN_MS - self.now
         timeout = min(action.timeout_ms or left, left)
-        began = self.now
-        back = (number, incarnation, asked, attempt, action.server, began)
+        back = (number, incarnation, asked, attempt, action.server, self.now)
+        self.dispatch(node, back, max(0.0, timeout), action)
+
+    def dispatch(self, node: Node | None, back: tuple[Any, ...], timeout: float, action: api.Send) -> None:
+        """An attempt that may start goes out, on a connection of its own."""
         if node is None or not node.alive:
             self.at(NET_MS, self.ended, *back, api.Ending.UNREACHABLE)
             return
-        self.at(max(0.0, timeout), self.ended, *back, api.Ending.TIMEOUT)
+        self.at(timeout, self.ended, *back, api.Ending.TIMEOUT)
         self.at(NET_MS, self.arrive, node, back)
 
     def arrive(self, node: Node, back: tuple[Any, ...]) -> None:
@@ -356,7 +362,7 @@
         if ending in MAY_HAVE_RUN:
             asked.may_have_run = True
             if asked.first_left is None:
-                asked.first_left = began
+                asked.first_left, asked.sent_zone = began, self.zones.get(server)
         final = ending is api.Ending.OK and asked.ref in self.asked
         if final:
             self.answered(asked)
@@ -375,7 +381,8 @@
         kind = next(c for c in self.settings.classes if c.name == cls)
         ref = str(next(self.serial))
         deadline = self.now + DEADLINES[cls] * self.rng.choice((0.1, 0.5, 1.0, 1.0))
-        asked = Asked(ref, number, self.incarnation[number], kind, plan, deadline, ref, units=units)
+        asked = Asked(ref, number, self.incarnation[number], kind, plan, deadline, ref, 0, 0, units=units)
+        asked.came = self.now
         self.asked[ref] = asked
         left = deadline - self.now
         event = api.Request(ref, cls, plan, customer, left, units, self.settings.gateways)
--- /dev/null
+++ b/tests/test_swarm_piped.py
@@ -0,0 +1,171 @@
+"""Shared connections at the simulated site: all rules hold over seeds, and bugs that were put in are
+found."""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from glenchute.deciders import pipeline as pipes
+from glenchute.deciders.line import Ended, Line
+from glenchute.deciders.pipeline import Pipeline
+from glenchute.deciders.sharing import Behind, Sharing
+from heathglade.interface import Ending
+from lab.sim import piped
+from lab.sim.piped import PIPED_KINDS, PipedWorld
+from lab.sim.swarm import Fault, Script, drawn, play, search, tried
+
+SEEDS = range(14)
+BUGS: dict[str, tuple[str, Callable[[pytest.MonkeyPatch], None]]] = {}
+
+
+def bug(rule: str) -> Callable[[Callable[[pytest.MonkeyPatch], None]], Callable[[pytest.MonkeyPatch], None]]:
+    """A bug to be found, by the rule that it breaks."""
+
+    def keep(put_in: Callable[[pytest.MonkeyPatch], None]) -> Callable[[pytest.MonkeyPatch], None]:
+        BUGS[put_in.__name__] = rule, put_in
+        return put_in
+
+    return keep
+
+
+@bug("nothing twice")
+def what_had_left_is_told_as_never_sent(patch: pytest.MonkeyPatch) -> None:
+    sound = Line.cut
+
+    def cut(self: Line[Any], cause: Any = None, ending: Ending = Ending.RESET) -> list[Ended[Any]]:
+        never = {Ending.RESET: Ending.UNREACHABLE}
+        return [Ended(item, never.get(how, how)) for item, how in sound(self, cause, ending)]
+
+    patch.setattr(Line, "cut", cut)
+
+
+@bug("pairing")
+def half_of_a_batch_is_forgotten(patch: pytest.MonkeyPatch) -> None:
+    """While some of a batch stays behind, none of it counts as gone."""
+    sound = Line.gone
+    patch.setattr(Line, "gone", lambda self, buffered: sound(self, buffered) if not buffered else None)
+
+
+@bug("one answer")
+def crossed_replies_are_trusted(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(piped, "CROSSING_MS", 0.0)
+    sound = Line.reply
+
+    def reply(self: Line[Any], now: float) -> Any:
+        found = sound(self, now)
+        return None if found is None else (found[0], True)
+
+    patch.setattr(Line, "reply", reply)
+
+
+@bug("sharing")
+def unsafe_ones_stand_behind_others(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Sharing, "may", lambda self, ahead, behind: Behind.STALL)
+    sound = pipes.job_of
+
+    def job_of(*args: Any) -> Any:
+        job = sound(*args)
+        return job._replace(rescue_by=job.until) if job.rescue_by == -math.inf else job
+
+    patch.setattr(piped, "job_of", job_of)
+
+
+@bug("hold-back")
+def nobody_is_cut(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Pipeline, "check", lambda self, now: [])
+
+
+@bug("hold-back")
+def any_line_will_do(patch: pytest.MonkeyPatch) -> None:
+    """Who joins is not asked whether it can bear what stands there, and is never moved on for it."""
+    patch.setattr(Pipeline, "held", lambda self, now, post, job: now)
+    patch.setattr(Pipeline, "is_condemned", lambda self, now, post: False)
+    patch.setattr(Pipeline, "worth_cutting", lambda self, now, post: False)
+    patch.setattr(pipes.Post, "cut_by", lambda self: math.inf)
+
+
+@bug("drains")
+def drains_are_not_heeded_at_the_writing(patch: pytest.MonkeyPatch) -> None:
+    sound = PipedWorld.still_stuck
+
+    def still_stuck(self: PipedWorld, conn: Any) -> None:
+        if any(self.now >= entry.item.write_by - 2.0 for entry in conn.line.out):
+            sound(self, conn)
+
+    patch.setattr(PipedWorld, "still_stuck", still_stuck)
+
+
+@bug("depth")
+def depth_has_no_end(patch: pytest.MonkeyPatch) -> None:
+    sound = Pipeline.joinable
+
+    def joinable(self: Pipeline, now: float, node: Any, job: Any) -> Any:
+        rules, limit = self.rules, node.depth.limit
+        self.rules, node.depth.limit = rules._replace(depth=50, at_risk=100), 50.0
+        try:
+            return sound(self, now, node, job)
+        finally:
+            self.rules, node.depth.limit = rules, limit
+
+    patch.setattr(Pipeline, "joinable", joinable)
+
+
+@bug("pairing")
+def replies_go_to_the_last_who_came(patch: pytest.MonkeyPatch) -> None:
+    sound = Line.reply
+
+    def reply(self: Line[Any], now: float) -> Any:
+        self.out = deque(reversed(self.out))
+        return sound(self, now)
+
+    patch.setattr(Line, "reply", reply)
+
+
+def test_the_rules_hold_over_seeds_and_lines_are_shared() -> None:
+    joined = cut = 0
+    for seed in SEEDS:
+        script = drawn(seed, PIPED_KINDS)
+        world = play(script, site=PipedWorld)
+        assert isinstance(world, PipedWorld)
+        joined, cut = joined + world.joined, cut + world.cut_lines
+        assert not any(pipe.crowded for pipe in world.pipes.values())  # all is over at the end
+    assert joined > 1000 and cut > 20
+
+
+@pytest.mark.parametrize("kind", ["hang", "resets", "stuck lines", "extra replies", "drain", "half die"])
+def test_each_fault_alone(kind: str) -> None:
+    faults = tuple(Fault(500.0 + 1500.0 * n, kind, 0.9, n) for n in range(4))
+    for seed in (2, 7):
+        failure = tried(Script(seed, (Fault(100.0, "burst", 0.5, 1), *faults)), site=PipedWorld)
+        assert failure is None, failure
+
+
+def hard(seed: int) -> Script:
+    """Bytes that stay behind, surplus replies, drains and hangs all the time, under bursts."""
+    stuck, extra = "stuck lines", "extra replies"
+    kinds = ("burst", stuck, extra, "drain", stuck, extra, "hang", "drain")
+    rows = [(300.0 * n, kinds[n % len(kinds)], 0.9 if n % 8 != 3 else 0.1, seed + n // 2) for n in range(24)]
+    return Script(seed, tuple(Fault(*row) for row in rows))
+
+
+def test_the_rules_hold_when_all_goes_wrong_at_once() -> None:
+    for seed in range(4):
+        failure = tried(hard(seed), site=PipedWorld)
+        assert failure is None, failure
+
+
+@pytest.mark.parametrize("name", sorted(BUGS))
+def test_a_bug_that_was_put_in_is_found(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    rule, put_in = BUGS[name]
+    put_in(monkeypatch)
+    found = (tried(hard(seed), site=PipedWorld) for seed in range(6))
+    failure = next((one for one in found if one is not None), None)
+    failure = failure or search(range(10), site=PipedWorld, of=PIPED_KINDS)
+    assert failure is not None, f"{name} was not found"
+    assert failure.rule == rule, failure
+    print(f"{name}: seed {failure.script.seed}, {failure.detail}, {failure.script.faults}")
