--- a/glenchute/cli/demo.py
+++ b/glenchute/cli/demo.py
@@ -122,7 +122,7 @@
         }
         lost += by["lost"]
         took = [o.took_ms for o in done if o.answer == "served"]
-        figures = [len(done), *by.values(), percentile(took, 0.5), percentile(took, 0.99)]
+        figures = [len(done), *by.values(), percentile(took, 50), percentile(took, 99)]
         print(f"{kind.class_name:14}" + "".join(f"{figure:9.0f}" for figure in figures))
     taken = sum(1 for o in load.outcomes if o.answer in ("served", "failed"))
     received = sum(node.received for node in site.nodes)
--- a/glenchute/cli/lines.py
+++ b/glenchute/cli/lines.py
@@ -27,6 +27,7 @@
         least_stall_ms=raw.get("least_stall_ms", keys.LEAST_STALL_MS),
         open_price_ms=raw.get("open_price_ms", keys.OPEN_PRICE_MS),
         copies=config.settings.overlap,
+        adaptive=raw.get("adaptive", True),
     )
 
 
--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -84,6 +84,8 @@
         if operator is not None:
             self.bind(operator)
         self.listener = Listener(loop, self.gateway, Catalogue(made, config.bounds), config.sockets)
+        if operator is not None and operator.pipeline is not None:
+            self.listener.release = operator.pipeline.get("release", False)
         self.extproc: ExtProc | None = None
         if operator is not None and operator.fronts and "extproc" in operator.fronts:
             self.extproc = self.processing(operator.fronts["extproc"])
--- a/glenchute/config/pipeline.py
+++ b/glenchute/config/pipeline.py
@@ -23,6 +23,8 @@
         "classes": Words(),
         "behind_unsafe": Switch(),
         "depth": Number(1, MOST_DEPTH, whole=True),
+        "adaptive": Switch(),
+        "release": Switch(),
         "at_risk": Number(1, 10_000, whole=True),
         "wait_ms": Number(0, 10_000),
         "settle_ms": Number(0, 10_000),
--- a/glenchute/deciders/pipeline.py
+++ b/glenchute/deciders/pipeline.py
@@ -52,6 +52,7 @@
     least_stall_ms: float = 10.0
     open_price_ms: float = 2.0  # what a new connection costs the node, beside the time that it takes
     copies: bool = False  # the settings allow second copies
+    adaptive: bool = True  # a node's depth follows its replies; else it is `depth`
 
 
 class Job(NamedTuple):
@@ -330,7 +331,7 @@
 
     def joinable(self, now: float, node: Node, job: Job) -> list[tuple[Post, float]]:
         """The lines that it may join, with its hold-back bound on each; those with the fewest on them."""
-        most = min(self.rules.depth, node.depth.whole(), job.depth)
+        most = min(self.rules.depth, job.depth, node.depth.whole() if self.rules.adaptive else job.depth)
         if most < 2 or node.at_risk() >= self.rules.at_risk or job.rescue_by <= now:
             return []
         found: list[tuple[int, int, Post]] = []
--- a/glenchute/fronts/resp2/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 import select
 from collections import deque
 from collections.abc import KeysView
@@ -29,6 +30,7 @@
 LINGER_BYTES = 4 * 1024 * 1024
 BUFFERED = 256 * 1024  # replies that may wait for a slow reader before its commands are left unread
 REPORT_S = 10.0  # a line for the operators this often, while anything happens
+RELEASE_S = 0.02  # before a finished reply's time is up, what keeps it may be given up
 SPARE = 16  # connections past the limit, at most, while they are told so or are being left
 
 
@@ -44,10 +46,11 @@
 class Slot:
     """The place of one reply in a connection's order."""
 
-    __slots__ = ("client", "live", "reply", "request_id")
+    __slots__ = ("client", "due", "live", "reply", "request_id")
 
     def __init__(self, client: Client) -> None:
         self.client = client
+        self.due = math.inf  # the client waits until then, by the loop's clock
         self.live: Live | None = None
         self.reply: bytes | None = None
         self.request_id: bytes | None = None  # while the request is open
@@ -109,6 +112,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport, self.closing = None, True
+        look = self.listener.looks.pop(self, None)
+        if look is not None:
+            look.cancel()
         self.listener.places.left(self)
         slots, self.slots = self.slots, deque()
         for slot in slots:
@@ -194,6 +200,7 @@
         except Exception:
             slot.release()
             raise
+        slot.due = live.deadline
         if slot.reply is None:
             slot.live = live
 
@@ -230,6 +237,8 @@
         if self.closing and not self.slots:
             self.leave()
             return
+        if self.listener.release and self.slots and not self.full:
+            self.listener.unblock(self)
         if ready and self.parser.rest() and not self.full and not self.closing:
             self.book()
         self.settle()
@@ -335,6 +344,8 @@
         self.catalogue = catalogue
         self.places: Places[Client] = Places(sockets // 2, sockets // 3, min(SPARE, sockets // 16))
         self.open_ids: set[bytes] = set()
+        self.release = False  # an unfinished read may be given up for the finished replies behind it
+        self.looks: dict[Client, asyncio.TimerHandle] = {}  # when such connections are looked at again
         self.server: asyncio.Server | None = None
         self.accepted = self.taken = 0  # connections; requests that reached the decisions
         self.said = "", loop.time()  # the last line for the operators, and when
@@ -345,6 +356,25 @@
         """All connections."""
         return self.places.all.keys()
 
+    def unblock(self, client: Client) -> None:
+        """Gives up what keeps finished replies past their time, if the decider says so."""
+        from glenchute.deciders.release import Waiting, verdict  # only where the operator's file asks for it
+
+        look = self.looks.pop(client, None)
+        if look is not None:
+            look.cancel()
+        safe = self.catalogue.safe
+        order = [
+            Waiting(s.due, s.reply is not None, s.live is not None and s.live.call.class_name in safe)
+            for s in client.slots
+        ]
+        found = verdict(self.loop.time(), order, RELEASE_S)
+        for slot in list(client.slots)[: found.through]:
+            if slot.reply is None and slot.live is not None:
+                self.gateway.close_request(slot.live.ref)
+        if found.next_look < math.inf and client.slots:
+            self.looks[client] = self.loop.call_at(found.next_look, client.flush)
+
     async def start(self, host: str, port: int) -> None:
         """Listens on this address only."""
         self.server = await self.loop.create_server(lambda: Client(self), host, port, backlog=512)
--- a/glenchute/fronts/resp2/commands.py
+++ b/glenchute/fronts/resp2/commands.py
@@ -62,6 +62,7 @@
         self.bounds = most
         self.plans = {plan.name.encode(): plan.name for plan in settings.plans}
         self.classes = {cls.name.encode(): (cls.name, cls.repeat) for cls in settings.classes}
+        self.safe = {cls.name for cls in settings.classes if cls.repeat is Repeat.SAFE}
 
     def call(self, words: list[bytes]) -> Command:
         """Checks a command and takes it apart, once."""
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -19,6 +19,7 @@
     REFUSE = "refuse"  # does not run; is turned away
     VANISH = "vanish"  # runs; nothing comes, and the connection stays open
     DOWN = "down"  # connections are reset as they come
+    FREEZE = "freeze"  # runs, and is answered only at the end of this entry: the node stands still
 
 
 @dataclass(frozen=True, slots=True)
--- a/lab/load.py
+++ b/lab/load.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import random
+import statistics
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
@@ -143,7 +144,8 @@
     return "failed", None
 
 
-def percentile(values: Sequence[float], share: float) -> float:
-    """The value that this share of them does not pass; 0 of none."""
-    ranked = sorted(values)
-    return ranked[min(len(ranked) - 1, int(share * len(ranked)))] if ranked else 0.0
+def percentile(values: Sequence[float], percent: int) -> float:
+    """The value that this percentage of them (1 to 99) does not pass; 0 of none."""
+    if len(values) < 2:
+        return values[0] if values else 0.0
+    return statistics.quantiles(values, n=100, method="inclusive")[percent - 1]
--- a/lab/nodes.py
+++ b/lab/nodes.py
@@ -1,7 +1,8 @@
 """A check node: runs commands of the platform's protocol, keeps the truth about what ran, fails by a script.
 
 It serves `slots` commands at once and lets `queue` more wait; beyond that it turns away unseen. Repeats of a
-key within `memory_s` are dropped: they are answered as the first was, and have no further effect.
+key within `memory_s` are dropped: they are answered as the first was, and have no further effect. A command
+that is written behind another on its connection is begun at once, up to `streams`, and answered after it.
 """
 
 from __future__ import annotations
@@ -12,8 +13,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+import hiredis
+
 from .faults import Kind, Script
-from .peers import Peer, commands
+from .peers import Peer
 
 FIELDS = re.compile(rb"[a-z]+=[^,=]+(,[a-z]+=[^,=]+)*")
 MOST_KEYS = 10_000
@@ -40,6 +43,7 @@
     slots: int = 8
     queue: int = 64
     memory_s: float = 2.5
+    streams: int = 32
     keyed: frozenset[str] = frozenset({"check-order"})
 
 
@@ -53,8 +57,11 @@
         self.ran: list[Run] = []
         self.received = 0  # commands of clients that came whole
         self.turned_away = 0
+        self.links = 0  # connections that are open
+        self.segments = 0  # reads in which these came, and all else
         self.inflight = self.waiting = 0
         self.free = asyncio.Semaphore(trade.slots)
+        self.running: set[asyncio.Task[bytes | None]] = set()
         self.keys: dict[bytes, float] = {}  # when each key first ran
         self.order: deque[bytes] = deque()
 
@@ -70,12 +77,40 @@
         if self.script.fault(self.age(), (Kind.DOWN,)) is not None:
             writer.transport.abort()
             return
-        async for words in commands(reader):
-            reply = await self.answer(words, writer)
+        line: asyncio.Queue[asyncio.Task[bytes | None]] = asyncio.Queue(self.trade.streams)
+        writing = asyncio.create_task(self.write_in_order(line, writer))
+        self.serving.add(writing)
+        writing.add_done_callback(self.serving.discard)
+        parser = hiredis.Reader()
+        self.links += 1
+        try:
+            while data := await reader.read(65536):
+                self.segments += 1
+                parser.feed(data)
+                while (words := parser.gets()) is not False:
+                    task = asyncio.create_task(self.answer(words, writer))
+                    self.running.add(task)  # it runs to its end, whatever becomes of its connection
+                    task.add_done_callback(self.running.discard)
+                    await line.put(task)
+        finally:
+            self.links -= 1
+            writing.cancel()
+
+    async def write_in_order(
+        self, line: asyncio.Queue[asyncio.Task[bytes | None]], writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers in the order of the commands, together where several are ready."""
+        while True:
+            reply = await (await line.get())
             if reply is None:
-                return
+                return  # the connection has ended, or has nothing more to say
             writer.write(reply)
 
+    async def stop(self) -> None:
+        await super().stop()
+        for task in list(self.running):
+            task.cancel()
+
     async def answer(self, words: list[bytes], writer: asyncio.StreamWriter) -> bytes | None:
         """One command; None where the connection has ended or has nothing more to say."""
         verb = words[0].upper()
@@ -101,6 +136,8 @@
         await self.work(words, fields)
         if kind is Kind.DELAY and fault is not None:
             await asyncio.sleep(fault.delay_s)
+        if kind is Kind.FREEZE and fault is not None:
+            await asyncio.sleep(max(0.0, fault.to_s - self.age()))
         if kind is Kind.RESET:
             writer.transport.abort()
             return None
