--- a/glenchute/deciders/pipeline.py
+++ b/glenchute/deciders/pipeline.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+import heapq
 import math
 from collections import Counter, deque
 from collections.abc import Callable
@@ -29,9 +30,10 @@
 from .servicetimes import ServiceTimes
 from .sharing import Behind, Sharing
 
-GRID = 12  # points at which a chance is taken for an expectation
+GRID = 8  # points at which a chance is taken for an expectation
 LATE_WEIGHS = 4.0  # a millisecond past the aim, against one before it
-CANDIDATES = 3  # lines that are weighed; those with the fewest on them
+CANDIDATES = 2  # lines that are weighed; those with the fewest on them
+STALL_KEPT_MS = 50.0  # the time after which a head counts as stalled is taken anew this often
 CUT_SHARE = 0.1  # attempts that may be cut early for each one placed ...
 MOST_CUTS = 16.0  # ... and at once
 CONNECT_START_MS = 5.0  # thought of a new connection until one was made
@@ -171,7 +173,9 @@
 class Post:
     """One connection, as the placing sees it."""
 
-    __slots__ = ("condemned", "idle_since", "node", "number", "opened_at", "opening", "places", "replied_at")
+    __slots__ = (
+        "alarm", "condemned", "idle_since", "node", "number", "opened_at", "opening", "places", "replied_at",
+    )  # fmt: skip
 
     def __init__(self, number: int, node: Node, now: float) -> None:
         self.number, self.node = number, node
@@ -180,6 +184,7 @@
         self.idle_since = now
         self.replied_at = -math.inf
         self.condemned = False
+        self.alarm = math.inf  # when `check` is to look at it
 
     def cut_by(self) -> float:
         """When it has to be cut for those behind, if the head has not answered; inf if there are none. A head
@@ -217,6 +222,8 @@
         self.nodes: dict[str, Node] = {}
         self.posts: dict[int, Post] = {}
         self.crowded: dict[int, Post] = {}  # those with more than one on them
+        self.alarms: list[tuple[float, int]] = []  # a heap; an entry counts while it is its post's alarm
+        self.stalls: dict[tuple[str, str], tuple[float, float]] = {}  # class, node: taken at, milliseconds
         self.serial = 0
         self.cuts = MOST_CUTS / 2.0  # early cuts that may be made
         self.counts: Counter[str] = Counter()
@@ -245,6 +252,7 @@
         """It left the list. Its lines live on until they are lost."""
         self.nodes.pop(name, None)
         self.times.forget(name)
+        self.stalls = {key: kept for key, kept in self.stalls.items() if key[1] != name}
 
     # --- placing -----------------------------------------------------------------------------------------
 
@@ -274,6 +282,7 @@
         post.places.append(place)
         if len(post.places) > 1:
             self.crowded[post.number] = post
+            self.watch(now, post)
         return found
 
     def choose(
@@ -295,7 +304,11 @@
             finish, late = self.outlook(now, node, job, [], node.connect_ms)
             score = finish + LATE_WEIGHS * late + rules.open_price_ms
             options.append((score, "a new one", Placement(How.OPEN, 0, 0.0, 0, finish, late)))
-        for post, bound in self.joinable(now, node, job):
+        joinable = self.joinable(now, node, job)
+        if len(joinable) == 1 and not options and (waited or not rules.wait_ms):
+            post, bound = joinable[0]  # nothing to weigh it against
+            return Placement(How.JOIN, post.number, bound, len(post.places))
+        for post, bound in joinable:
             lead = max(0.0, post.opened_at + node.connect_ms - now) if post.opening else 0.0
             ahead = list(post.places)
             finish, late = self.outlook(now, node, job, ahead, lead)
@@ -334,16 +347,17 @@
         most = min(self.rules.depth, job.depth, node.depth.whole() if self.rules.adaptive else job.depth)
         if most < 2 or node.at_risk() >= self.rules.at_risk or job.rescue_by <= now:
             return []
-        found: list[tuple[int, int, Post]] = []
+        sizes = sorted((len(p.places), p.number) for p in node.posts.values() if 0 < len(p.places) < most)
         bound = min(job.rescue_by, job.until)
-        for post in node.posts.values():
-            size = len(post.places)
-            if not 0 < size < most or self.is_condemned(now, post):
-                continue
-            if self.held(now, post, job) <= bound:
-                found.append((size, post.number, post))
-        found.sort()
-        return [(post, bound) for _, _, post in found[:CANDIDATES]]
+        found: list[tuple[Post, float]] = []
+        for _, number in sizes:
+            post = node.posts[number]
+            # By its bound it is the head or cut: so it is never given up with another ahead of it.
+            if not self.is_condemned(now, post) and self.held(now, post, job) <= bound:
+                found.append((post, bound))
+                if len(found) == CANDIDATES:
+                    break
+        return found
 
     def held(self, now: float, post: Post, job: Job) -> float:
         """Until when the others on this line may keep it, as far as is known; inf where it must not be
@@ -354,7 +368,7 @@
             verdict = self.sharing.may(place.job.class_name, job.class_name)
             if verdict is Behind.NO:
                 return math.inf
-            stalls = max(late, self.stalls_at(post, place))
+            stalls = max(late, self.stalls_at(now, post, place))
             cut = verdict is Behind.STALL and stalls <= place.job.rescue_by
             late = max(late, min(place.job.until, stalls) if cut else place.job.until)
         return late
@@ -363,23 +377,29 @@
         self, now: float, node: Node, job: Job, ahead: list[Place], lead: float
     ) -> tuple[float, float]:
         """Expected milliseconds until the answer, and how many of them past the aim, when it goes out `lead`
-        from now behind these: the longest of all their times, each given how old it is."""
+        from now behind these: the longest of all their times. The head counts by its own age, all between as
+        the youngest, which errs towards a longer hold."""
         times, name = self.times, node.name
         end = max(1.0, job.until - now)
         due = max(0.0, job.due - now)
         mean = max(times.mean(job.class_name, name), 0.05)
         start = min(0.25 * mean, 0.5 * end)
         step = (end / start) ** (1.0 / (GRID - 1))
+        own = times.rest(job.class_name, name, -lead)
+        weighed = []
+        if ahead:
+            weighed.append((times.rest(ahead[0].job.class_name, name, now - ahead[0].left_at), 1))
+        if len(ahead) > 1:
+            youngest = times.rest(ahead[-1].job.class_name, name, now - ahead[-1].left_at)
+            weighed.append((youngest, len(ahead) - 1))
         finish = late = at = 0.0
         open_before = 1.0
         moment = start
         for _ in range(GRID):
-            done = times.done_by(job.class_name, name, moment - lead)
-            for place in ahead:
-                if done <= 0.0:
-                    break
-                age = now - place.left_at
-                done *= times.done_by(place.job.class_name, name, moment + min(0.0, age), max(0.0, age))
+            done = own.by(moment)
+            if done > 0.0:
+                for rest, count in weighed:
+                    done *= rest.by(moment) if count == 1 else rest.by(moment) ** count
             span, still = moment - at, 1.0 - done
             finish += span * 0.5 * (open_before + still)
             if moment > due:
@@ -390,39 +410,67 @@
 
     # --- stalls ------------------------------------------------------------------------------------------
 
-    def stall_ms(self, class_name: str, node: Node) -> float:
+    def stall_ms(self, now: float, class_name: str, node: Node) -> float:
         """How long one of this class may take before it counts as stalled."""
-        rules = self.rules
-        if class_name not in self.times.classes:
-            return math.inf
-        usual = self.times.quantile(class_name, node.name, rules.stall_quantile)
-        return max(rules.least_stall_ms, rules.stall_factor * usual) if usual > 0 else math.inf
+        kept = self.stalls.get((class_name, node.name))
+        if kept is not None and now - kept[0] < STALL_KEPT_MS:
+            return kept[1]
+        rules, found = self.rules, math.inf
+        if class_name in self.times.classes:
+            usual = self.times.quantile(class_name, node.name, rules.stall_quantile)
+            found = max(rules.least_stall_ms, rules.stall_factor * usual) if usual > 0 else math.inf
+        self.stalls[class_name, node.name] = now, found
+        return found
 
-    def stalls_at(self, post: Post, place: Place) -> float:
+    def stalls_at(self, now: float, post: Post, place: Place) -> float:
         """When this one counts as stalled, were it the head. Its reply may wait for the one ahead to come."""
-        usual = self.stall_ms(place.job.class_name, post.node)
+        usual = self.stall_ms(now, place.job.class_name, post.node)
         return max(place.left_at + usual, post.replied_at + COARSE_MS)
 
     def is_condemned(self, now: float, post: Post) -> bool:
         """Whether nothing may join it."""
-        return post.condemned or (bool(post.places) and now >= self.stalls_at(post, post.places[0]))
+        return post.condemned or (bool(post.places) and now >= self.stalls_at(now, post, post.places[0]))
+
+    def watch(self, now: float, post: Post) -> None:
+        """Sets when this line is to be looked at: at its bound, and when its head would be stalled."""
+        at = math.inf
+        if len(post.places) > 1:
+            at = post.cut_by()
+            if not post.condemned:
+                at = min(at, self.stalls_at(now, post, post.places[0]))
+        self.look_at(post, at)
+
+    def look_at(self, post: Post, at: float) -> None:
+        """Has `check` look at this line then; inf: not."""
+        if at == post.alarm:
+            return
+        post.alarm = at
+        if at < math.inf:
+            heapq.heappush(self.alarms, (at, post.number))
+            if len(self.alarms) > 64 + 4 * len(self.posts):
+                self.alarms = [(p.alarm, p.number) for p in self.posts.values() if p.alarm < math.inf]
+                heapq.heapify(self.alarms)
 
     def next_check(self) -> float:
         """When `check` has something to do at the earliest; inf while nothing stands behind anything."""
-        moments = [math.inf]
-        for post in self.crowded.values():
-            moments.append(post.cut_by())
-            if not post.condemned:
-                moments.append(self.stalls_at(post, post.places[0]))
-        return min(moments)
+        while self.alarms:
+            at, number = self.alarms[0]
+            post = self.posts.get(number)
+            if post is not None and post.alarm == at:
+                return at
+            heapq.heappop(self.alarms)
+        return math.inf
 
     def check(self, now: float) -> list[Action]:
         """Looks for stalled heads, and for bounds that are reached."""
         actions: list[Action] = []
-        for post in list(self.crowded.values()):
+        while self.next_check() <= now:
+            post = self.posts[heapq.heappop(self.alarms)[1]]
+            post.alarm = math.inf
             head = post.places[0]
             bound_reached = now >= post.cut_by()
-            if not bound_reached and now < self.stalls_at(post, head):
+            if not bound_reached and now < self.stalls_at(now, post, head):
+                self.watch(now, post)  # more is known by now: it is not stalled yet
                 continue
             if not post.condemned:
                 post.condemned = True
@@ -436,11 +484,15 @@
                 continue  # it is given up when its own time is up, which those behind can bear
             if bound_reached:
                 actions.append(Cut(post.number, head.ref, "bound"))
+                self.look_at(post, now + STALL_KEPT_MS)  # told again, should it still be there
                 self.counts["cut at a bound"] += 1
             elif not self.rules.copies and self.worth_cutting(now, post):
                 self.cuts -= len(post.places)
                 actions.append(Cut(post.number, head.ref, "stall"))
+                self.look_at(post, now + STALL_KEPT_MS)
                 self.counts["cut at a stall"] += 1
+            else:
+                self.watch(now, post)
         return actions
 
     def copies(self, post: Post) -> list[Action]:
@@ -473,6 +525,7 @@
         post.opening, post.idle_since = False, now - self.rules.settle_ms  # nothing can be left over on it
         for place in post.places:
             place.left_at = now
+        self.watch(now, post)
 
     def answered(self, now: float, line: int, sound: bool = True) -> int | None:
         """The head of this line was answered: its attempt's number. `sound`: with a value, whose time tells
@@ -493,6 +546,7 @@
         post.condemned = False  # the next one is the head: it has its own time
         if len(post.places) < 2:
             self.crowded.pop(line, None)
+        self.watch(now, post)
         if not post.places:
             post.idle_since = now
         return place.ref
@@ -505,6 +559,7 @@
         post.places = deque(place for place in post.places if place.ref != ref)
         if len(post.places) < 2:
             self.crowded.pop(line, None)
+        self.watch(now, post)
         if not post.places:
             post.idle_since, post.condemned = now, False
 
--- a/glenchute/deciders/servicetimes.py
+++ b/glenchute/deciders/servicetimes.py
@@ -30,14 +30,18 @@
 class Times:
     """A decaying distribution of times."""
 
-    __slots__ = ("_below", "_stale", "counts", "total", "zero")
+    __slots__ = ("_adds", "_below", "_every", "_mean", "_weight", "counts", "total", "zero")
 
     def __init__(self) -> None:
         self.counts = [0.0] * BUCKETS
         self.total = 0.0
         self.zero = 0.0  # weights are told against this moment
+        # Shares and mean are taken anew only after some more samples, a fiftieth of what is there: a sample
+        # costs no pass over the buckets, and hides nothing for longer.
         self._below: list[float] = [0.0] * BUCKETS
-        self._stale = False
+        self._mean = 0.0
+        self._adds = self._every = 0
+        self._weight = 1.0  # of the last sample
 
     def weight(self, now: float) -> float:
         """What one sample of this moment weighs."""
@@ -46,8 +50,9 @@
             factor = math.exp(-age)
             self.counts = [count * factor for count in self.counts]
             self.total = sum(self.counts)
-            self.zero, age, self._stale = now, 0.0, True
-        return math.exp(age)
+            self.zero, age, self._every = now, 0.0, 0
+        self._weight = math.exp(age)
+        return self._weight
 
     def known(self, now: float) -> float:
         """How many samples of this moment all that is there is worth."""
@@ -59,7 +64,7 @@
         weight = self.weight(now)
         self.counts[at] += weight
         self.total += weight
-        self._stale = True
+        self._adds += 1
 
     def add_at_most(self, now: float, ms: float) -> None:
         """A time of which only the most is known."""
@@ -73,18 +78,21 @@
             for i in range(at + 1):
                 self.counts[i] *= factor
         self.total += weight
-        self._stale = True
+        self._adds += 1
 
     def below(self) -> list[float]:
         """The share at or under each bucket's upper edge."""
-        if self._stale:
-            self._stale, run, whole = False, 0.0, max(sum(self.counts), 1e-300)
-            self.total = sum(self.counts)
+        if self._adds and self._adds >= self._every:
+            self.total = whole = max(sum(self.counts), 1e-300)
+            run = 0.0
             made = []
             for count in self.counts:
                 run += count
                 made.append(min(1.0, run / whole))
             self._below = made
+            self._mean = sum(c * m for c, m in zip(self.counts, MIDDLES, strict=True)) / whole
+            self._every = min(32, int(whole / self._weight / 50.0))
+            self._adds = 0
         return self._below
 
     def cdf(self, ms: float) -> float:
@@ -107,8 +115,26 @@
 
     def mean(self) -> float:
         """The mean; 0 of none."""
-        whole = sum(self.counts)
-        return sum(c * m for c, m in zip(self.counts, MIDDLES, strict=True)) / whole if whole > 0 else 0.0
+        self.below()
+        return self._mean
+
+
+class Rest:
+    """The time left of one that is not done; an age below 0 says that it begins only then."""
+
+    __slots__ = ("age", "before", "pace", "times")
+
+    def __init__(self, times: Times, pace: float, age: float) -> None:
+        self.times, self.pace, self.age = times, pace, age
+        self.before = times.cdf(age / pace)
+
+    def by(self, ms: float) -> float:
+        """The chance that it is done so long from now."""
+        if self.before >= 1.0 - 1e-9:
+            # Older than all that was seen: it may stand for ever. As much again as it has stood is the guess
+            # that suits any scale (Lindy's).
+            return ms / (ms + self.age) if ms > 0 else 0.0
+        return max(0.0, (self.times.cdf((self.age + ms) / self.pace) - self.before) / (1.0 - self.before))
 
 
 class ServiceTimes:
@@ -135,15 +161,13 @@
         """A quantile at a node."""
         return self.classes[class_name].quantile(share) * self.pace(node)
 
+    def rest(self, class_name: str, node: str, age: float = 0.0) -> Rest:
+        """What is left of one that is `age` old and not done."""
+        return Rest(self.classes[class_name], self.pace(node), age)
+
     def done_by(self, class_name: str, node: str, ms: float, age: float = 0.0) -> float:
         """The chance that what is `age` old and not done is done by `ms` from now."""
-        times, pace = self.classes[class_name], self.pace(node)
-        before = times.cdf(age / pace)
-        if before >= 1.0 - 1e-9:
-            # Older than all that was seen: it may stand for ever. As much again as it has stood is the guess
-            # that suits any scale (Lindy's).
-            return ms / (ms + age) if ms > 0 else 0.0
-        return max(0.0, (times.cdf((age + ms) / pace) - before) / (1.0 - before))
+        return self.rest(class_name, node, age).by(ms)
 
     def add(self, now: float, class_name: str, node: str, ms: float, censored: bool) -> None:
         """A reply came after so long; `censored` where it may have been done before that."""
