--- a/glenchute/cli/explain.py
+++ b/glenchute/cli/explain.py
@@ -78,6 +78,9 @@
         yield f"  a second copy after {route.copy_after_ms:g} ms, if the first is still out"
     causes = sorted(cause.value for cause in route.causes) if route.causes is not None else None
     yield f"  a further attempt after: {', '.join(causes) if causes else 'what the module allows'}"
+    if route.depth:
+        shared = "a connection to itself" if route.depth == 1 else f"{route.depth} on one connection at most"
+        yield f"  [pipeline]: {shared}"
     if route.budget is not None:
         rule = route.budget
         yield f"  budget of further attempts: {rule.share:g} a request, and {rule.least_per_s:g} a second"
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -316,6 +316,18 @@
             assert pipeline.check(pipeline.next_check()) == [Cut(line, 1, "bound")]
 
 
+def test_of_two_lines_the_condemned_one_is_left_alone() -> None:
+    pipeline = made()
+    first = opened(pipeline, 0.0, 1, job(0.0))
+    pipeline.node("n").connect_ms = 0.1
+    second = opened(pipeline, 215.0, 2, job(215.0), up_after=0.1)
+    pipeline.node("n").connect_ms = 500.0
+    assert {pipeline.place(290.0, "n", ref, job(290.0), no).line for ref in (3, 4, 5)} == {second}
+    assert pipeline.place(290.0, "n", 6, job(290.0), no).how is How.WAIT  # not even where that is full
+    assert pipeline.answered(291.0, first) == 1
+    assert pipeline.place(291.0, "n", 7, job(291.0), no).line == first
+
+
 def test_where_copies_are_allowed_those_behind_get_one_and_the_line_stays() -> None:
     pipeline = made(RULES._replace(copies=True, stall_factor=1.5))
     line = opened(pipeline, 0.0, 1, job(0.0))
