One place for an attempt's one ending; lines keep no state that can be derived

The attempt on a shared connection repeated the fields, timers and single ending of the other backend's: both now stand on `Underway`, so that "one ending" is said once. The decider kept a table of crowded lines that only tests read since the heap of alarms; it is derived. What is done when an attempt is taken back, and when a line is empty, stood in four places each (`withdraw`, `rest`, `shortened`). A batch gives back the commands that it took, which two callers had dug out of the line. A request of no known class gets its job directly instead of by an invented class; 5 ms of crossing are stated once, for backend and simulation.

--- a/glenchute/backends/lines.py
+++ b/glenchute/backends/lines.py
@@ -20,18 +20,17 @@
 from typing import NamedTuple
 
 from glenchute.core.types import About, Address, Result
-from glenchute.deciders.line import Entry, Line
-from glenchute.deciders.pipeline import Condemn, Copy, Cut, How, Pipeline, Placement, Rules, job_of
+from glenchute.deciders.line import CROSSING_MS, Entry, Line
+from glenchute.deciders.pipeline import Condemn, Copy, Cut, How, Job, Pipeline, Placement, Rules, job_of
 from glenchute.deciders.sharing import Sharing
 from glenchute.wire import resp
 from heathglade.interface import Ending, RequestClass
 
-from .resp2 import STALL_S, Connection, Limits, Pool, Servers, classify
+from .resp2 import STALL_S, Connection, Limits, Pool, Servers, Underway, classify
 
 log = logging.getLogger("glenchute")
 
 REPORT_S = 10.0  # a line for the operators this often, while anything happens
-CROSSING_MS = 5.0  # a command handed over so shortly before a reply may not have been at the node by then
 MOST_WAITING = 1024  # attempts that wait for a connection to one node
 
 
@@ -42,35 +41,28 @@
     most_bytes: int = 16 * 1024
 
 
-class LineAttempt:
-    """One request on its way to one server, from `Send` to its one ending."""
+class LineAttempt(Underway):
+    """One request on a connection on which others may stand."""
 
-    __slots__ = (
-        "about", "conn", "done", "ended", "entry", "payload", "pool", "ref", "started", "timer", "until",
-        "wait_timer", "wait_until", "write_by", "written",
-    )  # fmt: skip
+    __slots__ = ("about", "conn", "entry", "pool", "ref", "wait_timer", "wait_until")
 
     def __init__(
         self, pool: LinePool, payload: Callable[[int], bytes], timeout_s: float,
         done: Callable[[Result], None], write_by: float, about: About | None,
     ) -> None:  # fmt: skip
-        servers = pool.lines
+        servers = pool.servers
+        super().__init__(servers.loop, payload, timeout_s, done, write_by)
         servers.serial += 1
         self.ref = servers.serial
-        self.pool, self.payload, self.done, self.about = pool, payload, done, about
-        self.started = servers.loop.time()
-        self.until = self.started + timeout_s
-        self.write_by = write_by
-        self.ended = self.written = False
+        self.pool, self.about = pool, about
         self.conn: LineConnection | None = None
         self.entry: Entry[LineAttempt] | None = None
-        self.timer: asyncio.TimerHandle | None = None
         self.wait_timer: asyncio.TimerHandle | None = None
         self.wait_until = math.inf  # its one wait ends then, however often it asks meanwhile
 
     def start(self) -> None:
         """Finds its place."""
-        self.timer = self.pool.lines.loop.call_at(self.until, self.stop, Ending.TIMEOUT)
+        self.timer = self.pool.servers.loop.call_at(self.until, self.stop, Ending.TIMEOUT)
         self.seek()
 
     def seek(self) -> None:
@@ -78,7 +70,7 @@
         self.wait_timer = None
         if self.ended:
             return
-        pool, servers = self.pool, self.pool.lines
+        pool, servers = self.pool, self.pool.servers
         pool.waiting.pop(self.ref, None)
         while True:
             now = servers.loop.time()
@@ -124,9 +116,9 @@
         if self.ended:
             return
         conn, entry = self.conn, self.entry
-        if conn is None or entry is None or conn.line.withdraw(entry):
+        if conn is None or entry is None or conn.withdraw(entry):
             if conn is not None:
-                conn.dropped(self)
+                conn.rest()
             self.finish(Result(Ending.UNREACHABLE))  # nothing was handed over: it can't have run
         elif ending is Ending.CANCELLED and len(conn.line) > 1:
             entry.called_off = True
@@ -136,19 +128,14 @@
                 self.pool.close_idle(self.started)
             conn.cut(entry, ending, "its time is up" if ending is Ending.TIMEOUT else "called off")
 
-    def finish(self, result: Result) -> None:
-        """The one ending; later ones are dropped."""
-        if self.ended:
-            return
-        self.ended = True
-        for timer in (self.timer, self.wait_timer):
-            if timer is not None:
-                timer.cancel()
-        self.timer = self.wait_timer = None
+    def let_go(self) -> None:
+        super().let_go()
+        if self.wait_timer is not None:
+            self.wait_timer.cancel()
+            self.wait_timer = None
         self.pool.waiting.pop(self.ref, None)
-        self.pool.lines.attempts.pop(self.ref, None)
+        self.pool.servers.attempts.pop(self.ref, None)
         self.conn = self.entry = None
-        self.done(result)
 
 
 class LineConnection(Connection):
@@ -156,11 +143,12 @@
 
     __slots__ = ("booked", "connect_timer", "endings", "full", "line", "number", "stuck", "task", "up")
 
+    pool: LinePool
+
     def __init__(self, pool: LinePool, number: int) -> None:
         super().__init__(pool)
-        rules = pool.lines.pipeline.rules
         self.number = number
-        self.line: Line[LineAttempt] = Line(CROSSING_MS if rules.settle_ms > 0 else 0.0, rules.settle_ms)
+        self.line: Line[LineAttempt] = Line(CROSSING_MS, pool.servers.pipeline.rules.settle_ms)
         self.endings: list[tuple[LineAttempt, Result]] | None = None  # fixed when the gateway closes it
         self.up = self.full = self.booked = False
         self.task: asyncio.Task[None] | None = None
@@ -170,9 +158,7 @@
     @property
     def lines(self) -> Lines:
         """The backend."""
-        pool = self.pool
-        assert isinstance(pool, LinePool)
-        return pool.lines
+        return self.pool.servers
 
     def usable(self) -> bool:
         """Whether an attempt may still join."""
@@ -200,8 +186,7 @@
             return
         self.up = True
         servers.pipeline.connected(1000.0 * servers.loop.time(), self.number)
-        if not self.line:
-            self.pool.give_back(self)
+        self.rest()
         self.flush()
         servers.arm()
 
@@ -253,25 +238,36 @@
             attempt = entry.item
             left = int(1000.0 * (attempt.until - now))
             if left < 1 or now > attempt.write_by or (stop_at is not None and now > stop_at):
-                self.line.withdraw(entry)
-                self.lines.pipeline.withdrawn(1000.0 * now, self.number, attempt.ref)
+                self.withdraw(entry)
                 late.append(attempt)
             elif not entry.data:
                 entry.data = attempt.payload(left)
         gather = self.lines.gather
-        parts = self.line.batch(1000.0 * now, gather.most, gather.most_bytes)
-        if parts:
-            for entry in list(self.line.out)[-len(parts) :]:
+        batch, data = self.line.batch(1000.0 * now, gather.most, gather.most_bytes)
+        if batch:
+            for entry in batch:
                 entry.item.written = True
             self.lines.counts["writes"] += 1
-            self.lines.counts["commands"] += len(parts)
-            transport.write(parts[0] if len(parts) == 1 else b"".join(parts))
+            self.lines.counts["commands"] += len(batch)
+            transport.write(data)
             self.sample()
             if self.line.waiting:
                 self.book()
         for attempt in late:
             attempt.finish(Result(Ending.UNREACHABLE))
-        if late and not self.line and self.endings is None:
+        if late:
+            self.rest()
+
+    def withdraw(self, entry: Entry[LineAttempt]) -> bool:
+        """Takes an attempt back of which nothing was handed over; False where it is too late for that."""
+        if not self.line.withdraw(entry):
+            return False
+        self.lines.pipeline.withdrawn(1000.0 * self.lines.loop.time(), self.number, entry.item.ref)
+        return True
+
+    def rest(self) -> None:
+        """Goes back to the pool, if nothing stands on it any more."""
+        if self.up and not self.line and self.endings is None:
             self.pool.give_back(self)
 
     def sample(self) -> None:
@@ -337,8 +333,8 @@
             assert self.endings is not None
             self.endings[:0] = [row for row in done if row[1].ending is not Ending.OK]
             done = [row for row in done if row[1].ending is Ending.OK]
-        elif done and not self.line:
-            self.pool.give_back(self)
+        elif done:
+            self.rest()
         for attempt, result in done:
             attempt.finish(result)
         if not fault and done:
@@ -395,7 +391,7 @@
             log.info("line %d to %s with %d attempts is cut: %s", self.number, self.pool.address,
                      len(ended), why)  # fmt: skip
         self.lines.counts["cut"] += 1
-        self.forgotten(ending is Ending.TIMEOUT or bool(ended))
+        self.forgotten(bool(ended))
         if self.up:
             self.abort()
         else:
@@ -430,33 +426,26 @@
         """Nothing is placed here any more."""
         if self.connect_timer is not None:
             self.connect_timer.cancel()
-        pool = self.pool
-        assert isinstance(pool, LinePool)
-        pool.by_line.pop(self.number, None)
+        self.pool.by_line.pop(self.number, None)
         self.lines.pipeline.lost(1000.0 * self.lines.loop.time(), self.number, trouble)
 
-    def dropped(self, attempt: LineAttempt) -> None:
-        """An attempt was taken back before any of it was handed over."""
-        servers = self.lines
-        servers.pipeline.withdrawn(1000.0 * servers.loop.time(), self.number, attempt.ref)
-        if self.up and not self.line and self.endings is None:
-            self.pool.give_back(self)
-
 
 class LinePool(Pool):
     """The connections to one server."""
 
-    __slots__ = ("by_line", "lines", "server", "waiting")
+    __slots__ = ("by_line", "server", "waiting")
+
+    servers: Lines
 
-    def __init__(self, lines: Lines, server: str, address: Address) -> None:
-        super().__init__(lines, address)
-        self.lines, self.server = lines, server
+    def __init__(self, servers: Lines, server: str, address: Address) -> None:
+        super().__init__(servers, address)
+        self.server = server
         self.by_line: dict[int, LineConnection] = {}
         self.waiting: dict[int, LineAttempt] = {}  # for a connection, the longest waiting first
 
     def opened(self, number: int) -> LineConnection | None:
         """A connection that begins to come up; None where there is no room for it."""
-        servers = self.lines
+        servers = self.servers
         if not servers.make_room():
             return None
         conn = self.by_line[number] = LineConnection(self, number)
@@ -473,10 +462,10 @@
         for conn in list(self.by_line.values()):
             unsent += [entry.item for entry in list(conn.line.waiting)]
             if conn.full and conn.stuck is None:
-                conn.stuck = self.lines.loop.call_at(self.stop_at, conn.still_stuck)
+                conn.stuck = self.servers.loop.call_at(self.stop_at, conn.still_stuck)
         for attempt in unsent:
             # In the loop's next round: nothing here may call the core while the core tells the news.
-            self.lines.loop.call_soon(attempt.unsend)
+            self.servers.loop.call_soon(attempt.unsend)
 
 
 class Lines(Servers):
@@ -543,8 +532,7 @@
         cls = self.classes.get(about.class_name) if about is not None else None
         server = attempt.pool.server
         if about is None or cls is None:
-            cls = RequestClass("", 1e6, 0.0, next(iter(self.classes.values())).repeat)
-            job = job_of(cls, 0.0, ms, 1000.0 * attempt.until, ms, 1000.0 * attempt.until, math.inf, False, 1)
+            job = Job("", 1000.0 * attempt.until, math.inf, -math.inf, 1)
         else:
             job = job_of(
                 cls, self.pipeline.times.mean(cls.name, server), ms, 1000.0 * attempt.until,
@@ -556,9 +544,8 @@
             self.arm()
         return found
 
-    def wake(self, pool: Pool) -> None:
+    def wake(self, pool: LinePool) -> None:
         """A connection may have freed: the longest waiting attempt asks again."""
-        assert isinstance(pool, LinePool)
         for attempt in list(pool.waiting.values())[:1]:
             if attempt.wait_timer is not None:
                 attempt.wait_timer.cancel()
@@ -580,7 +567,7 @@
         for action in self.pipeline.check(1000.0 * self.loop.time()):
             match action:
                 case Condemn():
-                    self.counts["condemned"] += 1
+                    pass  # nothing joins it any more: the decider sees to that, and counts it
                 case Copy(ref):
                     attempt = self.attempts.get(ref)
                     if attempt is not None and attempt.about is not None:
--- a/glenchute/backends/resp2.py
+++ b/glenchute/backends/resp2.py
@@ -14,7 +14,6 @@
 from typing import Any
 
 from glenchute.core.types import About, Address, Result
-from glenchute.core.types import Attempt as AnAttempt
 from glenchute.wire import resp
 from heathglade.interface import Ending
 
@@ -182,47 +181,69 @@
         self.close_idle()
 
 
-class Attempt:
-    """One request on its way to one server, from `Send` to its one ending."""
-
-    __slots__ = (
-        "conn",
-        "connect_timer",
-        "done",
-        "ended",
-        "payload",
-        "pool",
-        "result",
-        "started",
-        "task",
-        "timer",
-        "until",
-        "write_by",
-        "written",
-    )  # fmt: skip
+class Underway:
+    """One request on its way to one server, from `Send` to its one ending, whatever carries it."""
+
+    __slots__ = ("done", "ended", "payload", "started", "timer", "until", "write_by", "written")
 
     def __init__(
         self,
-        pool: Pool,
+        loop: asyncio.AbstractEventLoop,
         payload: Callable[[int], bytes],
         timeout_s: float,
         done: Callable[[Result], None],
         write_by: float,
     ) -> None:
-        loop = pool.servers.loop
-        self.pool = pool
         self.payload = payload  # makes the command, given the milliseconds left
         self.done = done
         self.started = loop.time()
         self.until = self.started + timeout_s
         self.write_by = write_by  # not a byte may leave after this
+        self.ended = self.written = False
+        self.timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Sends it, or begins to."""
+        raise NotImplementedError
+
+    def stop(self, ending: Ending) -> None:
+        """A time-out or a cancel. The ending is told once the connection is closed."""
+        raise NotImplementedError
+
+    def let_go(self) -> None:
+        """Drops the timers and what it stood on."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def finish(self, result: Result) -> None:
+        """The one ending; later ones are dropped."""
+        if self.ended:
+            return
+        self.ended = True
+        self.let_go()
+        self.done(result)
+
+
+class Attempt(Underway):
+    """One request on a connection of its own."""
+
+    __slots__ = ("conn", "connect_timer", "pool", "result", "task")
+
+    def __init__(
+        self,
+        pool: Pool,
+        payload: Callable[[int], bytes],
+        timeout_s: float,
+        done: Callable[[Result], None],
+        write_by: float,
+    ) -> None:
+        super().__init__(pool.servers.loop, payload, timeout_s, done, write_by)
+        self.pool = pool
         self.result: Result | None = None  # set while the connection closes for a reason of ours
-        self.ended = False
-        self.written = False
         self.conn: Connection | None = None
         self.task: asyncio.Task[None] | None = None
         self.connect_timer: asyncio.TimerHandle | None = None
-        self.timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
         """Writes at once on an idle connection, else opens one."""
@@ -300,17 +321,12 @@
             self.result = Result(ending)
             self.conn.abort()
 
-    def finish(self, result: Result) -> None:
-        """The one ending; later ones are dropped."""
-        if self.ended:
-            return
-        self.ended = True
-        for timer in (self.timer, self.connect_timer):
-            if timer is not None:
-                timer.cancel()
-        self.timer = self.connect_timer = None
+    def let_go(self) -> None:
+        super().let_go()
+        if self.connect_timer is not None:
+            self.connect_timer.cancel()
+            self.connect_timer = None
         self.conn = None
-        self.done(result)
 
 
 class Servers:
@@ -396,7 +412,7 @@
         done: Callable[[Result], None],
         write_by: float = math.inf,
         about: About | None = None,
-    ) -> AnAttempt | None:
+    ) -> Underway | None:
         """Makes an attempt, not started yet; None if the server takes nothing (any more). Each has a
         connection to itself, so that `about` says nothing of use here."""
         pool = self.open_pool(server)
--- a/glenchute/deciders/line.py
+++ b/glenchute/deciders/line.py
@@ -15,6 +15,7 @@
 from heathglade.interface import Ending
 
 T = TypeVar("T")
+CROSSING_MS = 5.0  # a command handed over so shortly before a reply may not have been at the node by then
 
 
 class Ended(NamedTuple, Generic[T]):
@@ -64,9 +65,11 @@
         self.waiting.append(entry)
         return entry
 
-    def batch(self, now: float, most: int, most_bytes: int) -> list[bytes]:
-        """The next commands to hand over together: so many at most, and no more bytes than this unless the
-        first alone has them. Nothing may be handed over while some of the last batch has not left."""
+    def batch(self, now: float, most: int, most_bytes: int) -> tuple[list[Entry[T]], bytes]:
+        """The next commands to hand over together, and their bytes: so many at most, and no more bytes than
+        this unless the first alone has them. Nothing may be handed over while some of the last batch has not
+        left."""
+        entries: list[Entry[T]] = []
         parts: list[bytes] = []
         size = 0
         while self.waiting and len(parts) < most:
@@ -80,8 +83,9 @@
             size += len(entry.data)
             parts.append(entry.data)
             entry.data = b""
-            self.out.append(entry)
-        return parts
+            entries.append(entry)
+        self.out += entries
+        return entries, b"".join(parts)
 
     def gone(self, buffered: int) -> None:
         """So many of the bytes handed over are known to be still here; the others may have left."""
--- a/glenchute/deciders/pipeline.py
+++ b/glenchute/deciders/pipeline.py
@@ -62,7 +62,6 @@
     it may not at all."""
 
     class_name: str
-    began: float
     until: float  # given up then
     due: float  # the aim
     rescue_by: float
@@ -92,7 +91,7 @@
         rescue_by = min(rescue_by, write_by - COARSE_MS, began + cls.memory_ms - MEMORY_MARGIN_MS)
     if cls.repeat is Repeat.UNSAFE or not again:
         rescue_by = -math.inf
-    return Job(cls.name, began, until, due, rescue_by, depth)
+    return Job(cls.name, until, due, rescue_by, depth)
 
 
 class How(Enum):
@@ -221,7 +220,6 @@
         self.times = ServiceTimes(sharing.classes)
         self.nodes: dict[str, Node] = {}
         self.posts: dict[int, Post] = {}
-        self.crowded: dict[int, Post] = {}  # those with more than one on them
         self.alarms: list[tuple[float, int]] = []  # a heap; an entry counts while it is its post's alarm
         self.stalls: dict[tuple[str, str], tuple[float, float]] = {}  # class, node: taken at, milliseconds
         self.serial = 0
@@ -280,8 +278,7 @@
             start = max(now, post.opened_at + node.connect_ms) if post.opening else now
             place = Place(ref, job, start, found.until if behind else math.inf, behind)
         post.places.append(place)
-        if len(post.places) > 1:
-            self.crowded[post.number] = post
+        if found.how is How.JOIN:
             self.watch(now, post)
         return found
 
@@ -544,11 +541,7 @@
                 node.depth.replied(took / mean, place.behind)
         post.replied_at = now
         post.condemned = False  # the next one is the head: it has its own time
-        if len(post.places) < 2:
-            self.crowded.pop(line, None)
-        self.watch(now, post)
-        if not post.places:
-            post.idle_since = now
+        self.shortened(now, post)
         return place.ref
 
     def withdrawn(self, now: float, line: int, ref: int) -> None:
@@ -557,11 +550,15 @@
         if post is None:
             return
         post.places = deque(place for place in post.places if place.ref != ref)
-        if len(post.places) < 2:
-            self.crowded.pop(line, None)
-        self.watch(now, post)
         if not post.places:
-            post.idle_since, post.condemned = now, False
+            post.condemned = False
+        self.shortened(now, post)
+
+    def shortened(self, now: float, post: Post) -> None:
+        """One fewer stands on this line."""
+        if not post.places:
+            post.idle_since = now
+        self.watch(now, post)
 
     def lost(self, now: float, line: int, trouble: bool = False) -> None:
         """The connection is closed; `trouble` where an attempt timed out or broke on it."""
@@ -569,6 +566,5 @@
         if post is None:
             return
         post.node.posts.pop(line, None)
-        self.crowded.pop(line, None)
         if trouble:
             post.node.depth.trouble()
--- a/lab/sim/piped.py
+++ b/lab/sim/piped.py
@@ -11,7 +11,7 @@
 from collections import deque
 from typing import Any
 
-from glenchute.deciders.line import Entry, Line
+from glenchute.deciders.line import CROSSING_MS, Entry, Line
 from glenchute.deciders.pipeline import Cut, How, Pipeline, Rules, job_of
 from glenchute.deciders.sharing import Sharing
 from heathglade import interface as api
@@ -22,7 +22,6 @@
 PIPED_KINDS = (*KINDS, "stuck lines", "extra replies", "volley")
 MOST_CONNECTIONS = 5  # of a gateway: few, so that lines are shared
 RULES = Rules(depth=4, at_risk=8, settle_ms=10.0, idle_ms=4000.0)
-CROSSING_MS = 5.0
 COMMAND_BYTES = 10
 
 
@@ -227,9 +226,7 @@
                 self.over(one, api.Ending.UNREACHABLE)
         if conn.closed:
             return
-        before = len(conn.line.out)
-        conn.line.batch(self.now, 16, 1000)
-        batch = [entry.item for entry in list(conn.line.out)[before:]]
+        batch = [entry.item for entry in conn.line.batch(self.now, 16, 1000)[0]]
         if not batch:
             return
         name = conn.node.name if conn.node is not None else ""
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -212,7 +212,9 @@
             for ref in refs[1:]:
                 assert self.now <= self.out[ref].bound + 1.0, "held back past its bound"
         assert len(self.pipeline.posts) == len(self.lines)
-        assert set(self.pipeline.crowded) == {n for n, refs in self.lines.items() if len(refs) > 1}
+        crowded = {n for n, refs in self.lines.items() if len(refs) > 1}
+        assert {n for n, post in self.pipeline.posts.items() if len(post.places) > 1} == crowded
+        assert {n for n, post in self.pipeline.posts.items() if post.alarm < math.inf} <= crowded
         for node in self.pipeline.nodes.values():
             assert node.at_risk() <= self.limits.at_risk
             assert 1.0 <= node.depth.limit <= self.limits.depth
--- a/tests/test_swarm_piped.py
+++ b/tests/test_swarm_piped.py
@@ -133,7 +133,8 @@
         world = play(script, site=PipedWorld)
         assert isinstance(world, PipedWorld)
         joined, cut = joined + world.joined, cut + world.cut_lines
-        assert not any(pipe.crowded for pipe in world.pipes.values())  # all is over at the end
+        posts = [post for pipe in world.pipes.values() for post in pipe.posts.values()]
+        assert not any(len(post.places) > 1 for post in posts)  # all is over at the end
     assert joined > 1000 and cut > 20
 
 
