One statement each: [pipeline]'s defaults, a command's files, processor seconds

The defaults of [pipeline] stood in the decider and once more in the configuration, so that one could be changed without the other; they are the decider's now, taken by name where a file has the table. Three commands found the platform's file by themselves, and two printed a wrong operator's file: `cli/files` does both. The variable's name moved to `config/platform`, so that check, explain and quota no longer import the gateway. Benchmarks share one reading of a process's CPU, a capture's note and its comparison one reading of actions. The simulated site asks the site for faults that it does not know itself, in place of looking for a method; an unknown one is now an error.

--- a/benchmarks/extproc.py
+++ b/benchmarks/extproc.py
@@ -25,7 +25,7 @@
 from envoy.service.ext_proc.v3 import external_processor_pb2 as pb
 from envoy.service.ratelimit.v3 import rls_pb2
 
-from benchmarks.machine import machine
+from benchmarks.machine import cpu_s, machine
 from lab.peers import Client, RespPeer, always, row
 from lab.proxy import METHOD, message
 from lab.services import CounterService, DiscoveryService
@@ -63,12 +63,6 @@
 OK = message("response_headers", [(":status", b"200"), ("content-type", b"application/json")])
 
 
-def cpu_s(pid: int) -> float:
-    """CPU seconds of a process, user and system."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def rss_kb(pid: int) -> int:
     """Resident memory."""
     line = next(line for line in Path(f"/proc/{pid}/status").read_text().splitlines() if "VmRSS" in line)
--- a/benchmarks/machine.py
+++ b/benchmarks/machine.py
@@ -4,6 +4,13 @@
 
 import os
 import platform
+from pathlib import Path
+
+
+def cpu_s(pid: int) -> float:
+    """Processor seconds of a process so far, user and system, to a clock tick."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
 def machine() -> str:
--- a/benchmarks/pipelining.py
+++ b/benchmarks/pipelining.py
@@ -21,8 +21,7 @@
 import uvloop
 from hdrh.histogram import HdrHistogram
 
-from benchmarks.machine import machine
-from benchmarks.routes import cpu
+from benchmarks.machine import cpu_s, machine
 from lab.bursts import Bursts
 from lab.faults import Fault, Kind, Script
 from lab.nodes import Node, Trade
@@ -103,14 +102,14 @@
                     node.began = asyncio.get_running_loop().time()
                 load = Bursts(gateway.port, cell.load * OFFERED,
                               lambda ms: histogram.record_value(max(1, int(1000 * ms))))  # fmt: skip
-                before = cpu(gateway.process.pid)
+                before = cpu_s(gateway.process.pid)
                 running = asyncio.create_task(load.run(cell.seconds))
                 while not running.done():
                     most = max(most, sum(node.links for node in nodes))
                     await asyncio.sleep(0.05)
                 await running
                 held = sum(node.links for node in nodes)
-                used = cpu(gateway.process.pid) - before
+                used = cpu_s(gateway.process.pid) - before
             finally:
                 await gateway.stop()
     shares = [50.0, 90.0, 95.0, 99.0, 99.5, 99.9, 99.95, 99.99]
@@ -169,9 +168,9 @@
 
                 tasks = [asyncio.create_task(portal(number)) for number in range(clients)]
                 await asyncio.sleep(1.0)
-                before, first = cpu(gateway.process.pid), answered
+                before, first = cpu_s(gateway.process.pid), answered
                 await asyncio.sleep(seconds)
-                used, count = cpu(gateway.process.pid) - before, answered - first
+                used, count = cpu_s(gateway.process.pid) - before, answered - first
                 held = sum(node.links for node in nodes)
                 await asyncio.gather(*tasks)
                 segments = sum(node.segments for node in nodes)
--- a/benchmarks/routes.py
+++ b/benchmarks/routes.py
@@ -16,7 +16,7 @@
 
 import uvloop
 
-from benchmarks.machine import machine
+from benchmarks.machine import cpu_s, machine
 from lab.faults import Fault, Kind, Script
 from lab.load import Load
 from lab.nodes import Node, Trade
@@ -47,12 +47,6 @@
     return "".join(text)
 
 
-def cpu(pid: int) -> float:
-    """Seconds of processor time that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / 100.0
-
-
 @asynccontextmanager
 async def serving(site: LabSite, operator: str | None) -> AsyncIterator[GatewayProcess]:
     """A gateway that is ready, with fifty plans."""
@@ -73,9 +67,9 @@
     async with LabSite([Node(f"n{i}", TRADE) for i in range(4)]) as site, serving(site, operator) as gateway:
         assert gateway.process is not None
         load = Load(lambda: gateway.port, KINDS, accounts(), RATE, seed)
-        before = cpu(gateway.process.pid)
+        before = cpu_s(gateway.process.pid)
         await load.run(seconds)
-        used = cpu(gateway.process.pid) - before
+        used = cpu_s(gateway.process.pid) - before
     assert all(outcome.answer == "served" for outcome in load.outcomes)
     return 1e6 * used / len(load.outcomes)
 
--- a/glenchute/capture/codec.py
+++ b/glenchute/capture/codec.py
@@ -83,12 +83,17 @@
 ACTION_OF = {kind: (number, getter(kind)) for number, kind in enumerate(ACTIONS)}
 
 
+def taken_apart(actions: Sequence[api.Action]) -> list[tuple[int, Any]]:
+    """The number of each action's kind, and its fields."""
+    return [(number, take(action)) for action in actions for number, take in (ACTION_OF[type(action)],)]
+
+
 def note(now_ms: float, event: api.Event, actions: Sequence[api.Action] | None) -> tuple[Any, ...]:
     """A record, not encoded yet; cheap, as it is made for every event."""
     number, take = EVENT_OF[type(event)]
     told = None
     if actions is not None:
-        told = [(n, t(a)) for a in actions for n, t in (ACTION_OF[type(a)],)]
+        told = taken_apart(actions)
     return now_ms, number, take(event), told
 
 
@@ -107,7 +112,7 @@
 
 def told(actions: Sequence[api.Action]) -> list[Any]:
     """Actions in the form of a record that was read, to be compared with one."""
-    return [[n, list(t(a))] for a in actions for n, t in (ACTION_OF[type(a)],)]
+    return [[number, list(values)] for number, values in taken_apart(actions)]
 
 
 def readable(action: list[Any]) -> str:
--- a/glenchute/cli/explain.py
+++ b/glenchute/cli/explain.py
@@ -7,21 +7,19 @@
 from collections.abc import Iterator
 
 from glenchute.config.facts import Facts
-from glenchute.config.operator import Operator, read
+from glenchute.config.operator import Operator
 from glenchute.config.platform import ConfigError
 from glenchute.config.rules import attempts_of, latest_write, pauses
 from glenchute.deciders.routes import Route
 from heathglade.interface import Repeat
 
-from .files import operator_file, platform_facts
+from .files import operator_file, platform, sound_operator
 
 
 def command(args: argparse.Namespace) -> int:
     """0 with the story; 2 where a file can't be used or the request is of no kind that there is."""
     try:
-        path, facts = operator_file(args.operator), platform_facts(args.platform)
-        if facts is None:
-            raise ConfigError("name the platform's file by --platform or EDGE_CONFIG")
+        path, facts = operator_file(args.operator), platform(args.platform).facts
         if args.class_name not in facts.classes:
             raise ConfigError(f"no class {args.class_name}; there are {', '.join(facts.classes)}")
         if args.plan not in facts.plans:
@@ -32,12 +30,10 @@
     except ConfigError as error:
         print(f"glenchute: {error}", file=sys.stderr)
         return 2
-    reading = read(path, facts)
-    if reading.operator is None:
-        for finding in reading.findings:
-            print(finding.render(path), file=sys.stderr)
+    operator = sound_operator(path, facts)
+    if operator is None:
         return 2
-    for line in story(reading.operator, facts, args.class_name, args.plan):
+    for line in story(operator, facts, args.class_name, args.plan):
         print(line)
     return 0
 
--- a/glenchute/cli/pipeline.py
+++ b/glenchute/cli/pipeline.py
@@ -6,12 +6,11 @@
 import sys
 from collections.abc import Iterator
 
-from glenchute.config.operator import read
 from glenchute.config.platform import Config, ConfigError
 from glenchute.deciders.sharing import WHY
 
-from .files import operator_file, platform
-from .lines import rules_of, sharing_of
+from .files import operator_file, platform, sound_operator
+from .lines import rules, sharing
 
 
 def command(args: argparse.Namespace) -> int:
@@ -21,30 +20,28 @@
     except ConfigError as error:
         print(f"glenchute: {error}", file=sys.stderr)
         return 2
-    reading = read(path, config.facts)
-    if reading.operator is None:
-        for finding in reading.findings:
-            print(finding.render(path), file=sys.stderr)
+    operator = sound_operator(path, config.facts)
+    if operator is None:
         return 2
-    if reading.operator.pipeline is None:
+    if operator.pipeline is None:
         print("no [pipeline]: each attempt has a connection to itself")
         return 0
-    for line in story(reading.operator.pipeline, config):
+    for line in story(operator.pipeline, config):
         print(line)
     return 0
 
 
 def story(raw: dict[str, object], config: Config) -> Iterator[str]:
     """The lines."""
-    sharing, rules = sharing_of(raw, config), rules_of(raw, config)
-    width = max(len(name) for name in sharing.classes)
+    shared, made = sharing(raw, config), rules(raw, config)
+    width = max(len(name) for name in shared.classes)
     yield f"{'behind':>{width}}  {'ahead':<{width}}  may stand there"
-    for row in sharing.rows():
+    for row in shared.rows():
         yield f"{row.behind:>{width}}  {row.ahead:<{width}}  {row.verdict.value}"
     for verdict, why in WHY.items():
         yield f"  {verdict.value}: {why}"
-    yield f"  {rules.depth} attempts a connection at most, {rules.at_risk} behind others a node"
-    yield (f"  a head is stalled after {rules.stall_factor:g} times its class's {rules.stall_quantile:g} "
-           f"quantile, {rules.least_stall_ms:g} ms at least")  # fmt: skip
-    moved = "get a second copy elsewhere" if rules.copies else "are cut with it and go again"
-    yield f"  those behind a stalled head {moved}; a wait for a connection takes {rules.wait_ms:g} ms at most"
+    yield f"  {made.depth} attempts a connection at most, {made.at_risk} behind others a node"
+    yield (f"  a head is stalled after {made.stall_factor:g} times its class's {made.stall_quantile:g} "
+           f"quantile, {made.least_stall_ms:g} ms at least")  # fmt: skip
+    moved = "get a second copy elsewhere" if made.copies else "are cut with it and go again"
+    yield f"  those behind a stalled head {moved}; a wait for a connection takes {made.wait_ms:g} ms at most"
--- a/glenchute/cli/quota.py
+++ b/glenchute/cli/quota.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import argparse
-import os
 import sys
 
-from glenchute.config.platform import ConfigError, load
+from glenchute.config.platform import ConfigError
 from glenchute.deciders.quotabound import bounds
 
+from .files import platform
+
 COLUMNS = ("window s", "ceiling", "+restart", "+restore", "slack", "silent", "replaced", "split /s")
 LEGEND = """\
 ceiling: past it, whatever the counter does; +restart: more for each gateway that restarts within a burst;
@@ -21,10 +22,7 @@
 def command(args: argparse.Namespace) -> int:
     """0 with the table; 2 where the platform's file can't be used."""
     try:
-        path = args.platform or os.environ.get("EDGE_CONFIG")
-        if not path:
-            raise ConfigError("name the platform's file by --platform or EDGE_CONFIG")
-        config = load({**os.environ, "EDGE_CONFIG": path})
+        config = platform(args.platform)
         most = config.settings.gateways
         spread = args.spread or most
         if not 1 <= spread <= most or not 0.0 <= args.clocks_ms <= 60_000.0:
--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -14,7 +14,7 @@
 import uvloop
 
 from glenchute.backends.resp2 import Servers
-from glenchute.config.platform import Config, ConfigError, load
+from glenchute.config.platform import OPERATOR, Config, ConfigError, load
 from glenchute.core.gateway import Gateway
 from glenchute.core.types import Decisions
 from glenchute.fronts.resp2.clients import Listener
@@ -28,7 +28,6 @@
     from glenchute.config.operator import Operator
     from glenchute.fronts.extproc.server import Server as ExtProc
 
-OPERATOR = "GLENCHUTE_OPERATOR"  # the variable that names the operator's file
 LIST_WAIT_S = 0.3  # a start waits this long for the list of the day before it serves by the saved one
 ACCEPT_S = 0.5  # after SIGTERM new connections go on coming for up to 0.4 s
 LEAVE_S = 3.2  # what is still held this long after SIGTERM is answered and left; the kill comes at 3.7 s
--- a/glenchute/config/pipeline.py
+++ b/glenchute/config/pipeline.py
@@ -5,18 +5,19 @@
 
 from __future__ import annotations
 
-from typing import Any
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
 
 from heathglade.interface import Repeat
 
 from .facts import Facts
 from .schema import MISSING, Number, Path, Report, Switch, Table, Words
 
+if TYPE_CHECKING:
+    from glenchute.deciders.pipeline import Rules
+
 HERE: Path = ("pipeline",)
 MOST_DEPTH = 1000
-DEPTH, AT_RISK, WAIT_MS, SETTLE_MS = 4, 8, 5.0, 30.0
-GATHER, GATHER_BYTES = 16, 16 * 1024
-STALL_QUANTILE, STALL_FACTOR, LEAST_STALL_MS, OPEN_PRICE_MS = 0.95, 2.0, 10.0, 2.0
 
 PIPELINE = Table(
     {
@@ -39,11 +40,20 @@
 )
 
 
+def rules_of(raw: Mapping[str, Any]) -> Rules:
+    """The decider's rules as the table has them; what it leaves out is the decider's own default. What the
+    platform's file says of them is not in it."""
+    from glenchute.deciders.pipeline import Rules  # only for a file that has the table
+
+    return Rules(**{name: raw[name] for name in Rules._fields if name in raw})
+
+
 def check(raw: dict[str, Any], rows: list[Any], defaults: dict[str, Any], facts: Facts | None,
           report: Report) -> None:  # fmt: skip
     """Reports what is wrong with a table whose shape is right, and with the routes' depths. `rows`: the
     routes' checked tables."""
-    depth = raw.get("depth", DEPTH)
+    rules = rules_of(raw)
+    depth = rules.depth
     if depth == 1:
         report("depth-of-one", (*HERE, "depth"), "lets nothing share a connection; write 2 or more, or take "
                "[pipeline] out")  # fmt: skip
@@ -56,8 +66,7 @@
     if facts.attempts_cap < 2:
         report("no-second-attempt", HERE, "the platform allows one attempt a request, so nothing may be put "
                "where it can be cut; take [pipeline] out")  # fmt: skip
-    settle = raw.get("settle_ms", SETTLE_MS)
-    if settle >= facts.idle_ms:
+    if rules.settle_ms >= facts.idle_ms:
         report("settle-over-idle", (*HERE, "settle_ms"), f"connections are closed after {facts.idle_ms:g} ms "
                "without use, so none would be used again; write less")  # fmt: skip
     for at, name in enumerate(raw.get("classes", ())):
@@ -72,16 +81,15 @@
         elif cls.repeat is Repeat.KEYED and not cls.scope_known:
             report("keyed-scope", path, "the platform's file does not say which servers drop repeats of "
                    f"{name}; take it out")  # fmt: skip
-        elif cls.repeat is Repeat.KEYED and cls.memory_ms <= raw.get("least_stall_ms", LEAST_STALL_MS):
+        elif cls.repeat is Repeat.KEYED and cls.memory_ms <= rules.least_stall_ms:
             report("keyed-beyond-memory", path, f"repeats of {name} are dropped for {cls.memory_ms:g} ms, in "
                    "which no stall is found; take it out, or lower least_stall_ms")  # fmt: skip
-    check_routes(raw, rows, defaults, facts, report)
+    check_routes(raw, rules.wait_ms, rows, defaults, facts, report)
 
 
-def check_routes(raw: dict[str, Any], rows: list[Any], defaults: dict[str, Any], facts: Facts,
+def check_routes(raw: dict[str, Any], wait: float, rows: list[Any], defaults: dict[str, Any], facts: Facts,
                  report: Report) -> None:  # fmt: skip
-    """What the routes of shared classes must leave room for."""
-    wait = raw.get("wait_ms", WAIT_MS)
+    """What the routes of shared classes must leave room for, with a wait of so many milliseconds."""
     shared = [name for name in raw.get("classes", ()) if name in facts.classes]
     bounds: list[tuple[Path, float]] = []
     for path, row in table_rows(rows, defaults):
--- a/glenchute/config/platform.py
+++ b/glenchute/config/platform.py
@@ -15,6 +15,8 @@
 
 from .facts import ClassFacts, Facts
 
+OPERATOR = "GLENCHUTE_OPERATOR"  # the variable that names the operator's file
+
 
 class ConfigError(Exception):
     """A configuration that no gateway can run on."""
--- a/glenchute/deciders/bulkheads.py
+++ b/glenchute/deciders/bulkheads.py
@@ -16,6 +16,7 @@
 from collections import deque
 from collections.abc import Mapping
 from enum import Enum
+from itertools import takewhile
 from typing import NamedTuple
 
 DUST = 1e-9
@@ -78,11 +79,7 @@
         # What is free may have been called back for others: it is theirs who asked before (wants stand in the
         # order of their first asking), and before any loan.
         kept = sum(want for name, want in self.wanted.items() if name != service)
-        before = 0.0
-        for name, want in self.wanted.items():
-            if name == service:
-                break
-            before += want
+        before = sum(self.wanted[name] for name in takewhile(lambda name: name != service, self.wanted))
         if used + amount <= claim.floor + DUST:
             if amount <= free - before + DUST:
                 self.used[service] += amount
--- a/lab/sim/piped.py
+++ b/lab/sim/piped.py
@@ -72,16 +72,18 @@
         self.joined = self.cut_lines = self.most_on_a_line = 0
         super().__init__(*args, **changes)
 
-    def strike_lines(self, kind: str, node: Node, size: float, span: float) -> None:
+    def strike(self, kind: str, node: Node, size: float, span_ms: float) -> None:
         """Faults that only shared connections can tell."""
         if kind == "volley":  # a portal's reads, all in one moment
             number = self.rng.randrange(30)
             for _ in range(20 + int(40 * size)):
                 self.at(0.0, self.ask, "read", "wide", f"wide{number}")
             return
-        held = self.extra if kind == "extra replies" else self.stuck
-        held[node.name] = 0.1 + 0.5 * size
-        self.at(span, self.relieve, held, node.name)
+        kinds = {"extra replies": self.extra, "stuck lines": self.stuck}
+        if kind not in kinds:
+            super().strike(kind, node, size, span_ms)
+        kinds[kind][node.name] = 0.1 + 0.5 * size
+        self.at(span_ms, self.relieve, kinds[kind], node.name)
 
     def relieve(self, held: dict[str, float], name: str) -> None:
         held.pop(name, None)
@@ -114,12 +116,10 @@
                     pipe.node(node.name).stopped = False
                     if node.started_ms > 0:
                         pipe.renewed(node.name)
-                elif node.state is api.ServerState.DRAINING:
-                    pipe.stopped(node.name)
-                    self.emptied(number, node.name)
-                else:
-                    pipe.stopped(node.name)
-                    self.emptied(number, node.name)
+                    continue
+                pipe.stopped(node.name)
+                self.emptied(number, node.name)
+                if node.state is api.ServerState.GONE:
                     pipe.gone(node.name)
         super().tell(number, incarnation, kind, nodes)
 
--- a/lab/sim/swarm.py
+++ b/lab/sim/swarm.py
@@ -131,10 +131,10 @@
             world.load(2500.0, (0.6 + 0.2 * fault.size) * warm, ("wide",))
             for at, name in enumerate(names[: 1 + fault.which % 2]):
                 world.at(300.0 + 10.0 * at, restarted, world, world.nodes[name])
-        case "stuck lines" | "extra replies" | "volley" if hasattr(world, "strike_lines"):
-            world.strike_lines(fault.kind, node, fault.size, span)
         case "clock step":
             world.skew[fault.which % count] += 100.0 * fault.size  # forward only: clocks never go back
+        case kind:
+            world.strike(kind, node, fault.size, span)
 
 
 def restarted(world: World, node: Node) -> None:
--- a/lab/sim/world.py
+++ b/lab/sim/world.py
@@ -411,6 +411,10 @@
         while (at := at + self.rng.expovariate(rate / 1000.0)) < ms:
             self.at(at, self.ask, "read", plan, f"c-{plan}")
 
+    def strike(self, kind: str, node: Node, size: float, span_ms: float) -> None:
+        """A fault that only some kind of site has; each knows its own."""
+        raise ValueError(f"no fault {kind!r} on this site")
+
     # --- the books ---------------------------------------------------------------------------------------
 
     def check(self) -> None:
