Start-up asks once for shared connections; a rule's path has one normal form

The start of a gateway asked three times whether the operator's file shares connections; it does so once. The routing of services brought a path into its one form in three ways, in the table, in the look-up and in the search for overlaps; `Rule.place` says it for all. No behaviour changes: tables and properties of routing, the release of replies and the loopback tests pass.

--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -67,7 +67,8 @@
         self.environ = environ or {}
         self.loop = loop
         made = config.settings
-        self.servers = self.backend(operator)
+        shared = operator.pipeline if operator is not None else None  # connections to servers
+        self.servers = self.backend(shared)
         self.counter = (
             Counter(loop, config.counter, made.counter_timeout_ms / 1000.0) if config.counter else None
         )
@@ -77,14 +78,13 @@
             decisions = self.recorder = self.recording(decisions, operator.capture)
         self.gateway = Gateway(loop, decisions, self.servers, self.counter)
         self.gateway.overlap = made.overlap
-        if operator is not None and operator.pipeline is not None:
-            self.gateway.most_attempts = made.max_attempts
-            self.gateway.tells_places = self.recorder is not None
         if operator is not None:
             self.bind(operator)
         self.listener = Listener(loop, self.gateway, Catalogue(made, config.bounds), config.sockets)
-        if operator is not None and operator.pipeline is not None:
-            self.listener.release = operator.pipeline.get("release", False)
+        if shared is not None:
+            self.gateway.most_attempts = made.max_attempts
+            self.gateway.tells_places = self.recorder is not None
+            self.listener.release = shared.get("release", False)
         self.extproc: ExtProc | None = None
         if operator is not None and operator.fronts and "extproc" in operator.fronts:
             self.extproc = self.processing(operator.fronts["extproc"])
@@ -93,14 +93,14 @@
         self.begun = started(operator) if operator is not None else None
         self.stopping = asyncio.Event()
 
-    def backend(self, operator: Operator | None) -> Servers:
+    def backend(self, shared: dict[str, Any] | None) -> Servers:
         """The connections to the servers: one for each attempt, or shared where the operator's file says
         so."""
-        if operator is None or operator.pipeline is None:
+        if shared is None:
             return Servers(self.loop, self.config.limits)
         from .lines import backend
 
-        return backend(operator.pipeline, self.config, self.loop)
+        return backend(shared, self.config, self.loop)
 
     def recording(self, decisions: Decisions, raw: dict[str, Any]) -> Recorder:
         """The module behind a recorder; imported only where the operator's file asks for one."""
--- a/glenchute/deciders/services.py
+++ b/glenchute/deciders/services.py
@@ -45,6 +45,11 @@
     command: str = ANY
     front: str = ANY
 
+    @property
+    def place(self) -> tuple[str, str]:
+        """The host and the path, in the one form that all ways of writing it have."""
+        return self.host, next(paths(self.path))
+
     @property
     def rest(self) -> tuple[str, str, str]:
         """What is matched as it stands."""
@@ -115,8 +120,7 @@
         """Rules without overlaps (`overlaps` finds them)."""
         self.table: dict[tuple[str, str], dict[tuple[str, str, str], str]] = {}
         for rule in rules:
-            path = "/" + "/".join(segments(rule.path)) if segments(rule.path) else ANY
-            self.table.setdefault((rule.host, path), {})[rule.rest] = rule.service
+            self.table.setdefault(rule.place, {})[rule.rest] = rule.service
 
     def service(self, way: Way) -> str | None:
         """The service; None where no rule matches."""
@@ -139,13 +143,11 @@
     """Rules that name the same: whichever stands first would win, and the order must not decide. All others
     are ordered by what they name."""
     found: list[Overlap] = []
-    seen: dict[tuple[str, str, tuple[str, str, str]], int] = {}
+    seen: dict[tuple[tuple[str, str], tuple[str, str, str]], int] = {}
     for at, rule in enumerate(rules):
-        key = rule.host, "/".join(segments(rule.path)), rule.rest
-        if key in seen:
-            found.append(Overlap(seen[key], at))
-        else:
-            seen[key] = at
+        first = seen.setdefault((rule.place, rule.rest), at)
+        if first != at:
+            found.append(Overlap(first, at))
     return found
 
 
