A line every five seconds tells how requests, attempts and counter calls ended

Change: the module counts requests, endings of attempts and of counter calls, and refusals by the limit that said so, and tells it in one line each 5 s and gateway. The lab's nodes now report what they hold, as real ones do.

--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -39,6 +39,7 @@
 MOST_SPAN_S = 4.0  # ... or this long
 RATE_S = 3.0  # the rate of answers is taken over this long
 COLD_S = 3.0  # see Fleet.turn
+TALLY_MS = 5_000.0  # a line this often tells how requests, attempts and calls to the counter ended
 TICK_MS = 250.0  # how often pressure is judged and held requests are looked at
 DID_NOT_RUN = (Ending.FULL, Ending.UNREACHABLE, Ending.UNSENT)
 
@@ -96,6 +97,7 @@
         self.share = 1.0  # share of the wished calls that are made; falls while the counter is crowded
         self.probe_at = 0.0  # when a mute counter may next be called
         self.hold_s = 0.2  # mean time that an attempt is out, seconds
+        self.cause = ""  # which limit the last refusal met
 
     @property
     def mute(self) -> bool:
@@ -212,7 +214,7 @@
         plan = c.plan
         wait: float | None = None
         if plan.ceiling_rate and c.guard < units and not self.assured(c, asked):
-            wait = (units - c.guard) / plan.ceiling_rate * c.spread * 1000.0
+            wait, self.cause = (units - c.guard) / plan.ceiling_rate * c.spread * 1000.0, "ceiling"
         elif plan.rate:
             store = min(c.part, c.store) if blind else c.store
             fraction = min(1.0, (plan.rate + max(0.0, store) / SPEND_S) / max(c.own + c.others, 1e-9))
@@ -220,6 +222,7 @@
             # A word of the moment puts the requests of all gateways in a row; no share is needed then.
             if store < units or (c.credit < units and not asked):
                 wait = max(0.0, units - store) / plan.rate * 1000.0
+                self.cause = "empty" if c.store < units else "lot" if store < units else "share"
         if wait is None and plan.max_open:
             # The cap, as a rate: what leaves as fast as answers come. Of more demand its share goes on.
             fraction = OPEN_FILL * plan.max_open / max((c.own + c.others) * self.hold_s, 1e-9)
@@ -227,7 +230,7 @@
             if blind:
                 full = c.part < units and c.open >= plan.max_open // c.spread
             if self.rng.random() > fraction if asked else full:
-                wait = self.hold_s * 1000.0
+                wait, self.cause = self.hold_s * 1000.0, "open"
         if asked and wait is not None:
             c.fresh -= units / self.share  # it was counted in advance; the next call takes it off
         return wait
@@ -588,13 +591,15 @@
         self.serial = 0
         self.retries = 5.0  # further attempts that may be made; each request adds a fifth
         self.told: dict[str, tuple[bool, float]] = {}  # states told to the operators, and when
+        self.tally: dict[str, int] = {}  # what happened since the last line about it
+        self.tallied_at = 0.0
         self.actions: list[Action] = []
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         """Takes one event, returns what to do."""
         self.actions = []
         if self.quota.started == math.inf:
-            self.quota.started = now_ms
+            self.quota.started = self.tallied_at = now_ms
             self.actions.append(SetTimer(0, now_ms + TICK_MS * self.rng.uniform(0.5, 1.5)))
         match event:
             case Request():
@@ -612,6 +617,7 @@
                 else:
                     self.tick(now_ms)
             case CountReply():
+                self.count(f"counter: {event.ending.value}")
                 if waiting := self.requests.get(self.quota.counted(now_ms, event) or ""):
                     self.decide(now_ms, waiting, event.ending is Ending.OK)
             case AttemptHeld(request_id):
@@ -633,11 +639,19 @@
         self.tell(now, "no server to send to", not self.fleet.servers)
         self.tell(now, "requests fail on most servers", self.fleet.usual > 0.2)
         self.tell(now, "servers avoided", ", ".join(self.fleet.judge(now)))
+        if now - self.tallied_at >= TALLY_MS and self.tally:
+            line = ", ".join(f"{what} {n}" for what, n in sorted(self.tally.items()))
+            self.actions.append(Log(f"in {(now - self.tallied_at) / 1000.0:.1f} s: {line}"))
+            self.tally, self.tallied_at = {}, now
         self.quota.forget_idle(now)
         for customer in list(self.quota.due.values()):
             self.actions += self.quota.calls(now, customer)
         self.resume(now)
 
+    def count(self, what: str) -> None:
+        """Books what the line of every `TALLY_MS` tells."""
+        self.tally[what] = self.tally.get(what, 0) + 1
+
     def tell(self, now: float, what: str, state: bool | str) -> None:
         """Logs a state's start and end, each state once in five seconds at most."""
         was, at = self.told.get(what, (False, -math.inf))
@@ -649,6 +663,7 @@
     def accept(self, now: float, request: Request) -> None:
         """A new request: quota first, then V, then a server."""
         left = request.time_left_ms
+        self.count("requests")
         cls = self.classes.get(request.class_name) or RequestClass("", left, 1.0, Repeat.UNSAFE)
         if left <= 0 or len(self.requests) >= self.settings.max_requests - 1:
             self.actions.append(Refuse(request.request_id, self.settings.max_retry_after_ms))
@@ -673,8 +688,9 @@
             wait = self.quota.admit(now, customer, request.units, asked, opened.counted and not asked)
             many = len(self.attempts) > max(FEW, 2.0 * len(self.fleet.servers) / self.settings.gateways)
             if wait is None and not self.pressure.admit(value, request.units, cls.aim_ms, many):
-                wait = self.settings.max_retry_after_ms
+                wait, self.quota.cause = self.settings.max_retry_after_ms, "overload"
             if wait is not None:
+                self.count("refused: " + self.quota.cause)
                 del self.requests[request.request_id]
                 wait = max(1.0, min(wait, self.settings.max_retry_after_ms))
                 self.actions.append(Refuse(request.request_id, wait))
@@ -735,6 +751,7 @@
         if (attempt := self.attempts.pop((event.request_id, event.attempt), None)) is None:
             return
         opened = attempt.opened
+        self.count(f"attempt: {event.ending.value}")
         self.fleet.ended(now, event, opened.cls, opened.request.units)
         if opened.customer is not None:
             opened.customer.open -= 1
@@ -821,5 +838,6 @@
     def finish(self, opened: Open) -> None:
         """The final answer of a request that was not served: refused only if that promises nothing false."""
         name, clear = opened.request.request_id, opened.may_run_at is None
+        self.count("refused: no attempt" if clear else "failed")
         del self.requests[name]
         self.actions.append(Refuse(name, self.settings.max_retry_after_ms) if clear else Fail(name))
--- a/lab/sim/world.py
+++ b/lab/sim/world.py
@@ -367,7 +367,10 @@
         if final:
             self.answered(asked)
         done = asked.ref not in self.asked
-        event = api.AttemptEnded(asked.ref, attempt, server, ending, self.now - began, done)
+        node = self.nodes.get(server)
+        told = node is not None and ending in (api.Ending.OK, api.Ending.ERROR, api.Ending.FULL)
+        held = float(node.busy + len(node.queue)) if node is not None and told else None
+        event = api.AttemptEnded(asked.ref, attempt, server, ending, self.now - began, done, active=held)
         self.feed(number, incarnation, event)
 
     # --- clients -----------------------------------------------------------------------------------------
