Server choice: what servers hold by their reports, and the fleet's mean where old

The cost of a warm server was 0.8 to 1.0 all the time, less than the 3 of a cold one. Checked: reports' queue is always 0 there, as servers have many slots; answers of servers that say they hold 0, 4, 8, 12 took 0.59, 1.19, 1.95, 2.09 of their mean. A gateway meets a server every 4 to 6 s, and what it knew faded within 1 s to 'idle'. At fault: Fleet.delay (queue only, faded to nothing), Fleet.ended (`active` unused; rate divided by all servers, the cold ones too). Change: what others hold at a server counts, for its size, by the last report at 0.3 of its word and by the mean over such servers (warm or cold) as it grows old; the rate for cold turns is the mean of the servers that are warm now.

--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -38,6 +38,7 @@
 TOLERATED = 0.5  # median time of answers against their aims that V settles at in overload
 MOST_SPAN_S = 4.0  # ... or this long
 RATE_S = 3.0  # the rate of answers is taken over this long
+WORD = 0.3  # of what a report tells beyond the mean; it is late when it comes, and others heard it too
 COLD_S = 3.0  # see Fleet.turn
 TALLY_MS = 5_000.0  # a line this often tells how requests, attempts and calls to the counter ended
 TICK_MS = 250.0  # how often pressure is judged and held requests are looked at
@@ -346,14 +347,17 @@
     """What this gateway knows of one server."""
 
     entry: ServerEntry
+    size: float = 1.0  # as the list has it
     out: int = 0  # own attempts under way
     pace: float = 1.0  # time of answers against the fleet's mean for the same kind of request
     fails: float = 0.0  # recent share of failures, fading
     fails_at: float = 0.0
     silent_since: float | None = None  # first sending since the last answer
-    queue: float = 0.0  # its last report
-    queue_at: float = -1e9
+    held: float = 0.0  # requests of other gateways there, by its last report
+    held_at: float = -1e9
     next_cold: float = 0.0  # a cold server's next turn
+    rate: float = 0.0  # answers a second, by the last one
+    rated_at: float = 0.0
 
 
 class Fleet:
@@ -366,7 +370,8 @@
         self.means: dict[tuple[str, int], float] = {}
         self.usual = 0.0  # the median share of failures
         self.load = 1.0  # time of the last answers, all kinds, against their means, which are slow to learn
-        self.rate, self.rated_at = 0.0, 0.0  # answers of warm servers, a second and server; the last one
+        self.crowd = [0.0, 0.0]  # what others have at a server, for its size: means of cold and of warm ones
+        self.rate = 0.0  # answers of a warm server, a second: the mean, of those that are warm now
 
     def update(self, news: ServerList, now: float) -> None:
         """Follows the list. A server that drains or is gone gets nothing new from this moment on."""
@@ -380,7 +385,8 @@
                 self.servers.pop(entry.server, None)
             elif old is None or old.entry.started_ms != entry.started_ms:
                 # A new process: what was learned of the old one says nothing of it.
-                new = self.servers[entry.server] = Server(entry, out=old.out if old else 0)
+                size = entry.size if 0.0 < entry.size < math.inf else 1.0  # a weight may be anything
+                new = self.servers[entry.server] = Server(entry, size, old.out if old else 0)
                 # The gateways hear of it at once; first turns in the same moment would push it over.
                 new.next_cold = now + self.rng.random() * self.turn(self.warmth(new, now))
             else:
@@ -423,8 +429,11 @@
 
     def delay(self, server: Server, now: float, mean: float) -> float:
         """Expected delay at a server in mean service times; failures count as a long delay."""
-        queue = server.queue * math.exp((server.queue_at - now) / 1000.0)
-        wait = server.pace * (1.0 + server.out + 0.5 * queue)
+        # Of many gateways each hears of a server seldom. As its last report grows old, what such servers hold
+        # on average takes its place: else all would pass for idle, and none would seem worth sparing.
+        usual = self.crowd[self.warmth(server, now) >= 1.0] * server.size
+        held = usual + WORD * (server.held - usual) * math.exp((server.held_at - now) / 1000.0)
+        wait = server.pace * (1.0 + server.out) + held / server.size
         if server.silent_since is not None:
             # An answer overdue says hung, slow, or cut off, before any time-out does.
             wait = max(wait, (now - server.silent_since) / mean)
@@ -442,13 +451,20 @@
         what warm ones do, and those that know no rate one request in COLD_S."""
         return 1000.0 / max(self.rate * warmth, 1.0 / COLD_S / self.settings.gateways)
 
+    def answers(self, server: Server, now: float) -> float:
+        """What it answers here, a second."""
+        return server.rate * math.exp((server.rated_at - now) / 1000.0 / RATE_S)
+
     def ended(self, now: float, event: AttemptEnded, cls: RequestClass, units: float) -> None:
         """Learns from an outcome."""
         if (server := self.servers.get(event.server)) is None:
             return
         server.out = max(0, server.out - 1)
-        if event.queue is not None:
-            server.queue, server.queue_at = event.queue, now
+        if event.queue is not None or event.active is not None:
+            total = max(event.active or 0.0, event.queue or 0.0)
+            server.held, server.held_at = max(0.0, total - server.out), now
+            warm = self.warmth(server, now) >= 1.0
+            self.crowd[warm] += 0.1 * (server.held / server.size - self.crowd[warm])
         if event.ending in (Ending.UNSENT, Ending.CANCELLED):
             return
         if event.ending is not Ending.TIMEOUT or not server.out:
@@ -465,10 +481,7 @@
         if event.ending is Ending.OK:
             server.fails = faded * 0.7
             if self.warmth(server, now) >= 1.0:
-                # What warm servers answer tells what one can bear, overdriven or not; with all cold, the last
-                # word stands: counting cold ones would raise the rate by itself and push all of them over.
-                fade = math.exp((self.rated_at - now) / 1000.0 / RATE_S)
-                self.rate, self.rated_at = self.rate * fade + 1.0 / RATE_S / len(self.servers), now
+                server.rate, server.rated_at = self.answers(server, now) + 1.0 / RATE_S, now
         else:
             weight = 0.5 if event.ending in (Ending.TIMEOUT, Ending.UNREACHABLE) else 0.3
             server.fails = faded + weight * (1.0 - faded)
@@ -476,7 +489,13 @@
 
     def judge(self, now: float) -> list[str]:
         """Names the servers that fail far more than most. What fails everywhere (a poisoned class, a full
-        fleet) says nothing of one server; held against all, it would drown their queues in the choice."""
+        fleet) says nothing of one server; held against all, it would drown their queues in the choice. Takes
+        the rate of the warm ones anew, too."""
+        # What warm servers answer tells what one can bear, overdriven or not. Only those that are warm now
+        # count: where most have been replaced, a mean over all would tell of much less. With all cold, the
+        # last word stands: counting cold ones would raise the rate by itself and push all of them over.
+        warm = [self.answers(s, now) for s in self.servers.values() if self.warmth(s, now) >= 1.0]
+        self.rate = sum(warm) / len(warm) if warm else self.rate
         faded = {k: s.fails * math.exp((s.fails_at - now) / 5000.0) for k, s in self.servers.items()}
         self.usual = sorted(faded.values())[len(faded) // 2] if faded else 0.0
         return [name for name, fails in faded.items() if fails - self.usual > 0.5]
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -284,7 +284,7 @@
         rig.advance(20.0)
     rig.advance(300.0)
     for server in rig.gateway.fleet.servers.values():
-        server.queue, server.queue_at = (0.0 if server.entry.server == "s1" else 30.0), rig.now
+        server.held, server.held_at = (0.0 if server.entry.server == "s1" else 30.0), rig.now
     names = [rig.ask("charge")[0] for _ in range(3)]
     assert [rig.sent[name][0] for name in names].count("s1") >= 2
 
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -47,6 +47,27 @@
         return Counter(name for at, name in self.sends if from_s * 1000.0 <= at < until_s * 1000.0)
 
 
+def test_few_warm_servers_answer_for_the_rate_of_cold_ones() -> None:
+    """A mean over all servers, most of them cold, told a fraction of what one can bear."""
+    world = Large(2)
+    world.load(6_000.0, 260.0, ("wide",))
+    world.run(3000.0)
+    before = [module.fleet.rate for module in world.modules]
+    world.replace(0.6)
+    world.run(2000.0)
+    after = [module.fleet.rate for module in world.modules]
+    assert sum(after) > 1.2 * sum(before)
+
+
+def test_load_spreads_over_equal_servers() -> None:
+    world = Large(3)
+    world.load(6000.0, 240.0, ("wide",))
+    world.run(7000.0)
+    counts = world.load_by_node(1.0, 6.0)
+    mean = counts.total() / NODES
+    assert max(counts.values()) < 2.0 * mean and len(counts) == NODES
+
+
 def test_a_line_tells_how_requests_and_calls_ended() -> None:
     world = Large(4, 3, 9)
     world.load(12_000.0, 60.0)
