A cold server's turns come up with its warmth and are lost if not taken soon

At fault: Server.next_cold, Fleet.turn, Fleet.update (first draw). Change: a part of a turn comes up each moment at the rate and warmth of that moment, from a random start; a whole one not taken within (0.8 factor - 1) of the rule's time is lost, so that what all can spend at once stays under the rule at any size.

--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -355,7 +355,8 @@
     silent_since: float | None = None  # first sending since the last answer
     held: float = 0.0  # requests of other gateways there, by its last report
     held_at: float = -1e9
-    next_cold: float = 0.0  # a cold server's next turn
+    turn: float = 0.0  # while it is cold: the part of a turn that has come up, by the moment ...
+    turn_at: float = 0.0
     rate: float = 0.0  # answers a second, by the last one
     rated_at: float = 0.0
 
@@ -388,7 +389,7 @@
                 size = entry.size if 0.0 < entry.size < math.inf else 1.0  # a weight may be anything
                 new = self.servers[entry.server] = Server(entry, size, old.out if old else 0)
                 # The gateways hear of it at once; first turns in the same moment would push it over.
-                new.next_cold = now + self.rng.random() * self.turn(self.warmth(new, now))
+                new.turn, new.turn_at = self.rng.random(), now
             else:
                 old.entry = entry
 
@@ -415,7 +416,7 @@
             if home and (entry.zone != home.zone or (cls.scope is Scope.CELL and entry.cell != home.cell)):
                 continue
             warmth = self.warmth(server, now)
-            if warmth < 1.0 and (now < server.next_cold or server.out >= 2):
+            if warmth < 1.0 and (server.out >= 2 or not self.has_turn(server, now, warmth)):
                 continue
             cost = self.delay(server, now, mean) / warmth
             if entry.server in opened.tried:
@@ -444,12 +445,21 @@
         server.out += 1
         if server.silent_since is None:
             server.silent_since = now
-        server.next_cold = now + self.turn(self.warmth(server, now))
+        server.turn -= 1.0
 
-    def turn(self, warmth: float) -> float:
-        """Time between a cold server's turns here: all gateways together send it no more than its share of
-        what warm ones do, and those that know no rate one request in COLD_S."""
-        return 1000.0 / max(self.rate * warmth, 1.0 / COLD_S / self.settings.gateways)
+    def has_turn(self, server: Server, now: float, warmth: float) -> bool:
+        """Whether a cold server may be sent a request now. Its turns come up here so fast that all gateways
+        together send it no more than its share of what warm ones do, and those that know no rate one request
+        in COLD_S. A turn that is not taken soon is lost: saved ones, spent by all gateways once the warm
+        servers are full, would push it over."""
+        rules = self.settings.safety
+        rate = max(self.rate * warmth, 1.0 / COLD_S / self.settings.gateways) / 1000.0
+        kept = rate * rules.overload_ms * max(0.2, 0.8 * rules.overload_factor - 1.0)
+        server.turn += rate * max(0.0, now - server.turn_at)
+        server.turn_at = now
+        if server.turn > 1.0 + kept:
+            server.turn = kept if kept >= 1.0 else server.turn % 1.0
+        return server.turn >= 1.0
 
     def answers(self, server: Server, now: float) -> float:
         """What it answers here, a second."""
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
-from collections import Counter
+import random
+from collections import Counter, defaultdict, deque
+from dataclasses import replace
+
+import pytest
 
 from heathglade import interface as api
+from heathglade.policy import Fleet
 from lab.sim.swarm import gone
-from lab.sim.world import World
+from lab.sim.world import SERVICE_MS, SETTINGS, World
 
 GATEWAYS, NODES = 40, 60
 SLOW = 10.0  # a command takes a quarter of a second
@@ -47,6 +52,38 @@
         return Counter(name for at, name in self.sends if from_s * 1000.0 <= at < until_s * 1000.0)
 
 
+def most_of_cold(world: Large, new: set[str], born_ms: float) -> float:
+    """The most that a new node was sent within the rule's time, against what it could do then."""
+    safety, worst = world.settings.safety, 0.0
+    lately: defaultdict[str, deque[float]] = defaultdict(deque)
+    for at, name in world.sends:
+        age = at - born_ms
+        if name not in new or age > safety.warm_ms:
+            continue
+        lately[name].append(at)
+        while lately[name][0] < at - safety.overload_ms:
+            lately[name].popleft()
+        warmth = min(1.0, safety.cold_share + (1.0 - safety.cold_share) * max(0.0, age) / safety.warm_ms)
+        able = 2 / (SERVICE_MS * SLOW) * warmth * safety.overload_ms
+        worst = max(worst, len(lately[name]) / able)
+    return worst
+
+
+def test_new_servers_get_work_while_the_old_ones_are_pressed() -> None:
+    """Six in ten are replaced. The warm ones answered for all that came, and none of forty gateways knew
+    that they were full: reports are old when a gateway meets a server every few seconds."""
+    world = Large(1)
+    world.load(11_000.0, 260.0, ("wide",))
+    world.run(3000.0)
+    new = world.replace(0.6)
+    born = world.now - world.began
+    world.run(10_000.0)
+    counts = world.load_by_node(5.0, 11.0)
+    to_new = sum(counts[name] for name in new)
+    assert to_new > 0.25 * counts.total(), (to_new, counts.total())
+    assert most_of_cold(world, new, born) < world.settings.safety.overload_factor
+
+
 def test_few_warm_servers_answer_for_the_rate_of_cold_ones() -> None:
     """A mean over all servers, most of them cold, told a fraction of what one can bear."""
     world = Large(2)
@@ -75,3 +112,27 @@
     lines = [line for line in world.lines if line.startswith("in ")]
     assert len(lines) == 6  # one in five seconds at each gateway
     assert all("attempt: ok" in line and "counter: ok" in line for line in lines)
+
+
+@pytest.mark.parametrize("gateways", [3, 40, 200])
+@pytest.mark.parametrize("idle_s", [0, 3, 9])
+def test_turns_at_a_cold_server_are_not_saved_up(gateways: int, idle_s: int) -> None:
+    """Nothing goes to the cold server for a while, so that its turn comes up at each gateway. Then all spend
+    what turns they have: within the rule's time not more than it bears."""
+    safety, bears = api.Safety(0.27, 18_000.0, 2.0, 3000.0), 15.0  # requests a second, once warm
+    settings = replace(SETTINGS, gateways=gateways, safety=safety)
+    fleets = [Fleet(settings, random.Random(number)) for number in range(gateways)]
+    sent: list[float] = []
+    for fleet in fleets:
+        fleet.update(api.ServerList(api.ListKind.FULL, (api.ServerEntry("s", "a", started_ms=1.0),)), 1.0)
+        fleet.rate = 0.9 * bears / gateways
+    for now in range(1, 1000 * idle_s + 6000, 20):
+        for fleet in fleets:
+            server = fleet.servers["s"]
+            if fleet.has_turn(server, now, fleet.warmth(server, now)) and now > 1000 * idle_s:
+                fleet.sent(now, server)
+                sent.append(now)
+    for at in sent:
+        within = sum(at - safety.overload_ms < each <= at for each in sent)
+        assert within <= safety.overload_factor * bears * 3.0 * fleets[0].warmth(server, at - 3000.0)
+    assert len(sent) > 0.4 * 6.0 * bears * safety.cold_share  # and its share is used
