Discovery: the list held stays in force, and a busy service is asked by turns

Trace of each call: every watch failed from the first second on; the loop of each gateway then asked for the whole list, about once a second, gave accepted calls up after 1 s (63), and drew no pause by chance, so all asked in step. Accepted calls ended as 503 after 2.0 s: the service's line stayed longer than its callers wait, and all its work went to answers nobody read. A whole list takes it 0.37 s, once free. Ruled out: keeping the version alone, with pauses doubling to 10 s (568 calls, 511 of them 503, 4 answers); waiting longer alone. At fault: Discovery.lost and answered (since = None), BACKOFF_S without jitter or the fleet's size, QUIET_S, WAIT_S; Program.start, which asked for all where it held a list. Change: what changed since the version held is asked for, after a start since the saved list's; a 503 means a pause of 0.1 to 1 turn, a turn being gateways / 3 s (20 s at most); pauses are drawn; a fleet's watches wait longer; answers have 3 s. A version older than the one held asks for the whole list. A warning tells when a list may be old.

--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -88,7 +88,7 @@
         self.extproc: ExtProc | None = None
         if operator is not None and operator.fronts and "extproc" in operator.fronts:
             self.extproc = self.processing(operator.fronts["extproc"])
-        self.discovery = Discovery(loop, config.discovery, self.gateway.news)
+        self.discovery = Discovery(loop, config.discovery, self.gateway.news, made.gateways, config.seed)
         # What of the operator's file holds until a restart.
         self.begun = started(operator) if operator is not None else None
         self.stopping = asyncio.Event()
@@ -157,6 +157,7 @@
         """Brings the parts up; clients come last."""
         if self.config.known is not None:
             self.gateway.news(self.config.known)
+            self.discovery.since = self.config.known.version
         self.discovery.start()
         # The saved list may be old: a moment is given for today's, but no start hangs on discovery.
         await wait(self.discovery.first, LIST_WAIT_S)
--- a/glenchute/peers/discovery.py
+++ b/glenchute/peers/discovery.py
@@ -1,13 +1,18 @@
 """Discovery: the list of servers and the watch on its changes, over one HTTP/1.1 connection.
 
-A watch goes on only while the next call follows the last answer at once. Whatever goes wrong (silence, an
-error, a body that is no list) closes the connection and begins anew with the whole list.
+A watch goes on only while the next call follows the last answer at once; a later one begins a new watch from
+the version held. So whatever goes wrong (silence, an error, a body that is no list), the list held stays in
+force and only what changed since is asked for: a service that many gateways share is busiest when all of
+them have lost it, and whole lists for all are what would keep it so. The whole list is asked for where none
+is held, where the version told is older than the one held, and at another address.
 """
 
 from __future__ import annotations
 
 import asyncio
 import json
+import logging
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -16,10 +21,16 @@
 from glenchute.core.types import News
 from heathglade.interface import ListKind, ServerEntry, ServerList, ServerState
 
-WAIT_S = 4.0  # a watch waits this long for news; what it waits for counts as told 2 s after that
-QUIET_S = 1.0  # an answer later than this past its wait means an agent that has gone silent
+# A watch waits so long for news; what it waits for counts as told 2 s after that. Each end of a wait costs
+# the service a call, so the wait grows with the fleet, in these bounds: all together end so many a second.
+WAIT_S = (4.0, 20.0)
+CALLS_PER_S = 3.0
+# An answer later than this past its wait means an agent that has gone silent. A crowded service takes 2 s;
+# who gives up earlier leaves it to finish an answer that nobody reads, and asks again.
+QUIET_S = 3.0
 CONNECT_S = 1.0
-BACKOFF_S = (0.1, 1.0)
+BACKOFF_S = (0.1, 1.0)  # pauses between tries
+BUSY = 503
 IDLE_GAP_S = 0.1  # pause after an answer with no news that came at once; a watch lasts over 0.2 s
 MOST_BODY = 4 * 1024 * 1024
 
@@ -30,6 +41,9 @@
 }
 
 
+log = logging.getLogger("glenchute")
+
+
 class ListError(ValueError):
     """A list that can't be read."""
 
@@ -153,8 +167,14 @@
     """Fetches the list, then watches it for as long as the process runs."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, where: tuple[str, int], tell: Callable[[News], None]
+        self,
+        loop: asyncio.AbstractEventLoop,
+        where: tuple[str, int],
+        tell: Callable[[News], None],
+        gateways: int = 1,
+        seed: int = 0,
     ) -> None:
+        """`gateways` share the service; `seed` draws the pauses, which must differ between them."""
         self.loop = loop
         self.where = where
         self.tell = tell
@@ -162,7 +182,13 @@
         self.exchange: Exchange | None = None
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None  # of the answer awaited or of the next call
+        self.rng = random.Random(seed)
+        # Between two calls of one gateway while all call; and no longer than the longest wait.
+        self.share_s = min(WAIT_S[1], gateways / CALLS_PER_S)
+        self.wait_s = max(WAIT_S[0], self.share_s)
         self.backoff = BACKOFF_S[0]
+        self.failed = 0  # tries since the last good answer
+        self.due = False  # an answer has come, and the next call is to follow
         self.asked = 0.0
         self.first = asyncio.Event()  # set with the first answer
         self.closed = False
@@ -201,15 +227,19 @@
         """The next call; an answer that does not come ends the connection."""
         if self.closed or self.exchange is None:
             return
+        self.due = False
         if not self.exchange.usable():
-            self.exchange.abort()
-            self.lost(self.exchange)
+            left, self.exchange = self.exchange, None
+            left.abort()
+            self.start()
             return
         self.asked = self.loop.time()
         target, wait = "/v1/servers", QUIET_S
         if self.since is not None:
-            target += f"?since={self.since}&timeout_ms={WAIT_S * 1000.0:.0f}"
-            wait += WAIT_S
+            # Gateways that began together must not end their waits together.
+            patience = self.wait_s * self.rng.uniform(0.75, 1.0)
+            target += f"?since={self.since}&timeout_ms={patience * 1000.0:.0f}"
+            wait += patience
         self.expect(wait, self.exchange.abort)
         self.exchange.get(f"{self.where[0]}:{self.where[1]}", target)
 
@@ -220,19 +250,29 @@
         self.timer = self.loop.call_later(seconds, then)
 
     def answered(self, exchange: Exchange, status: int, body: bytes) -> None:
-        """An answer: told on if it is a list, else asked for anew and whole, after a pause."""
+        """An answer: told on if it is a list, else asked for anew after a pause."""
         if exchange is not self.exchange:
             return
+        self.due = True
         try:
             if status != 200:
                 raise ListError(f"status {status}")
             news = read_list(json.loads(body))
             if self.since is None and news.event.kind is not ListKind.FULL:
                 raise ListError("changes to no list")
-        except (ListError, ValueError, RecursionError):
-            self.since = None
-            self.expect(self.pause(), self.ask)
+            if self.since is not None and news.version < self.since and news.event.kind is not ListKind.FULL:
+                self.since = None  # versions began anew: what lies between is not known
+                raise ListError("an older version")
+        except (ListError, ValueError, RecursionError) as error:
+            self.failing(str(error))
+            # A service that says it is busy is not asked at once again: each gateway takes its turn in what
+            # all together may call. With shorter pauses its line stays longer than its callers wait.
+            pause = self.share_s * self.rng.uniform(0.1, 1.0) if status == BUSY else self.pause()
+            self.expect(pause, self.ask)
             return
+        if self.failed:
+            log.info("discovery answers again, after %d tries", self.failed)
+            self.failed = 0
         if self.since is None or news.event.entries or news.event.kind is ListKind.FULL:
             self.tell(news)
         at_once = not news.event.entries and self.loop.time() - self.asked < IDLE_GAP_S
@@ -240,17 +280,25 @@
         self.first.set()
         self.expect(IDLE_GAP_S if at_once else 0.0, self.ask)
 
+    def failing(self, why: str) -> None:
+        """Tells the operators once that the list in force may be old."""
+        self.failed += 1
+        if self.failed == 1:
+            log.warning("discovery fails (%.80s): the list of version %s stays in force", why, self.since)
+
     def pause(self) -> float:
-        """The time before another try, longer after each."""
+        """The time before another try: longer after each, and another one at each gateway."""
         pause, self.backoff = self.backoff, min(BACKOFF_S[1], 2.0 * self.backoff)
-        return pause
+        return pause * self.rng.uniform(0.5, 1.0)
 
     def lost(self, exchange: Exchange) -> None:
         """The connection is gone or never came up."""
         if exchange is not self.exchange or self.closed:
             return
-        self.exchange, self.since = None, None
-        self.expect(self.pause(), self.start)
+        if self.due:
+            return  # after an answer: the next call finds that it needs a new connection
+        self.failing("no connection, or no answer on it")
+        self.expect(self.pause(), self.ask)
 
     def close(self) -> None:
         """The end of the process."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,6 +10,7 @@
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
+from unittest.mock import MagicMock
 
 import pytest
 
@@ -21,7 +22,7 @@
 from glenchute.peers import counter as counter_module
 from glenchute.peers import discovery as discovery_module
 from glenchute.peers.counter import Counter
-from glenchute.peers.discovery import ListError, read_list
+from glenchute.peers.discovery import Discovery, ListError, read_list
 from heathglade import interface as api
 from heathglade.interface import Ending
 
@@ -644,7 +645,7 @@
 # --- discovery -------------------------------------------------------------------------------------------
 
 
-def test_the_watch_survives_errors_and_begins_anew_with_the_whole_list() -> None:
+def test_the_watch_survives_errors_and_goes_on_from_the_list_held() -> None:
     async def scenario() -> None:
         rows = [row("a", 80), row("b", 81)]
         discovery = DiscoveryPeer(
@@ -671,7 +672,71 @@
                 (api.ListKind.CHANGES, ["c"]),
             ]
             since = [target.partition("since=")[2].partition("&")[0] for target in discovery.targets]
-            assert since == ["", "", "", "", "", "5", "5", "9", "", "3", "4"]
+            assert since == ["1", "1", "1", "1", "1", "5", "5", "9", "9", "3", "4"]
+
+    play(scenario())
+
+
+def test_an_older_version_than_the_one_held_brings_the_whole_list() -> None:
+    """Discovery began its count anew: what changed between is not known."""
+
+    async def scenario() -> None:
+        rows = [row("a", 80), row("b", 81)]
+        discovery = DiscoveryPeer(
+            listing(9, rows), listing(2, [], full=False), listing(2, rows[:1]), listing(3, [], full=False)
+        )
+        script = Script(lambda event: [])
+        async with site(decisions=script, discovery=discovery):
+            await until(lambda: len(discovery.targets) == 5)
+            since = [target.partition("since=")[2].partition("&")[0] for target in discovery.targets]
+            assert since == ["1", "9", "", "2", "3"]
+
+    play(scenario())
+
+
+def test_a_busy_discovery_is_asked_by_turns_of_the_whole_fleet() -> None:
+    """Forty gateways that lost their watch together ask no faster than the service can answer all, and ask
+    for what changed only. Asked by each once a second for the whole list, it answered nobody any more."""
+
+    class Clock:
+        """The loop, as far as the pauses need it."""
+
+        def __init__(self) -> None:
+            self.waits: list[float] = []
+
+        def time(self) -> float:
+            return 0.0
+
+        def call_later(self, seconds: float, then: Any) -> MagicMock:
+            self.waits.append(seconds)
+            return MagicMock()
+
+    pauses: dict[int, list[float]] = {}
+    for gateways in (3, 40, 200):
+        pauses[gateways] = []
+        for seed in range(gateways):
+            clock = Clock()
+            made = Discovery(clock, ("127.0.0.1", 1), lambda news: None, gateways, seed)  # type: ignore[arg-type]
+            made.exchange, made.since = MagicMock(), 7
+            for _ in range(4):
+                made.answered(made.exchange, 503, b"")
+            pauses[gateways] += clock.waits
+            assert made.since == 7  # the list held stays in force
+            assert len(set(clock.waits)) == 4
+    rate = {gateways: gateways * len(waits) / sum(waits) for gateways, waits in pauses.items()}
+    most = 2.5 * discovery_module.CALLS_PER_S
+    assert rate[40] < most and rate[3] < most
+    assert max(pauses[3]) <= 1.0 and max(pauses[200]) <= discovery_module.WAIT_S[1]
+
+
+def test_after_a_start_only_what_changed_since_the_saved_list_is_asked_for() -> None:
+    async def scenario() -> None:
+        discovery = DiscoveryPeer(listing(8, [row("b", 81)], full=False))
+        known = read_list({"version": 7, "full": True, "servers": []}, saved=True)
+        async with site(discovery=discovery, known=known) as one:
+            await until(lambda: len(discovery.targets) == 2)
+            assert "since=7&" in discovery.targets[0] and "since=8&" in discovery.targets[1]
+            assert one.program.servers.known() == ["b"]
 
     play(scenario())
 
