Servers that can't be reached are left for a pause, and cost no repeat's budget

At fault: Fleet.delay holds failures against the median of all servers; where most are gone, gone is the median and none is avoided; evidence faded in 5 s besides. Gateway.ended took a try that never connected from the budget that spares servers. Change: after a try that did not connect a server is left for a pause, from a quarter of the longest up; the longest is 4 s, gateways / 4 s or a second for each server that can't be reached, whichever is most. Such a try takes nothing from the budget.

--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -39,6 +39,7 @@
 MOST_SPAN_S = 4.0  # ... or this long
 RATE_S = 3.0  # the rate of answers is taken over this long
 WORD = 0.3  # of what a report tells beyond the mean; it is late when it comes, and others heard it too
+LOOKS_PER_S = 4.0  # at a server that can't be reached, by all gateways
 COLD_S = 3.0  # see Fleet.turn
 TALLY_MS = 5_000.0  # a line this often tells how requests, attempts and calls to the counter ended
 TICK_MS = 250.0  # how often pressure is judged and held requests are looked at
@@ -352,6 +353,8 @@
     pace: float = 1.0  # time of answers against the fleet's mean for the same kind of request
     fails: float = 0.0  # recent share of failures, fading
     fails_at: float = 0.0
+    refused: int = 0  # attempts in a row that did not connect
+    look_at: float = 0.0  # until then nothing more is sent to one that did not connect
     silent_since: float | None = None  # first sending since the last answer
     held: float = 0.0  # requests of other gateways there, by its last report
     held_at: float = -1e9
@@ -421,6 +424,8 @@
             cost = self.delay(server, now, mean) / warmth
             if entry.server in opened.tried:
                 cost += 10.0
+            if now < server.look_at:
+                cost += 1000.0  # any other is better, and if there is none, this one is tried
             if entry.zone != self.settings.zone:
                 cost *= 1.0 + 10.0 * self.settings.cross_zone_price
             cost *= self.rng.uniform(0.9, 1.1)
@@ -477,6 +482,17 @@
             self.crowd[warm] += 0.1 * (server.held / server.size - self.crowd[warm])
         if event.ending in (Ending.UNSENT, Ending.CANCELLED):
             return
+        if event.ending is Ending.UNREACHABLE:
+            # Unlike a failure this says nothing of the requests, however many servers it befalls: after a
+            # restart the list may be so old that most are gone. Each look costs a request a try, so the first
+            # ones come soon, and then all gateways together look a few times a second and this one once.
+            lost = sum(other.refused > 0 for other in self.servers.values())
+            most = max(4.0, self.settings.gateways / LOOKS_PER_S, lost)
+            share = min(1.0, 0.25 * 2.0**server.refused)
+            server.look_at = now + 1000.0 * most * share * self.rng.uniform(0.75, 1.25)
+            server.refused = min(server.refused + 1, 10)
+        elif event.ending is not Ending.TIMEOUT:
+            server.refused, server.look_at = 0, 0.0
         if event.ending is not Ending.TIMEOUT or not server.out:
             server.silent_since = now if server.out else None
         faded = server.fails * math.exp((server.fails_at - now) / 5000.0)
@@ -804,8 +820,10 @@
             opened.home = attempt.server
         if opened.out > 0:
             return
-        if self.may_repeat(now + event.next_after_ms, opened, event) and self.retries >= 1.0:
-            self.retries -= 1.0
+        # The budget spares servers in trouble further work; one that can't be reached has had none.
+        price = 0.0 if event.ending is Ending.UNREACHABLE else 1.0
+        if self.may_repeat(now + event.next_after_ms, opened, event) and self.retries >= price:
+            self.retries -= price
             if event.next_after_ms > 0:
                 self.later(now + event.next_after_ms, opened, False)
             else:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -136,3 +136,33 @@
         within = sum(at - safety.overload_ms < each <= at for each in sent)
         assert within <= safety.overload_factor * bears * 3.0 * fleets[0].warmth(server, at - 3000.0)
     assert len(sent) > 0.4 * 6.0 * bears * safety.cold_share  # and its share is used
+
+
+def test_servers_that_are_gone_cost_few_attempts_under_an_old_list() -> None:
+    """After a restart the list may name mostly servers that are gone. Where more than half could not be
+    reached, that counted as the usual state of a server, and all were tried as before."""
+    world = Large(6)
+    world.run(100.0)
+    names = sorted(world.nodes)
+    for name in names[: round(0.6 * len(names))]:
+        world.nodes[name].alive = False  # and nobody is told
+    world.load(16_000.0, 200.0, ("wide",))
+    world.run(17_000.0)
+    dead = set(names[: round(0.6 * len(names))])
+    late = world.load_by_node(12.0, 16.0)
+    assert sum(late[name] for name in dead) < 0.42 * late.total()
+    assert world.answers["Refuse"] < 700  # a try that did not connect costs no other its try
+
+
+def test_a_server_that_comes_back_is_found_again() -> None:
+    """It could not be reached for a while and the list never spoke of it: the fleet's next looks find it."""
+    world = Large(7, nodes=9)
+    world.run(100.0)
+    name = min(world.nodes)
+    world.nodes[name].alive = False
+    world.load(24_000.0, 40.0, ("wide",))
+    world.run(8000.0)
+    world.nodes[name].alive = True
+    world.run(16_000.0)
+    counts = world.load_by_node(14.0, 24.0)
+    assert counts[name] > 0.3 * counts.total() / len(world.nodes)
