Counter: units asked for and refused are given back where calls are to spare

A trace of each decision, against a store kept from all gateways' sendings, shows 2,214 refused on a word of the moment with half of the store or more left: within one window the total rose from 23 to 53 while nothing was sent on. At fault: Quota.call, which never takes units off, so that of many gateways each left its refused asks on the total until the window's end; alone a gateway's next call took them off. The total stood for asks, not for use, and each refusal made the next. Refusals for overload after an ask are given back too.

--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -90,8 +90,9 @@
         self.customers: dict[str, Customer] = {}  # the longest unseen first
         self.due: dict[str, Customer] = {}  # those with units to tell
         # Calls without an answer, by name: customer, its word, units, mark, the request that waits for it,
-        # whether nothing was taken off its units.
-        self.calls_out: dict[int, deque[tuple[Customer, Name, float, float, str | None, bool]]] = {}
+        # whether nothing was taken off its units, how many units were told ahead for that request.
+        self.calls_out: dict[int, deque[tuple[Customer, Name, float, float, str | None, bool, float]]] = {}
+        self.ahead = 0.0  # the last of these, of the last answer
         longest = max([plan.burst / plan.rate for plan in settings.plans if plan.rate], default=1.0)
         self.watch = Watch(min(IDLE_MS, 1000.0 * max(WINDOW_S, longest)), MUTE_AFTER)
         self.started = math.inf  # when this gateway heard its first event
@@ -233,10 +234,16 @@
                 full = c.part < units and c.open >= plan.max_open // c.spread
             if self.rng.random() > fraction if asked else full:
                 wait, self.cause = self.hold_s * 1000.0, "open"
-        if asked and wait is not None:
-            c.fresh -= units / self.share  # it was counted in advance; the next call takes it off
         return wait
 
+    def give_back(self, c: Customer) -> None:
+        """The request that the last answer was for does not go on, but the counter holds its units. Left
+        there they would pass for use: of many gateways each sees a customer seldom, and together they would
+        ask it out of its quota."""
+        c.fresh -= self.ahead
+        if c.fresh < 0.0 and not c.plan.ceiling_rate:
+            self.due[c.key] = c
+
     def take(self, c: Customer, units: float, counted: bool, asked: bool) -> None:
         """Books a request that goes on."""
         c.credit -= units
@@ -251,13 +258,13 @@
     def call(self, now: float, c: Customer, extra: float = 0.0, waits: str | None = None) -> Count:
         """A call that tells what is new of a customer."""
         assert c.word is not None
-        # What is taken off was added to the memory of then, which may be lost: nothing is ever taken off a
-        # total, or a fresh memory would hold less than it granted.
+        # What is taken off was added to the memory of then, which may be lost, and a fresh memory would hold
+        # less than it granted: under a ceiling nothing is ever taken off a total.
         due = round(c.fresh + extra, 3)
-        amount, toll = max(0.0, due), c.word.toll()
-        call = c, c.word, amount, toll, waits, c.fresh >= 0.0
+        amount, toll = max(0.0, due) if c.plan.ceiling_rate else due, c.word.toll()
+        call = c, c.word, amount, toll, waits, c.fresh >= 0.0, extra
         self.calls_out.setdefault(c.name, deque()).append(call)
-        c.fresh, c.called_at = min(0.0, due), now
+        c.fresh, c.called_at = round(due - amount, 3), now
         c.under_way += 1
         if self.missed >= MUTE_AFTER:
             self.probe_at = now + max(MUTE_RETRY_MS, self.settings.gateways * MUTE_SPACING_MS)
@@ -266,11 +273,12 @@
     def calls(self, now: float, c: Customer) -> list[Action]:
         """Tells the counter what is new of a customer, the sooner the nearer its store is to empty."""
         self.refresh(now, c)
-        if c.fresh <= 0:
+        if c.fresh == 0.0 or (c.fresh < 0.0 and c.plan.ceiling_rate):
             self.due.pop(c.key, None)
-        if c.under_way or c.fresh <= 0:
             return []
-        urgent = c.fresh * c.spread >= 0.5 * self.room(c)
+        if c.under_way or (c.fresh < 0.0 and self.share < 1.0):  # a crowded counter is spared such calls
+            return []
+        urgent = abs(c.fresh) * c.spread >= 0.5 * self.room(c)
         calm = c.store - c.fresh * c.spread > 0.5 * c.plan.burst > 0
         gap = (CALL_GAP_MS if urgent else 2000.0 if calm else 1000.0) / self.share
         if now < self.probe_at if self.mute else now - c.called_at < gap:
@@ -281,7 +289,8 @@
         """An answer: the total's rise beyond the own part is the others' use. Returns who waits for it."""
         if not (calls := self.calls_out.get(reply.name)):
             return None
-        c, word, amount, toll, waits, whole = calls.popleft()
+        c, word, amount, toll, waits, whole, extra = calls.popleft()
+        self.ahead = extra if word is c.word else 0.0  # in another window's name nothing is put right
         if not calls:
             del self.calls_out[reply.name]
         self.refresh(now, c)
@@ -736,6 +745,8 @@
                 wait, self.quota.cause = self.settings.max_retry_after_ms, "overload"
             if wait is not None:
                 self.count("refused: " + self.quota.cause)
+                if asked and customer is not None:
+                    self.quota.give_back(customer)
                 del self.requests[request.request_id]
                 wait = max(1.0, min(wait, self.settings.max_retry_after_ms))
                 self.actions.append(Refuse(request.request_id, wait))
