Discovery: a move during a busy service's pause no longer ends the asking for good

Need, found on reading the change again: after an answer `Discovery.due` stood until the next call, so that a lost connection set no timer of its own. If the address moved during the pause after a 503 (up to 20 s) and the new place refused the connection, nothing was scheduled any more. Change: whether the last call has its answer is the connection's own state (`Exchange.told`), so that a new connection begins without it. A connection that dies before its first call is followed by a pause, not by another at once. The test of a silent agent waited out a watch of 3 to 4 s twice, near its own limit; it sets the wait, as it sets the silence.

--- a/glenchute/peers/discovery.py
+++ b/glenchute/peers/discovery.py
@@ -21,6 +21,8 @@
 from glenchute.core.types import News
 from heathglade.interface import ListKind, ServerEntry, ServerList, ServerState
 
+log = logging.getLogger("glenchute")
+
 # A watch waits so long for news; what it waits for counts as told 2 s after that. Each end of a wait costs
 # the service a call, so the wait grows with the fleet, in these bounds: all together end so many a second.
 WAIT_S = (4.0, 20.0)
@@ -41,9 +43,6 @@
 }
 
 
-log = logging.getLogger("glenchute")
-
-
 class ListError(ValueError):
     """A list that can't be read."""
 
@@ -94,6 +93,7 @@
         self.status = 0
         self.body = b""
         self.aborted = False
+        self.told = False  # the last call has its answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
@@ -103,6 +103,7 @@
     def get(self, host: str, target: str) -> None:
         """Sends a request."""
         assert self.transport is not None
+        self.told = False
         head = h11.Request(
             method="GET", target=target, headers=[("Host", host), ("Accept", "application/json")]
         )
@@ -135,6 +136,7 @@
                 return False
         elif isinstance(event, h11.EndOfMessage):
             status, body = self.status, self.body
+            self.told = True
             if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
                 self.http.start_next_cycle()
                 self.answered(status, body)
@@ -188,13 +190,12 @@
         self.wait_s = max(WAIT_S[0], self.share_s)
         self.backoff = BACKOFF_S[0]
         self.failed = 0  # tries since the last good answer
-        self.due = False  # an answer has come, and the next call is to follow
         self.asked = 0.0
         self.first = asyncio.Event()  # set with the first answer
         self.closed = False
 
     def start(self) -> None:
-        """Begins with the whole list."""
+        """Opens a connection, and asks on it."""
         self.task = self.loop.create_task(self.open())
 
     def move(self, where: tuple[str, int]) -> None:
@@ -227,11 +228,12 @@
         """The next call; an answer that does not come ends the connection."""
         if self.closed or self.exchange is None:
             return
-        self.due = False
         if not self.exchange.usable():
-            left, self.exchange = self.exchange, None
-            left.abort()
-            self.start()
+            self.exchange.abort()
+            if self.exchange.told:
+                self.start()
+            else:
+                self.lost(self.exchange)
             return
         self.asked = self.loop.time()
         target, wait = "/v1/servers", QUIET_S
@@ -253,7 +255,6 @@
         """An answer: told on if it is a list, else asked for anew after a pause."""
         if exchange is not self.exchange:
             return
-        self.due = True
         try:
             if status != 200:
                 raise ListError(f"status {status}")
@@ -295,10 +296,10 @@
         """The connection is gone or never came up."""
         if exchange is not self.exchange or self.closed:
             return
-        if self.due:
+        if exchange.told:
             return  # after an answer: the next call finds that it needs a new connection
         self.failing("no connection, or no answer on it")
-        self.expect(self.pause(), self.ask)
+        self.expect(self.pause(), self.start)
 
     def close(self) -> None:
         """The end of the process."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 from dataclasses import replace
 from pathlib import Path
@@ -729,6 +730,23 @@
     assert max(pauses[3]) <= 1.0 and max(pauses[200]) <= discovery_module.WAIT_S[1]
 
 
+def test_an_address_that_refuses_after_a_busy_one_is_asked_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """While the pause after a 503 ran, discovery moved to a place that refused the connection: nothing was to
+    come any more, as the next call was thought to be due already."""
+
+    async def scenario() -> None:
+        busy = DiscoveryPeer(http(b"", "503 Service Unavailable"))
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))  # nobody listens there, and nobody else can
+            async with site(discovery=busy) as one:
+                await until(lambda: one.program.discovery.failed == 1)
+                one.program.discovery.move(taken.getsockname())
+                await until(lambda: one.program.discovery.failed > 3)
+
+    monkeypatch.setattr(discovery_module, "CALLS_PER_S", 0.1)  # the pause lasts for 2 s at least
+    play(scenario())
+
+
 def test_after_a_start_only_what_changed_since_the_saved_list_is_asked_for() -> None:
     async def scenario() -> None:
         discovery = DiscoveryPeer(listing(8, [row("b", 81)], full=False))
@@ -748,6 +766,7 @@
             await until(lambda: len(discovery.writers) >= 3)
 
     monkeypatch.setattr(discovery_module, "QUIET_S", 0.05)
+    monkeypatch.setattr(discovery_module, "WAIT_S", (0.05, 0.05))
     play(scenario())
 
 
