Refusals by cause: overheard from the module's own count, not worked out again

Need, found on reading the change again: since the module counts refusals by the limit that said so, `capture/refusals.why` was a second statement of the same conditions of `Quota.admit`, outside the module, and would have drifted from it. Change: `Refusals` overhears `Gateway.count`; `why` and the wrapper of `Pressure.admit` are gone (44 lines less, 25 more). So that all eight causes are named there, the module's line now tells refusals at the door, which it left out, and 'mute' apart from 'lot'.

--- a/glenchute/capture/refusals.py
+++ b/glenchute/capture/refusals.py
@@ -1,7 +1,7 @@
-"""Why requests were refused: a replay that watches the module's own gates.
+"""Why requests were refused: a replay that overhears the module's own books.
 
-The module says only that a request is refused. Which of its limits said so is told by the gates' answers,
-which are overheard on the replayed instance; nothing of the module changes.
+The module's action says only that a request is refused. Which of its limits said so it counts for the line
+that it logs; that count is overheard on the replayed instance, and nothing of the module changes.
 """
 
 from __future__ import annotations
@@ -11,10 +11,11 @@
 
 from heathglade import interface as api
 
-from .codec import ACTIONS, EVENTS, Record
+from .codec import ACTIONS, EVENTS, CaptureError, Record
 
 REQUEST = EVENTS.index(api.Request)
 REFUSE = ACTIONS.index(api.Refuse)
+REFUSED = "refused: "  # before a limit, in what the module counts
 CAUSES = {
     "ceiling": "the ceiling's own store is short, and the count does not vouch for it",
     "empty": "the account's store is empty by all that is known",
@@ -46,51 +47,45 @@
         self.units: defaultdict[str, float] = defaultdict(float)
         self.left: defaultdict[str, float] = defaultdict(float)
         self.module: Any = None
-        self.cause = ""
+        self.cause = "no attempt"
         self.last: tuple[float, float] = (0.0, 0.0)  # units asked, and left in the store
         self.refused = 0  # by the event at hand
-        self.first = False  # which was a request's coming
 
     def __call__(self, module: Any, record: Record) -> None:
-        """The state before an event; counts what the captured decision on it was once the gates are heard."""
+        """The state before an event; counts what the captured decision on it was once its cause is heard."""
         self.settle()
         if module is not self.module:
             self.listen(module)
         self.requests += record[1] == REQUEST
         self.refused = sum(1 for action in record[3] or () if action[0] == REFUSE)
-        self.first = record[1] == REQUEST
 
     def settle(self) -> None:
         """Books the event before."""
         if self.refused:
-            cause = self.cause or ("at the door" if self.first else "no attempt")
             units, left = self.last
-            self.counts[cause] += self.refused
-            self.units[cause] += units
-            self.left[cause] += left
-        self.refused, self.cause, self.last = 0, "", (0.0, 0.0)
+            self.counts[self.cause] += self.refused
+            self.units[self.cause] += units
+            self.left[self.cause] += left
+        # Where the module of now would not have refused, no limit of its own can be named.
+        self.refused, self.cause, self.last = 0, "no attempt", (0.0, 0.0)
 
     def listen(self, module: Any) -> None:
-        """Overhears the gates of an instance."""
+        """Overhears an instance. CaptureError where its version names no limits."""
         self.module = module
-        quota, pressure = module.quota, module.pressure
-        admit, judge = quota.admit, pressure.admit
+        if not hasattr(module, "count"):
+            raise CaptureError("this version of the module does not name the limits that refuse")
+        admit, count = module.quota.admit, module.count
 
         def by_quota(now: float, c: Any, units: float, asked: bool, blind: bool) -> Any:
-            cause = why(quota, c, units, asked, blind)
             self.last = units, c.store
-            wait = admit(now, c, units, asked, blind)
-            if wait is not None:
-                self.cause = cause or "open"
-            return wait
+            return admit(now, c, units, asked, blind)
 
-        def by_pressure(value: float, units: float, aim: float, many: bool) -> Any:
-            good = judge(value, units, aim, many)
-            if not good:
-                self.cause = "overload"
-            return good
+        def counted(what: str) -> None:
+            if what.startswith(REFUSED):
+                self.cause = what.removeprefix(REFUSED)
+            count(what)
 
-        quota.admit, pressure.admit = by_quota, by_pressure
+        module.quota.admit, module.count = by_quota, counted
 
     def rows(self) -> list[Row]:
         """The causes, the most frequent first."""
@@ -99,19 +94,3 @@
             Row(cause, n, self.units[cause], self.left[cause] / n)
             for cause, n in self.counts.most_common()
         ]
-
-
-def why(quota: Any, c: Any, units: float, asked: bool, blind: bool) -> str:
-    """Which limit of an account's would refuse, by its state before it is asked; "" for the cap on open
-    attempts or none."""
-    blind = blind or quota.mute
-    plan = c.plan
-    if plan.ceiling_rate and c.guard < units and not quota.assured(c, asked):
-        return "ceiling"
-    if plan.rate:
-        if c.store < units:
-            return "empty"
-        if blind and c.part < units:
-            return "mute" if quota.mute else "lot"
-        return "share"
-    return ""
--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -225,7 +225,8 @@
             # A word of the moment puts the requests of all gateways in a row; no share is needed then.
             if store < units or (c.credit < units and not asked):
                 wait = max(0.0, units - store) / plan.rate * 1000.0
-                self.cause = "empty" if c.store < units else "lot" if store < units else "share"
+                short = "mute" if self.mute else "lot"
+                self.cause = "empty" if c.store < units else short if store < units else "share"
         if wait is None and plan.max_open:
             # The cap, as a rate: what leaves as fast as answers come. Of more demand its share goes on.
             fraction = OPEN_FILL * plan.max_open / max((c.own + c.others) * self.hold_s, 1e-9)
@@ -720,6 +721,7 @@
         self.count("requests")
         cls = self.classes.get(request.class_name) or RequestClass("", left, 1.0, Repeat.UNSAFE)
         if left <= 0 or len(self.requests) >= self.settings.max_requests - 1:
+            self.count("refused: at the door")
             self.actions.append(Refuse(request.request_id, self.settings.max_retry_after_ms))
             return
         self.retries = min(10.0, self.retries + 0.2)
--- a/tests/test_capture.py
+++ b/tests/test_capture.py
@@ -327,6 +327,12 @@
     assert "while the counter is mute" in capsys.readouterr().out
 
 
+def test_a_version_that_names_no_limits_is_told_so() -> None:
+    older = object()  # a module from before the limits were named
+    with pytest.raises(CaptureError, match="does not name the limits"):
+        Refusals().listen(older)
+
+
 def test_overheard_gates_change_no_decision(capture: Path) -> None:
     assert replay(only_run(capture), seen=Refusals()).differences == []
 
