--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -431,7 +431,7 @@
             warmth = self.warmth(server, now)
             if warmth < 1.0 and (server.out >= 2 or not self.has_turn(server, now, warmth)):
                 continue
-            cost = self.delay(server, now, mean) / warmth
+            cost = self.delay(server, now, mean, warmth) / warmth
             if entry.server in opened.tried:
                 cost += 10.0
             if now < server.look_at:
@@ -443,11 +443,11 @@
                 best, least = server, cost
         return best
 
-    def delay(self, server: Server, now: float, mean: float) -> float:
+    def delay(self, server: Server, now: float, mean: float, warmth: float) -> float:
         """Expected delay at a server in mean service times; failures count as a long delay."""
         # Of many gateways each hears of a server seldom. As its last report grows old, what such servers hold
         # on average takes its place: else all would pass for idle, and none would seem worth sparing.
-        usual = self.crowd[self.warmth(server, now) >= 1.0] * server.size
+        usual = self.crowd[warmth >= 1.0] * server.size
         held = usual + WORD * (server.held - usual) * math.exp((server.held_at - now) / 1000.0)
         wait = server.pace * (1.0 + server.out) + held / server.size
         if server.silent_since is not None:
@@ -485,10 +485,10 @@
         if (server := self.servers.get(event.server)) is None:
             return
         server.out = max(0, server.out - 1)
+        warm = self.warmth(server, now) >= 1.0
         if event.queue is not None or event.active is not None:
             total = max(event.active or 0.0, event.queue or 0.0)
             server.held, server.held_at = max(0.0, total - server.out), now
-            warm = self.warmth(server, now) >= 1.0
             self.crowd[warm] += 0.1 * (server.held / server.size - self.crowd[warm])
         if event.ending in (Ending.UNSENT, Ending.CANCELLED):
             return
@@ -516,7 +516,7 @@
             server.pace += 0.12 * (event.took_ms / mean - server.pace)
         if event.ending is Ending.OK:
             server.fails = faded * 0.7
-            if self.warmth(server, now) >= 1.0:
+            if warm:
                 server.rate, server.rated_at = self.answers(server, now) + 1.0 / RATE_S, now
         else:
             weight = 0.5 if event.ending in (Ending.TIMEOUT, Ending.UNREACHABLE) else 0.3
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -140,8 +140,8 @@
 def newcomers_look_idle_and_get_it_all(patch: pytest.MonkeyPatch) -> None:
     sound = Fleet.delay
 
-    def delay(self: Fleet, server: Server, now: float, mean: float) -> float:
-        return 0.0 if server.entry.started_ms > 0 else sound(self, server, now, mean)
+    def delay(self: Fleet, server: Server, now: float, mean: float, warmth: float) -> float:
+        return 0.0 if server.entry.started_ms > 0 else sound(self, server, now, mean, warmth)
 
     patch.setattr(Fleet, "delay", delay)
     patch.setattr(Fleet, "warmth", lambda self, server, now: 1.0)
