--- a/glenchute/peers/discovery.py
+++ b/glenchute/peers/discovery.py
@@ -27,6 +27,7 @@
 # the service a call, so the wait grows with the fleet, in these bounds: all together end so many a second.
 WAIT_S = (4.0, 20.0)
 CALLS_PER_S = 3.0
+AT_ONCE_S = 0.001  # the wait of a start's first call
 # An answer later than this past its wait means an agent that has gone silent. A crowded service takes 2 s;
 # who gives up earlier leaves it to finish an answer that nobody reads, and asks again.
 QUIET_S = 3.0
@@ -238,8 +239,9 @@
         self.asked = self.loop.time()
         target, wait = "/v1/servers", QUIET_S
         if self.since is not None:
-            # Gateways that began together must not end their waits together.
-            patience = self.wait_s * self.rng.uniform(0.75, 1.0)
+            # Gateways that began together must not end their waits together. The first answer is what a start
+            # waits for, and there may be no news.
+            patience = self.wait_s * self.rng.uniform(0.75, 1.0) if self.first.is_set() else AT_ONCE_S
             target += f"?since={self.since}&timeout_ms={patience * 1000.0:.0f}"
             wait += patience
         self.expect(wait, self.exchange.abort)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -754,6 +754,9 @@
         async with site(discovery=discovery, known=known) as one:
             await until(lambda: len(discovery.targets) == 2)
             assert "since=7&" in discovery.targets[0] and "since=8&" in discovery.targets[1]
+            # A start that waited for news would wait in vain where there is none.
+            assert discovery.targets[0].endswith("timeout_ms=1")
+            assert not discovery.targets[1].endswith("timeout_ms=1")
             assert one.program.servers.known() == ["b"]
 
     play(scenario())
