--- a/glenchute/peers/discovery.py
+++ b/glenchute/peers/discovery.py
@@ -174,8 +174,8 @@
         loop: asyncio.AbstractEventLoop,
         where: tuple[str, int],
         tell: Callable[[News], None],
-        gateways: int = 1,
-        seed: int = 0,
+        gateways: int,
+        seed: int,
     ) -> None:
         """`gateways` share the service; `seed` draws the pauses, which must differ between them."""
         self.loop = loop
