Second address and drain: ready, lame duck on and off; one machine of phases for all ways out

Design: deciders/lifecycle.py holds the phases (starting, serving, lame duck, leaving) and when idle connections go; SIGTERM's end uses the same machine. deciders/callers.py keeps the few places of the second address, fronts/operations speaks HTTP/1.1 on h11, in the loop. Rejected: closing every idle connection at once, as SIGTERM did at 0.5 s: those just used are the ones whose next request crosses the close; the idlest go first and those in use close behind a reply. Rejected: a thread for the second address: it competes for the same interpreter, and the loop's turns are bounded already.

--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -17,6 +17,7 @@
 from glenchute.config.platform import OPERATOR, Config, ConfigError, load
 from glenchute.core.gateway import Gateway
 from glenchute.core.types import Decisions
+from glenchute.deciders.lifecycle import ACCEPT_S
 from glenchute.fronts.resp2.clients import Listener
 from glenchute.fronts.resp2.commands import Catalogue
 from glenchute.peers.counter import Counter
@@ -27,9 +28,9 @@
     from glenchute.capture.recorder import Recorder
     from glenchute.config.operator import Operator
     from glenchute.fronts.extproc.server import Server as ExtProc
+    from glenchute.fronts.operations import OperationsServer
 
 LIST_WAIT_S = 0.3  # a start waits this long for the list of the day before it serves by the saved one
-ACCEPT_S = 0.5  # after SIGTERM new connections go on coming for up to 0.4 s
 LEAVE_S = 3.2  # what is still held this long after SIGTERM is answered and left; the kill comes at 3.7 s
 LINGER_S = 0.05
 LOG_LINES_S = 20
@@ -88,6 +89,7 @@
         self.extproc: ExtProc | None = None
         if operator is not None and operator.fronts and "extproc" in operator.fronts:
             self.extproc = self.processing(operator.fronts["extproc"])
+        self.operations = self.operating() if config.operations is not None else None
         self.discovery = Discovery(loop, config.discovery, self.gateway.news, made.gateways, config.seed)
         # What of the operator's file holds until a restart.
         self.begun = started(operator) if operator is not None else None
@@ -127,6 +129,28 @@
             raise ConfigError(f"fronts.extproc needs glenchute[extproc]: {error}") from None
         return front(raw, self.config, self.loop, self.gateway)
 
+    def operating(self) -> OperationsServer:
+        """The second address; imported only where the platform names one."""
+        from glenchute.fronts.operations import OperationsServer
+
+        listener = self.listener
+
+        def ready() -> tuple[int, str]:
+            return (200 if listener.life.ready else 503), listener.life.phase.value
+
+        def on() -> tuple[int, str]:
+            listener.lame_duck()
+            return (200 if listener.life.parting else 409), listener.life.phase.value
+
+        def off() -> tuple[int, str]:
+            listener.back()
+            return (200 if listener.life.ready else 409), listener.life.phase.value
+
+        return OperationsServer(
+            self.loop,
+            {"/_ready": {"GET": ready}, "/_lameduck/on": {"PUT": on}, "/_lameduck/off": {"PUT": off}},
+        )
+
     def bind(self, operator: Operator) -> None:
         """The operator's routes hold for requests from now on; those that are open keep theirs."""
         from glenchute.deciders.routes import Routes
@@ -155,6 +179,8 @@
 
     async def start(self) -> None:
         """Brings the parts up; clients come last."""
+        if self.operations is not None and self.config.operations is not None:
+            await self.operations.start(*self.config.operations)
         if self.config.known is not None:
             self.gateway.news(self.config.known)
             self.discovery.since = self.config.known.version
@@ -199,6 +225,7 @@
         if self.extproc is not None:
             # GOAWAY at once: a proxy opens its next stream elsewhere, and what is open is served to its end.
             proxies = self.loop.create_task(self.extproc.stop(LEAVE_S))
+        self.listener.leave()
         await asyncio.sleep(ACCEPT_S)
         self.listener.stop()
         while self.listener.clients and self.loop.time() - began < LEAVE_S:
@@ -212,6 +239,8 @@
     async def close(self) -> None:
         """Closes all sockets."""
         self.listener.close()
+        if self.operations is not None:
+            self.operations.close()
         if self.extproc is not None:
             await self.extproc.stop(0.0)
         self.discovery.close()
--- a/glenchute/config/platform.py
+++ b/glenchute/config/platform.py
@@ -28,6 +28,7 @@
 
     name: str
     listen: tuple[str, int]
+    operations: tuple[str, int] | None  # the second address; the platform's name for it is `operator`
     discovery: tuple[str, int]
     counter: tuple[str, int] | None
     seed: int
@@ -72,9 +73,11 @@
     sockets = int(num(part(raw, "limits").get("sockets"), 1024))
     if sockets < 64:
         raise ListError(f"{sockets} sockets are too few")
+    operations = raw.get("operator") or environ.get("EDGE_OPERATOR")
     return Config(
         name=str(raw.get("name") or environ.get("EDGE_NAME") or "gateway"),
         listen=address(raw.get("listen") or environ.get("EDGE_LISTEN")),
+        operations=address(operations) if operations else None,
         discovery=address(raw.get("discovery") or environ.get("EDGE_DISCOVERY")),
         counter=address(raw["counter"]) if raw.get("counter") and made.counter else None,
         seed=int(str(raw.get("seed") or 0), 16),
--- a/glenchute/fronts/resp2/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -17,6 +17,7 @@
 
 from glenchute.core.gateway import Gateway, Live
 from glenchute.core.types import Answer, Refused, Served
+from glenchute.deciders.lifecycle import Lifecycle
 from glenchute.deciders.places import Close, Places, Reason, State
 from glenchute.wire import resp
 
@@ -31,6 +32,7 @@
 BUFFERED = 256 * 1024  # replies that may wait for a slow reader before its commands are left unread
 REPORT_S = 10.0  # a line for the operators this often, while anything happens
 RELEASE_S = 0.02  # before a finished reply's time is up, what keeps it may be given up
+PART_S = 0.05  # how often idle connections are looked at while the process leaves or drains
 SPARE = 16  # connections past the limit, at most, while they are told so or are being left
 
 
@@ -191,7 +193,11 @@
         if call.request_id in self.listener.open_ids:
             # On the servers two requests of one id would be taken for one, and both might be spoilt.
             raise CommandError("this request id is in use")
-        self.listener.places.request(self.listener.loop.time(), self)
+        now = self.listener.loop.time()
+        if not self.listener.life.takes(now):
+            slot.reply = resp.busy(0.0)
+            return
+        self.listener.places.request(now, self)
         self.listener.open_ids.add(call.request_id)
         slot.request_id = call.request_id
         self.listener.taken += 1
@@ -209,6 +215,8 @@
         if verb == b"PING":
             if len(words) > 2:
                 raise CommandError("wrong number of arguments for 'ping'")
+            if self.listener.life.parting:
+                return resp.error(self.listener.life.phase.value)
             return resp.bulk(words[1]) if len(words) == 2 else resp.PONG
         if verb in (b"CLIENT", b"SELECT"):
             return resp.OK
@@ -234,6 +242,8 @@
             ready.append(self.slots.popleft().reply or b"")
         if ready:
             self.transport.write(b"".join(ready))
+            if not self.slots and self.listener.parts() and not self.parser.rest() and not self.readable():
+                self.closing = True  # the process leaves or drains, and nothing is known to follow
         if self.closing and not self.slots:
             self.leave()
             return
@@ -330,6 +340,14 @@
             self.finish()
         return True
 
+    def part(self, since: float) -> None:
+        """Closes a connection that has stood idle since that time or longer, unless a command is coming."""
+        place = self.listener.places.all.get(self)
+        if place is None or self.slots or self.closing or self.parser.rest():
+            return
+        if place.since <= since and not self.readable():
+            self.finish()
+
 
 class Listener:
     """Accepts clients, up to a number, and ends those whose time is up."""
@@ -349,6 +367,8 @@
         self.server: asyncio.Server | None = None
         self.accepted = self.taken = 0  # connections; requests that reached the decisions
         self.said = "", loop.time()  # the last line for the operators, and when
+        self.life = Lifecycle()
+        self.parter: asyncio.TimerHandle | None = None
         self.sweeper = loop.call_later(self.places.next_check(), self.sweep)
 
     @property
@@ -378,6 +398,7 @@
     async def start(self, host: str, port: int) -> None:
         """Listens on this address only."""
         self.server = await self.loop.create_server(lambda: Client(self), host, port, backlog=512)
+        self.life.serving(self.loop.time())
 
     def made(self, client: Client) -> None:
         """A new connection."""
@@ -408,17 +429,59 @@
             log.info("clients: held=%d requesting=%d %s", len(self.places), self.places.requesting, line)
         self.said = line, now
 
+    def parts(self) -> bool:
+        """Whether connections close behind their last reply."""
+        return self.life.parting and self.life.closes(self.loop.time())
+
+    def lame_duck(self) -> bool:
+        """Drains; False where that changes nothing."""
+        changed = self.life.lame_duck(self.loop.time())
+        if changed:
+            log.info("drain: on, %d connections held", len(self.clients))
+            self.part()
+        return changed
+
+    def back(self) -> bool:
+        """Ends the drain; False where none is on."""
+        changed = self.life.back(self.loop.time())
+        if changed:
+            log.info("drain: off")
+        return changed
+
+    def leave(self, replaced: bool = False) -> None:
+        """The end has begun. `replaced`: another process accepts from the same socket."""
+        self.life.leave(self.loop.time(), replaced)
+        self.part()
+
+    def part(self) -> None:
+        """While the process leaves or drains, closes what is idle, that which is so for longest first."""
+        if self.parter is not None:
+            self.parter.cancel()
+            self.parter = None
+        if not self.life.parting:
+            return
+        now = self.loop.time()
+        borne = self.life.borne(now)
+        if borne < math.inf:
+            for client in list(self.clients):
+                client.part(now - borne)
+        self.parter = self.loop.call_later(PART_S, self.part)
+
     def stop(self) -> None:
-        """No new connections; those between requests close now, the others with their last reply."""
+        """No new connections. The listening socket itself is not shut: what waits in its queue is for
+        whoever else accepts from it."""
         if self.server is not None:
             self.server.close()
-        for client in list(self.clients):
-            client.finish()
-        self.report(self.loop.time())
+            self.server = None
+            self.report(self.loop.time())
 
     def close(self) -> None:
         """The end of the process: written replies still leave, nothing more is read."""
         self.sweeper.cancel()
+        if self.parter is not None:
+            self.parter.cancel()
+        if self.server is not None:
+            self.server.close()
         for client in list(self.clients):
             if client.transport is not None:
                 client.transport.close()
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,261 @@
+"""The second address and the drain, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from glenchute.cli.run import Program
+from glenchute.config.platform import ConfigError, build, load
+from glenchute.fronts.operations import server as operations_server
+from lab.nodes import Node, Trade
+from lab.site import GatewayProcess, LabSite, free_port
+
+from .loopback import (
+    CUSTOMER,
+    GET,
+    SERVED,
+    Client,
+    Script,
+    Site,
+    always,
+    config,
+    numbered,
+    play,
+    raw_config,
+    send_to,
+    site,
+    until,
+)
+
+ANYWHERE: dict[str, Any] = {"operations": ("127.0.0.1", 0)}
+
+
+async def raw(port: int, data: bytes, patience_s: float = 5.0) -> bytes:
+    """Sends bytes to the second address and reads to the end."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(data)
+    try:
+        return await asyncio.wait_for(reader.read(), patience_s)
+    finally:
+        writer.close()
+
+
+async def call(port: int, method: str, target: str) -> int:
+    """One call; its status."""
+    answer = await raw(port, f"{method} {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    return int(answer.split(b" ")[1])
+
+
+def port_of(one: Site) -> int:
+    assert one.program.operations is not None
+    return one.program.operations.port
+
+
+def served() -> Any:
+    return site(always(SERVED), decisions=Script(send_to("s0")), **ANYWHERE)
+
+
+async def read(client: Client, serial: int) -> Any:
+    return await client.ask(b"CALL.GET", CUSTOMER, b"%016x" % serial, GET)
+
+
+def test_calls_are_answered_and_repeating_one_is_harmless() -> None:
+    async def scenario() -> None:
+        async with served() as one:
+            port = port_of(one)
+            assert await call(port, "GET", "/_ready") == 200
+            for target, status in (("on", 503), ("on", 503), ("off", 200), ("off", 200)):
+                assert await call(port, "PUT", f"/_lameduck/{target}") == 200
+                assert await call(port, "GET", "/_ready") == status
+
+    play(scenario())
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET /_ready/ HTTP/1.1\r\nHost: x\r\n\r\n", b"404"),
+        (b"GET /_lameduck/on HTTP/1.1\r\nHost: x\r\n\r\n", b"405"),
+        (b"PUT /_ready HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", b"405"),
+        (b"nonsense\r\n\r\n", b"400"),
+        (b"GET /_ready HTTP/1.1\r\nHost: x\r\nA: " + b"a" * 9000, b"431"),
+        (b"GET /_ready HTTP/1.1\r\n\r\n", b"400"),
+        (b"PUT /_lameduck/on HTTP/1.1\r\nHost: x\r\nContent-Length: 9999\r\n\r\n" + b"b" * 9999, b"413"),
+    ],
+)
+def test_what_is_no_call_is_told_so_and_changes_nothing(data: bytes, status: bytes) -> None:
+    async def scenario() -> None:
+        async with served() as one:
+            answer = await raw(port_of(one), data)
+            assert answer.split(b" ")[1] == status
+            assert (b"Allow: " in answer) == (status == b"405")
+            assert one.program.listener.life.ready
+
+    play(scenario())
+
+
+def test_one_call_to_a_connection_and_bodies_in_pieces() -> None:
+    async def scenario() -> None:
+        async with served() as one:
+            twice = b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n" * 2
+            assert (await raw(port_of(one), twice)).count(b"HTTP/1.1 200") == 1
+            reader, writer = await asyncio.open_connection("127.0.0.1", port_of(one))
+            for byte in b"PUT /_lameduck/on HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}":
+                writer.write(bytes([byte]))
+                await asyncio.sleep(0)
+            assert (await reader.read()).startswith(b"HTTP/1.1 200")
+            writer.close()
+            assert not one.program.listener.life.ready
+
+    play(scenario())
+
+
+def test_callers_that_finish_nothing_neither_stay_nor_keep_others_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(operations_server, "PATIENCE_S", 0.5)
+
+    async def scenario() -> None:
+        async with served() as one:
+            port = port_of(one)
+            idle = [await asyncio.open_connection("127.0.0.1", port) for _ in range(20)]
+            for _, writer in idle[::2]:
+                writer.write(b"GET /_rea")
+            assert await call(port, "GET", "/_ready") == 200
+            held = one.program.operations
+            assert held is not None and len(held.callers.held) <= operations_server.MOST_CALLERS
+            await until(lambda: not held.callers.held)  # and each one's wait ends
+            for _, writer in idle:
+                writer.close()
+
+    play(scenario())
+
+
+def test_a_drain_says_no_and_ends_idle_connections_and_those_in_use_behind_a_reply() -> None:
+    async def scenario() -> None:
+        async with served() as one:
+            idle, used, fresh = [await one.client() for _ in range(3)]
+            assert await read(idle, 1) == await read(used, 2) == b"value"
+            await call(port_of(one), "PUT", "/_lameduck/on")
+            probe = await one.client()
+            assert str(await probe.ask(b"PING")) == "ERR lame duck"
+            serial = 10
+            while (answer := await read(used, serial)) is not None:  # in use without a pause
+                assert answer == b"value"
+                serial += 1
+            # Each of them ended between requests: nothing that was taken is without an answer.
+            for client in (idle, probe, fresh):
+                assert await client.ended()
+            assert one.program.listener.taken == serial - 8
+            last = await one.client()  # who comes nevertheless is served, and the connection goes
+            if one.program.listener.life.takes(one.program.loop.time()):
+                assert await read(last, serial + 1) == b"value"
+                assert await last.ended()
+            await call(port_of(one), "PUT", "/_lameduck/off")
+            again = await one.client()
+            assert await again.ask(b"PING") == b"PONG" and await read(again, serial + 2) == b"value"
+            assert await read(again, serial + 3) == b"value"  # and it stays
+
+    play(scenario())
+
+
+def test_what_is_open_at_a_drain_gets_its_answer_and_late_requests_are_turned_away() -> None:
+    async def scenario() -> None:
+        go = asyncio.Event()
+
+        async def late(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+            await go.wait()
+            return SERVED
+
+        async with site(late, decisions=Script(send_to("s0")), **ANYWHERE) as one:
+            client = await one.client()
+            ids = numbered()
+            for _ in range(3):  # written behind one another
+                client.send(b"CALL.GET", CUSTOMER, next(ids), GET)
+            await until(lambda: one.program.listener.taken == 3)
+            one.program.listener.lame_duck()
+            life = one.program.listener.life
+            life.since -= 10.0  # the drain has gone on for long
+            one.program.listener.part()
+            client.send(b"CALL.GET", CUSTOMER, next(ids), GET)
+            go.set()
+            assert [await client.reply() for _ in range(3)] == [b"value"] * 3
+            assert str(await client.reply()) == "BUSY"  # at once, and promising that nothing ran
+            assert await client.ended()
+
+    play(scenario())
+
+
+def test_on_then_off_keeps_what_had_not_been_closed() -> None:
+    async def scenario() -> None:
+        async with served() as one:
+            client = await one.client()
+            assert await read(client, 1) == b"value"
+            for target in ("on", "off"):
+                await call(port_of(one), "PUT", f"/_lameduck/{target}")
+            one.program.listener.life.since -= 10.0
+            one.program.listener.part()
+            assert await read(client, 2) == b"value"
+            assert await read(client, 3) == b"value"
+
+    play(scenario())
+
+
+def test_sigterm_in_a_drain_ends_the_process_with_all_answers(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with LabSite([Node("s0", Trade({"report-read": 40.0}))]) as lab:
+            platform = lab.platform()
+            port = free_port()
+            platform["operator"] = f"127.0.0.1:{port}"
+            gateway = GatewayProcess(tmp_path, platform)
+            gateway.start()
+            await gateway.ready()
+            client = await Client.connect(gateway.port)
+            fields = b"c=report-read,t=korporativni,d=2000"
+            client.send(b"CALL.GET", CUSTOMER, b"a", fields)
+            assert await call(port, "PUT", "/_lameduck/on") == 200
+            gateway.signal(signal.SIGHUP)  # changes nothing of it
+            assert await call(port, "GET", "/_ready") == 503
+            ending = asyncio.create_task(gateway.stop())
+            assert await client.reply() is not None
+            assert await client.ended()
+            assert await ending == 0
+            assert "Traceback" not in gateway.log.read_text()
+
+    play(scenario())
+
+
+def test_a_second_address_that_is_wrong_or_taken_ends_the_start(tmp_path: Path) -> None:
+    raw_ = raw_config(1, 1, [])
+    assert build(raw_, {}).operations is None
+    assert build(raw_, {"EDGE_OPERATOR": "127.0.0.1:7"}).operations == ("127.0.0.1", 7)
+    both = build({**raw_, "operator": "127.0.0.1:8"}, {"EDGE_OPERATOR": "1.1.1.1:7"})
+    assert both.operations == ("127.0.0.1", 8)
+    path = tmp_path / "config.json"
+    path.write_text('{"settings": {}}')
+    with pytest.raises(ConfigError):
+        load({"EDGE_CONFIG": str(path), "EDGE_OPERATOR": "nowhere"})
+
+    async def scenario() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as taken:
+            made = config(1, 1, [], operations=("127.0.0.1", taken.getsockname()[1]))
+            program = Program(made, asyncio.get_running_loop())
+            with pytest.raises(OSError):
+                await program.start()
+            await program.close()
+
+    play(scenario())
+
+
+def test_without_a_second_address_nothing_listens_there() -> None:
+    async def scenario() -> None:
+        async with site(always(SERVED), decisions=Script(send_to("s0"))) as one:
+            assert one.program.operations is None
+
+    play(scenario())
