Replacement under load: accepts from the passed listening socket, leaves it to the next process

Design: the descriptor that EDGE_PASSED_SOCKET names is checked (a TCP socket over IPv4 that listens at `listen`), else one line and exit 2. With it, SIGTERM means that another process accepts: accepting stops at once, the socket is not shut, and connections close behind their last reply without the half second that a lone process waits. Rejected: SO_REUSEPORT with two sockets, as what waits in the old one's queue is reset when it closes; and passing the descriptors of open connections, which the platform gives no channel for. State is not handed over yet.

--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -14,7 +14,7 @@
 import uvloop
 
 from glenchute.backends.resp2 import Servers
-from glenchute.config.platform import OPERATOR, Config, ConfigError, load
+from glenchute.config.platform import OPERATOR, Config, ConfigError, load, passed_socket
 from glenchute.core.gateway import Gateway
 from glenchute.core.types import Decisions
 from glenchute.deciders.lifecycle import ACCEPT_S
@@ -65,6 +65,7 @@
         operator: Operator | None = None,
     ) -> None:
         self.config = config
+        self.passed = passed_socket(config)
         self.environ = environ or {}
         self.loop = loop
         made = config.settings
@@ -187,7 +188,7 @@
         self.discovery.start()
         # The saved list may be old: a moment is given for today's, but no start hangs on discovery.
         await wait(self.discovery.first, LIST_WAIT_S)
-        await self.listener.start(*self.config.listen)
+        await self.listener.start(*self.config.listen, self.passed)
         if self.extproc is not None:
             await self.extproc.start()
 
@@ -225,9 +226,10 @@
         if self.extproc is not None:
             # GOAWAY at once: a proxy opens its next stream elsewhere, and what is open is served to its end.
             proxies = self.loop.create_task(self.extproc.stop(LEAVE_S))
-        self.listener.leave()
-        await asyncio.sleep(ACCEPT_S)
-        self.listener.stop()
+        self.listener.leave(replaced=self.passed is not None)
+        if self.passed is None:
+            await asyncio.sleep(ACCEPT_S)
+        self.listener.stop()  # what waits to be accepted at a socket that was passed on is another process's
         while self.listener.clients and self.loop.time() - began < LEAVE_S:
             await asyncio.sleep(0.02)
         if proxies is not None:
--- a/glenchute/config/platform.py
+++ b/glenchute/config/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 from dataclasses import dataclass
 from typing import Any
 
@@ -34,6 +35,7 @@
     seed: int
     sockets: int
     known: News | None
+    passed: int | None  # the descriptor of the clients' listening socket, where the platform holds that
     settings: Settings
     limits: Limits
     bounds: Bounds
@@ -83,6 +85,7 @@
         seed=int(str(raw.get("seed") or 0), 16),
         sockets=sockets,
         known=read_list(raw["known"], saved=True) if raw.get("known") else None,
+        passed=descriptor(environ.get("EDGE_PASSED_SOCKET")),
         settings=made,
         limits=Limits(
             connect_s=num(limits.get("connect_timeout_ms"), 250.0) / 1000.0,
@@ -95,6 +98,40 @@
     )
 
 
+def descriptor(text: str | None) -> int | None:
+    """A descriptor's number, in decimal."""
+    if not text:
+        return None
+    if not text.isascii() or not text.isdigit() or len(text) > 6:
+        raise ValueError(f"EDGE_PASSED_SOCKET is no descriptor: {text!r}")
+    return int(text)
+
+
+def passed_socket(config: Config) -> socket.socket | None:
+    """The clients' listening socket that was passed on, checked to be what `listen` names; None where none
+    was. ConfigError where it is anything else: a process that accepts somewhere else, or not at all, must
+    not say that it serves."""
+    if config.passed is None:
+        return None
+    what = f"EDGE_PASSED_SOCKET: descriptor {config.passed}"
+    try:
+        found = socket.socket(fileno=config.passed)
+    except OSError as error:
+        raise ConfigError(f"{what} is no socket: {error.strerror}") from None
+    try:
+        if found.family != socket.AF_INET or found.type != socket.SOCK_STREAM:
+            raise ConfigError(f"{what} is no TCP socket over IPv4")
+        if not found.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise ConfigError(f"{what} does not listen")
+        name = found.getsockname()
+        if name != config.listen:
+            raise ConfigError(f"{what} listens at {name[0]}:{name[1]}, not at `listen`")
+    except ConfigError:
+        found.detach()  # it is not ours to close
+        raise
+    return found
+
+
 def facts(made: Settings, raw: dict[str, Any]) -> Facts:
     """What the rules of the operator's file need to know. The raw settings still tell an unknown group from a
     known one, which the interface reads as the narrowest."""
--- a/glenchute/fronts/resp2/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -11,6 +11,7 @@
 import logging
 import math
 import select
+import socket
 from collections import deque
 from collections.abc import KeysView
 from typing import Any
@@ -26,6 +27,7 @@
 log = logging.getLogger("glenchute")
 
 MOST_PENDING = 64  # commands of one connection without a reply; more are left unread
+BACKLOG = 512  # connections that wait to be accepted
 TURN = 16  # commands that one connection may have carried out before others get their turn
 MOST_ERRORS = 8  # commands that can't be served, after which a connection is closed
 LINGER_BYTES = 4 * 1024 * 1024
@@ -395,9 +397,12 @@
         if found.next_look < math.inf and client.slots:
             self.looks[client] = self.loop.call_at(found.next_look, client.flush)
 
-    async def start(self, host: str, port: int) -> None:
-        """Listens on this address only."""
-        self.server = await self.loop.create_server(lambda: Client(self), host, port, backlog=512)
+    async def start(self, host: str, port: int, passed: socket.socket | None = None) -> None:
+        """Listens on this address only, or accepts from a socket that listens there already."""
+        if passed is not None:
+            self.server = await self.loop.create_server(lambda: Client(self), sock=passed, backlog=BACKLOG)
+        else:
+            self.server = await self.loop.create_server(lambda: Client(self), host, port, backlog=BACKLOG)
         self.life.serving(self.loop.time())
 
     def made(self, client: Client) -> None:
--- a/lab/site.py
+++ b/lab/site.py
@@ -75,6 +75,8 @@
         if operator is not None:
             self.operator.write_text(operator)
         self.process: subprocess.Popen[bytes] | None = None
+        self.passed: socket.socket | None = None  # the platform's listening socket, on days of replacement
+        self.shared = folder  # its $TMPDIR, which a process and its replacement share
         self.log = folder / "gateway.log"
 
     def start(self, *arguments: str) -> None:
@@ -83,12 +85,18 @@
             key: value for key, value in os.environ.items() if not key.startswith(("EDGE_", "GLENCHUTE_"))
         }
         environ["EDGE_CONFIG"] = str(self.config)
+        environ["TMPDIR"] = str(self.shared)
+        kept: tuple[int, ...] = ()
+        if self.passed is not None:
+            kept = (self.passed.fileno(),)
+            environ["EDGE_PASSED_SOCKET"] = str(kept[0])
         if self.operator.exists():
             environ["GLENCHUTE_OPERATOR"] = str(self.operator)
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "glenchute", *arguments], env=environ, stdin=subprocess.DEVNULL,
-                stdout=log, stderr=log, start_new_session=True, cwd=Path(__file__).resolve().parent.parent,
+                stdout=log, stderr=log, start_new_session=True, pass_fds=kept,
+                cwd=Path(__file__).resolve().parent.parent,
             )  # fmt: skip
 
     async def ready(self, patience_s: float = 15.0) -> None:
