Long values are streamed from server to client with backpressure, by turns under a bound

At fault: wire/resp.py's frame and backends/resp2.py's data_received. Rejected: beginning at the head (a lying length could not be tried again), and a fixed share of memory for each value.

--- a/glenchute/backends/resp2.py
+++ b/glenchute/backends/resp2.py
@@ -11,12 +11,17 @@
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from glenchute.core.types import About, Address, Result
+from glenchute.core.types import About, Address, Result, Source
+from glenchute.deciders.turns import Turns
 from glenchute.wire import resp
+from glenchute.wire.long import LongReply
 from heathglade.interface import Ending
 
+if TYPE_CHECKING:
+    from .long import LongAnswer
+
 GRACE_MARGIN_S = 0.05  # a write this close to a drain's end might leave the machine after it
 IDLE_MARGIN_S = 2.0  # idle connections are closed this long before the server would do so
 SWEEP_S = 1.0
@@ -34,6 +39,7 @@
     idle_s: float
     grace_s: float
     connections: int
+    long_values: int = 64  # that may be read at the same time
 
 
 def classify(reply: Any) -> Result:
@@ -55,12 +61,13 @@
 class Connection(asyncio.Protocol):
     """One connection; `attempt` is the one whose request is out on it."""
 
-    __slots__ = ("attempt", "idle_since", "parser", "pool", "stall", "transport")
+    __slots__ = ("attempt", "idle_since", "long", "parser", "pool", "stall", "transport")
 
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
         self.parser = resp.Parser()
         self.attempt: Attempt | None = None
+        self.long: LongAnswer | None = None  # is being passed on
         self.transport: asyncio.Transport | None = None
         self.idle_since = 0.0
         self.stall: asyncio.TimerHandle | None = None  # runs while an answer has come in part
@@ -78,8 +85,14 @@
             self.stall.cancel()
             self.stall = None
         try:
+            if self.long is not None:
+                self.long.feed(data)
+                return
             self.parser.feed(data)
             reply = self.parser.next()
+        except resp.TooLongError:
+            self.too_long(attempt)
+            return
         except resp.ProtocolError:
             self.spoilt()
             return
@@ -87,8 +100,11 @@
             # A length that does not fit leaves an answer without an end, on a connection that stays open.
             self.stall = self.pool.servers.loop.call_later(STALL_S, self.spoilt)
             return
-        result = classify(reply)
-        sound = result.sound and not self.parser.rest()
+        self.answered(attempt, classify(reply), self.parser.rest())
+
+    def answered(self, attempt: Attempt, result: Result, more: bool) -> None:
+        """The answer has come whole; `more`: with bytes behind it."""
+        sound = result.sound and not more
         if not sound and result.ending is not Ending.OK:
             self.spoilt()
             return
@@ -99,6 +115,20 @@
             self.abort()  # a good answer with more behind it is served, but nothing pairs here any more
         attempt.finish(result)
 
+    def too_long(self, attempt: Attempt) -> None:
+        """A value that is not held here: passed on as it comes, if it is the answer's own."""
+        found = LongReply.of(self.parser.take())
+        if found is None or attempt.began is None:
+            self.spoilt()
+            return
+        from .long import LongAnswer  # most processes never meet one
+
+        try:
+            self.long = LongAnswer(self, attempt, found[0])
+            self.long.feed(found[1])
+        except resp.ProtocolError:
+            self.spoilt()
+
     def spoilt(self) -> None:
         """What came is no answer, but the request may have run."""
         if self.attempt is not None and self.attempt.result is None:
@@ -109,6 +139,8 @@
         if self.stall is not None:
             self.stall.cancel()
         self.pool.forget(self)
+        if self.long is not None:
+            self.long.lost()
         attempt, self.attempt = self.attempt, None
         if attempt is not None:
             # uvloop closes the socket only after this call. The ending may start another attempt, which must
@@ -184,7 +216,7 @@
 class Underway:
     """One request on its way to one server, from `Send` to its one ending, whatever carries it."""
 
-    __slots__ = ("done", "ended", "payload", "started", "timer", "until", "write_by", "written")
+    __slots__ = ("began", "done", "ended", "payload", "started", "timer", "until", "write_by", "written")
 
     def __init__(
         self,
@@ -196,6 +228,7 @@
     ) -> None:
         self.payload = payload  # makes the command, given the milliseconds left
         self.done = done
+        self.began: Callable[[Source], None] | None = None
         self.started = loop.time()
         self.until = self.started + timeout_s
         self.write_by = write_by  # not a byte may leave after this
@@ -338,6 +371,7 @@
         self.pools: dict[str, Pool] = {}
         self.leaving: set[Pool] = set()  # no longer listed, with connections open
         self.connecting = 0
+        self.turns: Turns[LongAnswer] = Turns(limits.long_values)
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
 
     def pool(self, server: str, address: Address) -> Pool:
--- a/glenchute/config/platform.py
+++ b/glenchute/config/platform.py
@@ -19,6 +19,10 @@
 OPERATOR = "GLENCHUTE_OPERATOR"  # the variable that names the operator's file
 
 
+LONG_SHARE = 0.25  # of the memory that long values may take on their way through
+LONG_COST = 192 * 1024  # bytes of one: what waits for the client, and what comes in one read
+
+
 class ConfigError(Exception):
     """A configuration that no gateway can run on."""
 
@@ -75,6 +79,7 @@
     sockets = int(num(part(raw, "limits").get("sockets"), 1024))
     if sockets < 64:
         raise ListError(f"{sockets} sockets are too few")
+    memory_mb = num(part(raw, "limits").get("memory_mb"), 192.0)
     operations = raw.get("operator") or environ.get("EDGE_OPERATOR")
     return Config(
         name=str(raw.get("name") or environ.get("EDGE_NAME") or "gateway"),
@@ -92,6 +97,7 @@
             idle_s=max(0.5, num(limits.get("conn_idle_ms"), 15_000.0) / 1000.0 - 2.0),
             grace_s=num(safety.get("drain_grace_ms"), 250.0) / 1000.0,
             connections=sockets * 3 // 10,
+            long_values=max(4, int(memory_mb * 1e6 * LONG_SHARE / LONG_COST)),
         ),
         bounds=bounds(raw["settings"]),
         facts=facts(made, raw["settings"]),
--- a/glenchute/core/gateway.py
+++ b/glenchute/core/gateway.py
@@ -31,6 +31,8 @@
     Refused,
     Result,
     Served,
+    Source,
+    Streamed,
 )  # fmt: skip
 
 if TYPE_CHECKING:  # only an operator's file brings routes in
@@ -61,7 +63,9 @@
 class Live:
     """A request that has been taken."""
 
-    __slots__ = ("answer", "attempts", "call", "course", "deadline", "may_have_run", "out", "ref", "timer")
+    __slots__ = (
+        "answer", "attempts", "began_ms", "call", "course", "deadline", "may_have_run", "out", "ref", "timer",
+    )  # fmt: skip
 
     def __init__(self, ref: str, call: Call, deadline: float, answer: Callable[[Answer], None]) -> None:
         self.ref = ref
@@ -72,6 +76,7 @@
         self.out: list[Attempt] = []  # attempts under way: one, or two where copies may overlap
         self.course: Course | None = None  # what the operator's routes allow
         self.may_have_run = False
+        self.began_ms: float | None = None  # from its attempt's start to the first bytes of a long answer
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -277,6 +282,8 @@
             return
         self.out[ref, number] = attempt
         live.out.append(attempt)
+        if live.call.carrier is None:
+            attempt.began = lambda source: self.began(live, number, source)
         attempt.start()
 
     def about(self, live: Live, number: int) -> About:
@@ -308,13 +315,28 @@
             return 0.0
         return live.course.after(self.clock.now(), ending)
 
+    def began(self, live: Live, number: int, source: Source) -> None:
+        """A long answer has begun. It is the request's final answer, however it ends: from the first byte on
+        nothing else can be told to the client."""
+        if live.ref not in self.live:
+            source.drop()  # its time was up, or another attempt was first
+            return
+        attempt = self.out[live.ref, number]
+        live.began_ms = 1000.0 * (self.loop.time() - attempt.started)
+        self.answer(live.ref, Streamed(source))
+        for other in [one for one in live.out if one is not attempt]:
+            other.stop(api.Ending.CANCELLED)
+        self.post(api.AnswerBegan(live.ref, number))
+
     def ended(self, live: Live, number: int, server: str, result: Result) -> None:
         """An attempt's one ending. A value goes to the client before the module hears of it."""
         attempt = self.out.pop((live.ref, number))
         live.out.remove(attempt)
         if result.ending not in DID_NOT_RUN:
             live.may_have_run = True
-        took_ms = 1000.0 * (self.loop.time() - attempt.started)
+        took_ms = live.began_ms  # how long the rest took is the peers' pace, not the server's load
+        if took_ms is None:
+            took_ms = 1000.0 * (self.loop.time() - attempt.started)
         if result.ending is api.Ending.OK and result.value is not None:
             self.answer(live.ref, Served(result.value))
         queue, active = report(result.report)
--- a/glenchute/core/types.py
+++ b/glenchute/core/types.py
@@ -52,7 +52,47 @@
     """Final answer: no promise about the effect."""
 
 
-Answer = Served | Refused | Failed
+class Sink(Protocol):
+    """Where a long value goes: a client whose turn it is. None of these is called from within a call to the
+    source, but for `Source.to`."""
+
+    def piece(self, data: bytes) -> None:
+        """The next bytes."""
+
+    def whole(self) -> None:
+        """All bytes have been given."""
+
+    def cut_short(self) -> None:
+        """No more come, and the client has to be able to tell."""
+
+
+class Source(Protocol):
+    """A long value on its way, `length` bytes in all. One that has `failed` gave nothing on, and won't."""
+
+    length: int
+    failed: bool
+
+    def to(self, sink: Sink) -> None:
+        """The client's turn has come: gives all on that comes from now on, at the client's pace. Once."""
+
+    def pause(self) -> None:
+        """The client does not read: no more, for now."""
+
+    def resume(self) -> None:
+        """It does again."""
+
+    def drop(self) -> None:
+        """Nobody wants it any more. No call to the sink follows."""
+
+
+@dataclass(frozen=True, slots=True)
+class Streamed:
+    """Final answer: a value too long to be held, as a server gives it for this request."""
+
+    source: Source
+
+
+Answer = Served | Streamed | Refused | Failed
 
 
 @dataclass(slots=True)
@@ -87,6 +127,7 @@
 
     started: float  # the loop's time
     written: bool  # a byte may have left: it may have run
+    began: Callable[[Source], None] | None  # told of an answer too long to be held, before `done`
 
     def start(self) -> None:
         """Sends it, or begins to."""
--- a/glenchute/fronts/extproc/calls.py
+++ b/glenchute/fronts/extproc/calls.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass
 
 from glenchute.core.gateway import Gateway, Live
-from glenchute.core.types import About, Address, Answer, Call, Carrier, Refused, Result, Served
+from glenchute.core.types import About, Address, Answer, Call, Carrier, Refused, Result, Served, Source
 from glenchute.deciders.exchange import Asking, Gate, Show, ending, gate, may_follow, show
 from glenchute.deciders.mapping import Fields, MappingError, NeedsBody, Rules, View
 from heathglade.interface import Ending, Repeat
@@ -92,8 +92,8 @@
     """An attempt that the proxy makes, from the module's choice to its one ending."""
 
     __slots__ = (
-        "address", "done", "entry", "over", "server", "started", "stream", "timeout_s", "timer", "until",
-        "write_by", "written",
+        "address", "began", "done", "entry", "over", "server", "started", "stream", "timeout_s", "timer",
+        "until", "write_by", "written",
     )  # fmt: skip
 
     def __init__(
@@ -106,6 +106,7 @@
         self.until = self.started + timeout_s
         self.written = False  # the proxy was let through: it may have run
         self.over = False
+        self.began: Callable[[Source], None] | None = None  # values go by the proxy, however long
         self.stream: Upstream | None = None
         self.timer: asyncio.TimerHandle | None = None
 
--- a/glenchute/fronts/extproc/ratelimit.py
+++ b/glenchute/fronts/extproc/ratelimit.py
@@ -13,7 +13,7 @@
 from envoy.service.ratelimit.v3 import rls_pb2
 
 from glenchute.core.gateway import Gateway, Live
-from glenchute.core.types import About, Answer, Call, Carrier, Refused, Result
+from glenchute.core.types import About, Answer, Call, Carrier, Refused, Result, Source
 from glenchute.deciders.mapping import MappingError, Rules, View
 from heathglade.interface import Ending
 
@@ -55,6 +55,7 @@
         self.question, self.done = question, done
         self.started = question.gateway.loop.time()
         self.written = False
+        self.began: Callable[[Source], None] | None = None
         self.over = False
 
     def start(self) -> None:
--- a/glenchute/fronts/resp2/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from glenchute.core.gateway import Gateway, Live
-from glenchute.core.types import Answer, Refused, Served
+from glenchute.core.types import Answer, Refused, Served, Source, Streamed
 from glenchute.deciders.lifecycle import Lifecycle
 from glenchute.deciders.places import Close, Places, Reason, State
 from glenchute.wire import resp
@@ -31,6 +31,7 @@
 TURN = 16  # commands that one connection may have carried out before others get their turn
 MOST_ERRORS = 8  # commands that can't be served, after which a connection is closed
 LINGER_BYTES = 4 * 1024 * 1024
+LONG_BUFFERED = 64 * 1024  # of a long value that may wait for its reader before the server is left unread
 BUFFERED = 256 * 1024  # replies that may wait for a slow reader before its commands are left unread
 REPORT_S = 10.0  # a line for the operators this often, while anything happens
 RELEASE_S = 0.02  # before a finished reply's time is up, what keeps it may be given up
@@ -50,13 +51,14 @@
 class Slot:
     """The place of one reply in a connection's order."""
 
-    __slots__ = ("client", "due", "live", "reply", "request_id")
+    __slots__ = ("client", "due", "live", "reply", "request_id", "source")
 
     def __init__(self, client: Client) -> None:
         self.client = client
         self.due = math.inf  # the client waits until then, by the loop's clock
         self.live: Live | None = None
         self.reply: bytes | None = None
+        self.source: Source | None = None  # of a reply that is too long to be held
         self.request_id: bytes | None = None  # while the request is open
 
     def release(self) -> None:
@@ -67,8 +69,12 @@
 
     def fill(self, answer: Answer) -> None:
         """The answer is known; it goes out when those before it have."""
-        self.release()
-        self.reply, self.live = encode(answer), None
+        self.live = None
+        if isinstance(answer, Streamed):
+            self.source = answer.source  # its id stays in use until the value has passed
+        else:
+            self.release()
+            self.reply = encode(answer)
         self.client.flush()
 
 
@@ -87,6 +93,7 @@
         "paused",
         "slots",
         "spoke",
+        "streaming",
         "transport",
         "waiting",
         "working",
@@ -107,6 +114,7 @@
         self.spoke = False  # a whole command has come
         self.errors = 0
         self.partial = False  # the end of a command that has begun is awaited
+        self.streaming: Source | None = None  # the long value whose turn it is
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
@@ -126,6 +134,9 @@
             live, slot.live = slot.live, None
             if live is not None:
                 self.listener.gateway.client_left(live)
+            if slot.source is not None:
+                slot.source.drop()
+        self.streaming = None
 
     def data_received(self, data: bytes) -> None:
         if self.closing:
@@ -240,7 +251,7 @@
         if self.transport is None or self.working:
             return  # while commands are being taken, their replies go out together afterwards
         ready: list[bytes] = []
-        while self.slots and self.slots[0].reply is not None:
+        while self.slots and self.next_reply(self.slots[0]):
             ready.append(self.slots.popleft().reply or b"")
         if ready:
             self.transport.write(b"".join(ready))
@@ -249,6 +260,9 @@
         if self.closing and not self.slots:
             self.leave()
             return
+        if self.slots and self.slots[0].source is not None and self.streaming is None:
+            self.stream(self.slots[0].source)
+            return  # it may be over already, and this have been done again
         if self.listener.release and self.slots and not self.full:
             self.listener.unblock(self)
         if ready and self.parser.rest() and not self.full and not self.closing:
@@ -256,6 +270,49 @@
         self.settle()
         self.throttle()
 
+    @staticmethod
+    def next_reply(slot: Slot) -> bool:
+        """Whether the reply that is next in order can be written whole."""
+        if slot.reply is None and slot.source is not None and slot.source.failed:
+            slot.release()
+            slot.reply, slot.source = resp.FAILED, None  # it ended while it waited: nothing of it has left
+        return slot.reply is not None
+
+    def stream(self, source: Source) -> None:
+        """The turn of a long value: its bytes go on as they come."""
+        assert self.transport is not None
+        self.streaming = source
+        self.transport.set_write_buffer_limits(high=LONG_BUFFERED)
+        self.transport.write(b"$%d\r\n" % source.length)
+        self.settle()
+        self.throttle()
+        if self.full:
+            source.pause()  # of replies before it
+        source.to(self)
+
+    def piece(self, data: bytes) -> None:
+        if self.transport is not None:
+            self.transport.write(data)
+
+    def whole(self) -> None:
+        if self.transport is not None and self.streaming is not None:
+            self.streaming = None
+            self.transport.set_write_buffer_limits(high=BUFFERED)
+            slot = self.slots[0]
+            slot.release()
+            slot.reply, slot.source = b"\r\n", None
+            self.flush()
+
+    def cut_short(self) -> None:
+        """The value ends before its length is reached, and so does the connection: the client can tell. The
+        replies before it have been written, and leave."""
+        self.streaming = None
+        self.closing = True
+        self.slots[0].source = None
+        if self.transport is not None and not self.transport.is_closing():
+            self.be(State.STUCK)  # its time, should the client not read them
+            self.transport.close()
+
     def settle(self) -> None:
         """Tells what the connection is doing now."""
         if self.full:
@@ -302,11 +359,15 @@
 
     def pause_writing(self) -> None:
         self.full = True
+        if self.streaming is not None:
+            self.streaming.pause()
         self.settle()
         self.throttle()
 
     def resume_writing(self) -> None:
         self.full = False
+        if self.streaming is not None:
+            self.streaming.resume()
         self.settle()
         self.throttle()
         self.book()
--- a/glenchute/wire/resp.py
+++ b/glenchute/wire/resp.py
@@ -31,6 +31,10 @@
     """Bytes that are not RESP, or more of them than a message may have."""
 
 
+class TooLongError(ProtocolError):
+    """A value over `MAX_VALUE`: not held here."""
+
+
 def line(raw: bytes, at: int, most: int) -> int:
     """Where the line at `at` ends, its line break included; 0 if that has not come."""
     end = raw.find(b"\n", at, at + most + 2)
@@ -74,7 +78,7 @@
                 return 0
         return end
     if not 0 <= count <= MAX_VALUE:
-        raise ProtocolError("value too long")
+        raise TooLongError("value too long")
     end += count
     if raw[end : end + 2] not in (b"\r\n", b"\r", b""):
         raise ProtocolError("a value that is longer than announced")
@@ -113,6 +117,11 @@
         except hiredis.ProtocolError as error:
             raise ProtocolError(str(error)) from None
 
+    def take(self) -> bytes:
+        """All that waits; the parser is empty then."""
+        raw, self._raw, self._at = self._raw[self._at :], b"", 0
+        return raw
+
     def rest(self) -> bool:
         """Whether bytes wait behind the last message."""
         return self._at < len(self._raw)
--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -627,6 +627,7 @@
     server: ServerEntry
     sent: float
     work: float  # mean time of such a request by then
+    began: float = math.inf  # when a long answer's first bytes came; from then on it is not late
 
 
 class Gateway:
@@ -678,14 +679,20 @@
             case AttemptHeld(request_id):
                 if self.settings.overlap and (held := self.requests.get(request_id)):
                     self.copy(now_ms, held)
-            case RequestGone(request_id) | AnswerBegan(request_id):
+            case RequestGone(request_id):
                 self.requests.pop(request_id, None)
+            case AnswerBegan(request_id, number):
+                self.requests.pop(request_id, None)
+                if attempt := self.attempts.get((request_id, number)):
+                    attempt.began = now_ms
         return self.actions
 
     def tick(self, now: float) -> None:
         """Judges pressure, ages out customers, looks at held requests."""
         self.actions.append(SetTimer(0, now + TICK_MS))
-        self.pressure.window(now, [(now - a.sent) / a.opened.cls.aim_ms for a in self.attempts.values()])
+        self.pressure.window(now, [
+            (min(now, a.began) - a.sent) / a.opened.cls.aim_ms for a in self.attempts.values()
+        ])  # fmt: skip
         self.tell(now, "counter mute", self.settings.counter and self.quota.mute)
         self.tell(now, "calls to the counter slowed", self.quota.share < 0.5)
         health = self.quota.watch.state(now)
--- a/tests/simulated.py
+++ b/tests/simulated.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from glenchute.core.gateway import Gateway
-from glenchute.core.types import About, Address, Answer, Call, Failed, Refused, Result, Served
+from glenchute.core.types import About, Address, Answer, Call, Failed, Refused, Result, Served, Source
 from glenchute.deciders.routes import Routes
 from heathglade import Gateway as Module
 from heathglade.interface import (  # fmt: skip
@@ -125,6 +125,7 @@
         self.started = record.started
         self.write_by = write_by
         self.written = False
+        self.began: Callable[[Source], None] | None = None
         self.over = False
 
     def start(self) -> None:
--- /dev/null
+++ b/tests/test_long_values.py
@@ -0,0 +1,457 @@
+"""Long values: taken apart at any cut, read by turns, and passed on over sockets with peers that stall, lie,
+stop and leave."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import socket
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from glenchute.backends import long as long_module
+from glenchute.deciders.turns import Turns
+from glenchute.wire import resp
+from glenchute.wire.long import MAX_LONG, LongReply
+from heathglade import interface as api
+
+from .loopback import CUSTOMER, GET, ORDER, SERVED, Client, Script, Site, numbered, play, send_to, site, until
+
+TAIL = b"\r\n*-1\r\n$20\r\ninflight=7,queue=2.5\r\n"
+
+
+def body(length: int, seed: int = 1) -> bytes:
+    """A value that holds all that could mislead a parser."""
+    noise = random.Random(seed).randbytes(4096) + b"\r\n$-1\r\n*3\r\n-ERR failed\r\nHTTP/1.1 200 OK\r\n\r\n"
+    return (noise * (length // len(noise) + 1))[:length]
+
+
+def head(length: int) -> bytes:
+    return b"*3\r\n$%d\r\n" % length
+
+
+VALUE = body(70_000)
+ANSWER = head(len(VALUE)) + VALUE + TAIL
+
+
+# --- the framer --------------------------------------------------------------------------------------------
+
+
+def taken(pieces: list[bytes]) -> tuple[bytes, LongReply]:
+    """What comes of an answer that comes in these pieces."""
+    parser, reply, out = resp.Parser(), None, []
+    for piece in pieces:
+        if reply is not None:
+            out.append(reply.feed(piece))
+            continue
+        parser.feed(piece)
+        try:
+            assert parser.next() is False
+        except resp.TooLongError:
+            found = LongReply.of(parser.take())
+            assert found is not None
+            reply = found[0]
+            out.append(reply.feed(found[1]))
+    assert reply is not None
+    return b"".join(out), reply
+
+
+def cut(data: bytes, at: list[int]) -> list[bytes]:
+    marks = [0, *sorted(at), len(data)]
+    return [data[a:b] for a, b in itertools.pairwise(marks) if a < b]
+
+
+@pytest.mark.parametrize("at", [*range(1, 20), *range(len(ANSWER) - 40, len(ANSWER))])
+def test_one_cut_anywhere_near_an_edge(at: int) -> None:
+    value, reply = taken(cut(ANSWER, [at]))
+    assert value == VALUE and reply.done and not reply.surplus
+    assert reply.reply == [None, b"inflight=7,queue=2.5"]
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.lists(st.integers(1, len(ANSWER) - 1), max_size=40))
+def test_any_cuts(at: list[int]) -> None:
+    value, reply = taken(cut(ANSWER, at))
+    assert value == VALUE and reply.done and reply.reply == [None, b"inflight=7,queue=2.5"]
+
+
+def test_byte_by_byte_and_with_more_behind() -> None:
+    value, reply = taken([ANSWER[i : i + 1] for i in range(len(ANSWER))])
+    assert value == VALUE and reply.done and not reply.surplus
+    _, reply = taken([ANSWER + b"+OK\r\n"])
+    assert reply.done and reply.surplus
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"*3\r\n$%d\r\n" % (MAX_LONG + 1),
+        b"*2\r\n$70000\r\n",
+        b"*3\r\n$-1\r\n$70000\r\n",
+        b"*3\r\n$5\r\nvalue\r\n*-1\r\n$70000\r\n",
+        b"$70000\r\n",
+        b"*3\r\n$3000000000\r\n",
+    ],
+)
+def test_other_long_elements_are_no_answers(data: bytes) -> None:
+    parser = resp.Parser()
+    parser.feed(data)
+    with pytest.raises(resp.ProtocolError):
+        parser.next()
+    assert LongReply.of(parser.take()) is None
+
+
+@pytest.mark.parametrize("tail", [b"xy", b"\rx", b"\r\n-ERR\r\n", b"\r\n:1\r\n$70000\r\n", b"\r\n$x\r\n"])
+def test_a_wrong_length_or_end_is_found(tail: bytes) -> None:
+    reply = LongReply(4)
+    with pytest.raises(resp.ProtocolError):
+        reply.feed(b"abcd" + tail)
+
+
+# --- turns -------------------------------------------------------------------------------------------------
+
+
+class Reading(RuleBasedStateMachine):
+    """Values that ask, get pieces and end, against what the turns promise."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.turns: Turns[int] = Turns(3)
+        self.serial = 0
+        self.moves: dict[int, int] = {}  # pieces that others got since this one began to wait
+        self.reads: set[int] = set()
+
+    @rule()
+    def asks(self) -> None:
+        self.serial += 1
+        if self.turns.ask(self.serial):
+            self.reads.add(self.serial)
+        else:
+            self.moves[self.serial] = 0
+
+    @precondition(lambda self: self.reads)
+    @rule(pick=st.integers(0, 9))
+    def got(self, pick: int) -> None:
+        key = sorted(self.reads)[pick % len(self.reads)]
+        ahead = len(self.moves)
+        if not self.turns.got(key):
+            assert ahead, "nobody waits, and yet it may not go on"
+            self.reads.discard(key)
+            self.moves[key] = 0
+        self.wake()
+
+    @precondition(lambda self: self.reads or self.moves)
+    @rule(pick=st.integers(0, 99))
+    def ends(self, pick: int) -> None:
+        keys = sorted(self.reads | set(self.moves))
+        key = keys[pick % len(keys)]
+        self.turns.left(key)
+        self.reads.discard(key)
+        self.moves.pop(key, None)
+        self.wake()
+
+    def wake(self) -> None:
+        while (key := self.turns.next()) is not None:
+            assert key == next(iter(self.moves)), "not the one that has waited for longest"
+            del self.moves[key]
+            self.reads.add(key)
+
+    @invariant()
+    def bounded_and_busy(self) -> None:
+        assert set(self.turns.reading) == self.reads and len(self.reads) <= 3
+        assert list(self.turns.waiting) == list(self.moves)
+        assert not self.moves or len(self.reads) == 3, "a place is free and somebody waits"
+
+
+Reading.TestCase.settings = settings(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True)
+TestReading = Reading.TestCase
+
+
+# --- over sockets ------------------------------------------------------------------------------------------
+
+
+@asynccontextmanager
+async def serving(
+    answer: Callable[[asyncio.StreamWriter, bytes], Any], **changes: Any
+) -> AsyncIterator[tuple[Site, Script]]:
+    """A gateway whose one server answers with what `answer` writes, told the request's id."""
+
+    async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> bytes | None:
+        found = await answer(writer, words[2])
+        return found if isinstance(found, bytes) else None
+
+    script = Script(send_to("s0", changes.pop("timeout_ms", 0.0)))
+    async with site(reply, decisions=script, **changes) as one:
+        yield one, script
+
+
+async def whole(writer: asyncio.StreamWriter, name: bytes) -> bytes:
+    return ANSWER
+
+
+def ask(client: Client, ids: Any, fields: bytes = GET) -> None:
+    client.send(b"CALL.GET" if fields is GET else b"CALL.POST", CUSTOMER, next(ids), fields)
+
+
+def ended(script: Script) -> list[api.Ending]:
+    return [event.ending for event in script.of(api.AttemptEnded)]
+
+
+def test_a_long_value_is_served_whole_and_the_connection_is_used_again() -> None:
+    async def scenario() -> None:
+        async with serving(whole) as (one, script):
+            client, ids = await one.client(), numbered()
+            for _ in range(3):
+                ask(client, ids)
+                assert await client.reply() == VALUE
+                await asyncio.sleep(0.05)
+            assert ended(script) == [api.Ending.OK] * 3
+            assert all(event.active == 7.0 and event.final for event in script.of(api.AttemptEnded))
+            assert len(script.of(api.AnswerBegan)) == 3
+            assert len(one.servers[0].writers) == 1
+            assert not one.program.listener.open_ids
+
+    play(scenario())
+
+
+def test_replies_stay_in_order_round_a_long_one() -> None:
+    async def scenario() -> None:
+        gates = {b"%016x" % n: asyncio.Event() for n in (1, 2, 3)}
+
+        async def answer(writer: asyncio.StreamWriter, name: bytes) -> bytes:
+            await gates[name].wait()
+            return ANSWER if name == b"%016x" % 2 else SERVED
+
+        async with serving(answer) as (one, script):
+            client, ids = await one.client(), numbered()
+            for _ in range(3):
+                ask(client, ids)
+            gates[b"%016x" % 3].set()
+            gates[b"%016x" % 2].set()  # its turn has not come: its server waits
+            await until(lambda: script.of(api.AnswerBegan))
+            await asyncio.sleep(0.05)
+            assert not client.reader._buffer  # type: ignore[attr-defined]
+            gates[b"%016x" % 1].set()
+            assert [await client.reply() for _ in range(3)] == [b"value", VALUE, b"value"]
+
+    play(scenario())
+
+
+@pytest.mark.parametrize("fields", [GET, ORDER])
+def test_before_the_first_byte_an_attempt_may_fail_and_after_it_never_goes_again(fields: bytes) -> None:
+    async def scenario() -> None:
+        sent = [b"*3\r\n$70", head(70_000) + VALUE[:30_000]]
+
+        async def answer(writer: asyncio.StreamWriter, name: bytes) -> None:
+            writer.write(sent.pop(0))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            writer.close()
+
+        tries: dict[str, int] = {}
+
+        def decide(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request) or (isinstance(event, api.AttemptEnded) and not event.final):
+                tries[event.request_id] = tries.get(event.request_id, 0) + 1
+                return [api.Send(event.request_id, "s0", 0.0)]
+            return []
+
+        script = Script(decide)
+
+        async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            await answer(writer, words[2])
+
+        async with site(reply, decisions=script) as one:
+            client, ids = await one.client(), numbered()
+            ask(client, ids, fields)
+            got = await client.reader.read()  # to the end of the connection: the client can tell
+            assert got == b"$70000\r\n" + VALUE[:30_000]
+            await until(lambda: len(script.of(api.AttemptEnded)) == 2)
+            last = script.of(api.AttemptEnded)[-1]
+            assert last.final and last.ending is api.Ending.RESET
+            assert list(tries.values()) == [2] and not one.program.gateway.live
+
+    play(scenario())
+
+
+def test_pauses_of_the_server_in_the_head_the_body_and_before_the_last_line_break() -> None:
+    async def scenario() -> None:
+        parts = [ANSWER[:6], ANSWER[6:300], ANSWER[300:40_000], ANSWER[40_000:-1], ANSWER[-1:]]
+
+        async def answer(writer: asyncio.StreamWriter, name: bytes) -> None:
+            for n, part in enumerate(parts):
+                writer.write(part)
+                await asyncio.sleep(0.1 if n == 0 else 0.4)  # a short answer would have failed at 0.25 s
+
+        async with serving(answer) as (one, script):
+            client, ids = await one.client(), numbered()
+            ask(client, ids)
+            assert await client.reply() == VALUE
+            await until(lambda: ended(script) == [api.Ending.OK])
+            took = script.of(api.AttemptEnded)[0].took_ms
+            assert took < 1000.0, "the time is that of the first bytes"
+
+    play(scenario())
+
+
+def test_a_server_that_stops_is_cut_off_and_the_client_can_tell(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(long_module, "SILENT_S", 0.2)
+
+    async def scenario() -> None:
+        async def answer(writer: asyncio.StreamWriter, name: bytes) -> bytes:
+            return ANSWER[:50_000]
+
+        async with serving(answer) as (one, script):
+            client, ids = await one.client(), numbered()
+            ask(client, ids)
+            got = await client.reader.read()
+            assert 0 < len(got) < len(VALUE)
+            await until(lambda: ended(script) == [api.Ending.ERROR])
+
+    play(scenario())
+
+
+@pytest.mark.parametrize("late", [False, True])
+@pytest.mark.parametrize("extra", [b"x", b"\r\n+OK\r\n"])
+def test_a_length_that_lies_never_passes_for_a_whole_value(extra: bytes, late: bool) -> None:
+    async def scenario() -> None:
+        async def answer(writer: asyncio.StreamWriter, name: bytes) -> bytes:
+            if not late:
+                return head(len(VALUE)) + VALUE + extra + TAIL
+            writer.write(head(len(VALUE)) + VALUE)
+            await asyncio.sleep(0.1)
+            return extra + TAIL
+
+        async with serving(answer) as (one, script):
+            client, ids = await one.client(), numbered()
+            ask(client, ids)
+            if late:
+                got = await client.reader.read()
+                assert got.startswith(b"$70000\r\n") and len(got) < len(b"$70000\r\n") + 70_000 + 2
+            else:  # found out before anything was passed on
+                assert str(await client.reply()) == "ERR failed"
+            await until(lambda: ended(script) == [api.Ending.ERROR])
+
+    play(scenario())
+
+
+def test_a_client_that_leaves_or_a_deadline_that_passes_in_the_middle() -> None:
+    async def scenario() -> None:
+        go = asyncio.Event()
+
+        async def answer(writer: asyncio.StreamWriter, name: bytes) -> bytes:
+            writer.write(ANSWER[:40_000])
+            await go.wait()
+            return ANSWER[40_000:]
+
+        async with serving(answer) as (one, script):
+            ids = numbered()
+            stays, leaves = await one.client(), await one.client()
+            short = GET.replace(b"d=20000", b"d=300")
+            stays.send(b"CALL.GET", CUSTOMER, next(ids), short)
+            ask(leaves, ids)
+            await until(lambda: len(script.of(api.AnswerBegan)) == 2)
+            leaves.writer.transport.abort()
+            await until(lambda: ended(script) == [api.Ending.CANCELLED])
+            await asyncio.sleep(0.4)  # the time of the one that stays is up, but its first bytes were in time
+            go.set()
+            assert await stays.reply() == VALUE
+            await until(lambda: not one.program.listener.open_ids)
+
+    play(scenario())
+
+
+def test_readers_that_stop_hold_a_bounded_amount_and_short_requests_go_on() -> None:
+    size = 2 * 1024 * 1024
+
+    async def scenario() -> None:
+        value = body(size)
+
+        async def answer(writer: asyncio.StreamWriter, name: bytes) -> bytes:
+            return SERVED if int(name, 16) > 1000 else head(size) + value + TAIL
+
+        async with serving(answer) as (one, _):
+            ids = numbered()
+            stopped = [await one.client() for _ in range(12)]
+            for client in stopped:
+                client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+                ask(client, ids)
+            usual = await one.client()
+            for n in range(1001, 1051):
+                assert await usual.ask(b"CALL.GET", CUSTOMER, b"%016x" % n, GET) == b"value"
+            held = 0
+            for place in one.program.listener.clients:
+                if place.transport is not None:
+                    held += place.transport.get_write_buffer_size()
+            assert held <= 12 * 3 * 64 * 1024, held
+            for client in stopped:
+                client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+                assert await client.reply() == value  # and each gets the whole of it
+
+    play(scenario())
+
+
+def test_with_one_place_all_values_move_and_a_reader_that_stops_makes_room(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(long_module, "STUCK_S", 0.1)
+    size = MAX_LONG
+
+    async def scenario() -> None:
+        value = body(size)
+
+        async def answer(writer: asyncio.StreamWriter, name: bytes) -> bytes:
+            return head(size) + value + TAIL
+
+        async with serving(answer) as (one, script):
+            one.program.servers.turns.most = 1
+            ids = numbered()
+            narrow = socket.socket()
+            narrow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)  # or the machine takes it all
+            narrow.connect(("127.0.0.1", one.port))
+            stops = Client(*await asyncio.open_connection(sock=narrow))
+            stops.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            ask(stops, ids)
+            await until(lambda: script.of(api.AnswerBegan))
+            others = [await one.client() for _ in range(5)]
+            for client in others:
+                ask(client, ids)
+            assert await asyncio.gather(*(client.reply() for client in others)) == [value] * 5
+            assert api.Ending.ERROR in ended(script)  # the one that did not read was cut off for them
+
+    play(scenario())
+
+
+def test_an_end_of_the_process_does_not_wait_for_ever_for_a_long_value() -> None:
+    async def scenario() -> None:
+        async def answer(writer: asyncio.StreamWriter, name: bytes) -> bytes:
+            return ANSWER[:50_000]
+
+        async with serving(answer) as (one, script):
+            client, ids = await one.client(), numbered()
+            ask(client, ids)
+            await until(lambda: script.of(api.AnswerBegan))
+            await asyncio.wait_for(one.program.leave(), 5.0)
+            got = await client.reader.read()
+            assert len(got) < len(VALUE)
+
+    play(scenario())
+
+
+def test_shared_connections_do_not_take_long_values() -> None:
+    async def scenario() -> None:
+        operator = '[pipeline]\nclasses = ["read"]\n'
+        async with serving(whole, operator=operator) as (one, script):
+            client, ids = await one.client(), numbered()
+            ask(client, ids)
+            assert str(await client.reply()) == "ERR failed"
+            assert ended(script) == [api.Ending.ERROR]
+
+    play(scenario())
