--- a/glenchute/backends/resp2.py
+++ b/glenchute/backends/resp2.py
@@ -368,6 +368,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, limits: Limits) -> None:
         self.loop = loop
         self.limits = limits
+        self.most = limits.connections  # of this process, at the moment
         self.pools: dict[str, Pool] = {}
         self.leaving: set[Pool] = set()  # no longer listed, with connections open
         self.connecting = 0
@@ -406,6 +407,11 @@
         """All that are listed or drain."""
         return list(self.pools)
 
+    def share(self, share: float) -> None:
+        """From now on this process keeps to so much of the gateway's connections and memory."""
+        self.most = max(1, int(self.limits.connections * share))
+        self.turns.most = max(1, int(self.limits.long_values * share))
+
     def count(self) -> int:
         """Sockets in use."""
         pools = [*self.pools.values(), *self.leaving]
@@ -413,11 +419,11 @@
 
     def has_room(self) -> bool:
         """Whether `make_room` would succeed."""
-        return self.count() < self.limits.connections or any(pool.idle for pool in self.pools.values())
+        return self.count() < self.most or any(pool.idle for pool in self.pools.values())
 
     def make_room(self) -> bool:
         """Whether one more connection may be opened; the longest idle one is closed for it if need be."""
-        if self.count() < self.limits.connections:
+        if self.count() < self.most:
             return True
         pools = [pool for pool in self.pools.values() if pool.idle]
         if not pools:
--- a/glenchute/capture/codec.py
+++ b/glenchute/capture/codec.py
@@ -43,6 +43,9 @@
     api.CountReply,
     api.AttemptHeld,
     api.AttemptPlaced,
+    api.Beside,
+    api.TakeOver,
+    api.Alone,
 )
 ACTIONS: tuple[type[Any], ...] = (
     api.Send,
@@ -53,6 +56,7 @@
     api.Count,
     api.Subscribe,
     api.Log,
+    api.HandOver,
 )
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder()
--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -30,6 +30,8 @@
     from glenchute.fronts.extproc.server import Server as ExtProc
     from glenchute.fronts.operations import OperationsServer
 
+    from .succession import Succession
+
 LIST_WAIT_S = 0.3  # a start waits this long for the list of the day before it serves by the saved one
 LEAVE_S = 3.2  # what is still held this long after SIGTERM is answered and left; the kill comes at 3.7 s
 LINGER_S = 0.05
@@ -90,6 +92,7 @@
         self.extproc: ExtProc | None = None
         if operator is not None and operator.fronts and "extproc" in operator.fronts:
             self.extproc = self.processing(operator.fronts["extproc"])
+        self.succession = self.succeeding() if self.passed is not None else None
         self.operations = self.operating() if config.operations is not None else None
         self.discovery = Discovery(loop, config.discovery, self.gateway.news, made.gateways, config.seed)
         # What of the operator's file holds until a restart.
@@ -152,6 +155,13 @@
             {"/_ready": {"GET": ready}, "/_lameduck/on": {"PUT": on}, "/_lameduck/off": {"PUT": off}},
         )
 
+    def succeeding(self) -> Succession | None:
+        """The way to the processes before and after; imported only where the platform replaces them."""
+        from .succession import Succession
+
+        folder = self.environ.get("TMPDIR")
+        return Succession.of(folder, self.config, self.loop, self.gateway, self.listener, self.servers)
+
     def bind(self, operator: Operator) -> None:
         """The operator's routes hold for requests from now on; those that are open keep theirs."""
         from glenchute.deciders.routes import Routes
@@ -186,9 +196,13 @@
             self.gateway.news(self.config.known)
             self.discovery.since = self.config.known.version
         self.discovery.start()
+        if self.succession is not None:
+            await self.succession.take()
         # The saved list may be old: a moment is given for today's, but no start hangs on discovery.
         await wait(self.discovery.first, LIST_WAIT_S)
         await self.listener.start(*self.config.listen, self.passed)
+        if self.succession is not None:
+            await self.succession.open()
         if self.extproc is not None:
             await self.extproc.start()
 
@@ -243,6 +257,8 @@
         self.listener.close()
         if self.operations is not None:
             self.operations.close()
+        if self.succession is not None:
+            self.succession.close()
         if self.extproc is not None:
             await self.extproc.stop(0.0)
         self.discovery.close()
--- a/glenchute/core/gateway.py
+++ b/glenchute/core/gateway.py
@@ -116,6 +116,7 @@
         self.started_ms: dict[str, float] = {}
         self.serial = 0
         self.routes: Routes | None = None
+        self.handing: Callable[[tuple[api.Stock, ...]], None] | None = None  # to the gateway's next process
         self.overlap = False  # a second copy may be out beside the first
         self.most_attempts = 0  # of a request; told where attempts are placed on shared connections, else 0
         self.tells_places = False  # the module is recorded, and is told where attempts went
@@ -229,6 +230,9 @@
                 pass  # the watch runs from the start
             case api.Log(message):
                 log.info("%s", message)
+            case api.HandOver(stocks):
+                if self.handing is not None:
+                    self.handing(stocks)
 
     def set_timer(self, token: int, at_ms: float) -> None:
         """Fires at the time or after; the loop's clock is coarse, and a timer must not come early."""
--- /dev/null
+++ b/glenchute/deciders/succession.py
@@ -0,0 +1,100 @@
+"""What passes from one process of a gateway to the next, and how the two share the gateway's limits.
+
+The message is one JSON object. Whatever of it is not as it should be makes it void as a whole: the next
+process then begins as after a kill, on the safe side, and its log names the reason. No I/O, no clock.
+
+A property test holds that both shares are at least a quarter, that they sum to the whole at most, and that no
+bytes whatever make `parse` raise anything but `SuccessionError` or give a figure out of its range.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from heathglade.interface import Stock
+
+FORMAT = 1
+MOST_STOCKS = 10_000  # customers that are handed over, those seen last first
+MOST_BYTES = 4 * 1024 * 1024
+MOST_UNITS = 1e12
+LEAST_SHARE = 0.25  # of the gateway's descriptors, for either process
+FIELDS = Stock.__match_args__
+
+
+class SuccessionError(ValueError):
+    """A message that can't be used, and why."""
+
+
+class Told(NamedTuple):
+    """What the process before told."""
+
+    share: float  # of the gateway's descriptors that it leaves to the next one
+    stocks: tuple[Stock, ...]
+
+
+def keeps(held: int, whole: int) -> float:
+    """The share of the gateway's descriptors that a process keeps to when another comes up beside it: a half,
+    or what it holds and an eighth more, so that nobody is closed for it. The rest is the other's."""
+    return min(1.0 - LEAST_SHARE, max(0.5, (held + whole / 8) / whole))
+
+
+def message(gateway: str, share: float, stocks: Sequence[Stock]) -> bytes:
+    """What a process tells the next one, of the gateway of this name."""
+    rows = [[getattr(stock, name) for name in FIELDS] for stock in stocks[:MOST_STOCKS]]
+    for row in rows:
+        row[:] = [None if value == math.inf else value for value in row]
+    told = {"format": FORMAT, "gateway": gateway, "share": share, "fields": FIELDS, "stocks": rows}
+    return json.dumps(told, allow_nan=False, separators=(",", ":")).encode() + b"\n"
+
+
+def parse(gateway: str, raw: bytes) -> Told:
+    """Reads a message for the gateway of this name; SuccessionError with the reason where it is void."""
+    if not raw.endswith(b"\n"):
+        raise SuccessionError("torn")
+    try:
+        told = json.loads(raw, parse_constant=refuse)
+    except (ValueError, RecursionError):
+        raise SuccessionError("no JSON") from None
+    if not isinstance(told, dict) or told.get("format") != FORMAT:
+        raise SuccessionError(f"not of format {FORMAT}")
+    if told.get("gateway") != gateway:
+        raise SuccessionError("another gateway's")
+    if told.get("fields") != list(FIELDS):
+        raise SuccessionError("other fields than this version's")
+    rows = told.get("stocks")
+    if not isinstance(rows, list) or len(rows) > MOST_STOCKS:
+        raise SuccessionError("too many customers, or no list of them")
+    share = number(told.get("share"), LEAST_SHARE, 1.0 - LEAST_SHARE)
+    return Told(share, tuple([stock(row) for row in rows]))
+
+
+def stock(row: Any) -> Stock:
+    """One customer's."""
+    if not isinstance(row, list) or len(row) != len(FIELDS):
+        raise SuccessionError("a customer's row is not whole")
+    customer, plan, spread, *plain, window, total = row
+    if not isinstance(customer, str) or not isinstance(plan, str) or not 0 < len(customer) <= 64:
+        raise SuccessionError("a customer without a name")
+    if type(spread) is not int or not 1 <= spread <= 1_000_000:
+        raise SuccessionError("a spread out of range")
+    store, guard, own, others, told_own, told_all = [number(v, -MOST_UNITS, MOST_UNITS) for v in plain]
+    return Stock(
+        customer=customer, plan=plan, spread=spread, store=store, guard=guard, own=own, others=others,
+        told_own=told_own, told_all=told_all, window_ms=number(window, -1e15, 1e15),
+        total=math.inf if total is None else number(total, -MOST_UNITS, MOST_UNITS),
+    )  # fmt: skip
+
+
+def number(value: Any, least: float, most: float) -> float:
+    """A figure in its range."""
+    if type(value) not in (int, float) or not least <= value <= most:
+        raise SuccessionError("a figure out of range")
+    return float(value)
+
+
+def refuse(name: str) -> float:
+    """NaN and the like are no figures."""
+    raise ValueError(name)
--- a/glenchute/fronts/resp2/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -423,6 +423,7 @@
         self.loop = loop
         self.gateway = gateway
         self.catalogue = catalogue
+        self.sockets = sockets
         self.places: Places[Client] = Places(sockets // 2, sockets // 3, min(SPARE, sockets // 16))
         self.open_ids: set[bytes] = set()
         self.release = False  # an unfinished read may be given up for the finished replies behind it
@@ -495,6 +496,12 @@
             log.info("clients: held=%d requesting=%d %s", len(self.places), self.places.requesting, line)
         self.said = line, now
 
+    def share(self, share: float) -> None:
+        """From now on this process keeps to so much of the gateway's places; what is held over that goes as
+        new connections come."""
+        self.places.most = max(1, int(self.sockets // 2 * share))
+        self.places.most_requesting = max(1, int(self.sockets // 3 * share))
+
     def parts(self) -> bool:
         """Whether connections close behind their last reply."""
         return self.life.parting and self.life.closes(self.loop.time())
--- a/heathglade/interface.py
+++ b/heathglade/interface.py
@@ -228,9 +228,46 @@
     took_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Stock:
+    """What one customer's quota stands at, in units and units a second, for the gateway's next process. Of
+    the ceiling's guard it holds a half, which the giver has given away."""
+
+    customer: str
+    plan: str
+    spread: int
+    store: float
+    guard: float
+    own: float
+    others: float
+    told_own: float
+    told_all: float
+    window_ms: float  # start of the window whose name on the counter is in use ...
+    total: float  # ... and the units of the last word of it, with own ones added since; inf: no word
+
+
+@dataclass(frozen=True, slots=True)
+class Beside:
+    """Another process of this very gateway runs beside this one from now on, and takes over: what the gateway
+    may do by itself is halved, and names on the counter that begin from now on are the other's to mark. A
+    `HandOver` answers."""
+
+
+@dataclass(frozen=True, slots=True)
+class TakeOver:
+    """The process that ran before still runs, and told this. Halved likewise."""
+
+    stocks: tuple[Stock, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Alone:
+    """The other process of this gateway has gone."""
+
+
 Event = (
     ServerList | Request | AnswerBegan | AttemptEnded | RequestGone | TimerFired | CountReply | AttemptHeld
-    | AttemptPlaced
+    | AttemptPlaced | Beside | TakeOver | Alone
 )  # fmt: skip
 
 
@@ -300,4 +337,11 @@
     message: str
 
 
-Action = Send | Cancel | Refuse | Fail | SetTimer | Count | Subscribe | Log
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """What the next process is to know, the customers seen last first."""
+
+    stocks: tuple[Stock, ...]
+
+
+Action = Send | Cancel | Refuse | Fail | SetTimer | Count | Subscribe | Log | HandOver
--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -14,9 +14,9 @@
 from dataclasses import dataclass, field
 
 from .interface import (
-    Action, AnswerBegan, AttemptEnded, AttemptHeld, Cancel, Count, CountReply, Ending, Event, Fail, ListKind,
-    Log, Plan, Refuse, Repeat, Request, RequestClass, RequestGone, Scope, Send, ServerEntry, ServerList,
-    ServerState, SetTimer, Settings, Subscribe, TimerFired,
+    Action, Alone, AnswerBegan, AttemptEnded, AttemptHeld, Beside, Cancel, Count, CountReply, Ending, Event,
+    Fail, HandOver, ListKind, Log, Plan, Refuse, Repeat, Request, RequestClass, RequestGone, Scope, Send,
+    ServerEntry, ServerList, ServerState, SetTimer, Settings, Stock, Subscribe, TakeOver, TimerFired,
 )  # fmt: skip
 from .marks import Health, Name, Watch, mark_of
 
@@ -96,6 +96,8 @@
         longest = max([plan.burst / plan.rate for plan in settings.plans if plan.rate], default=1.0)
         self.watch = Watch(min(IDLE_MS, 1000.0 * max(WINDOW_S, longest)), MUTE_AFTER)
         self.started = math.inf  # when this gateway heard its first event
+        self.marks_from = -math.inf  # names of windows that begin from then on may be marked here
+        self.processes = 1  # of this gateway; its parts are even ones of them all
         self.missed = 0  # calls in a row without an answer
         self.share = 1.0  # share of the wished calls that are made; falls while the counter is crowded
         self.probe_at = 0.0  # when a mute counter may next be called
@@ -112,7 +114,7 @@
         if (plan := self.plans.get(request.plan)) is None:
             return None
         found = self.customers.pop(request.customer, None)
-        spread = max(1, min(request.spread, self.settings.gateways))
+        spread = max(1, min(request.spread, self.settings.gateways)) * self.processes
         if found is None:
             # The ceiling's store takes no notice of a restart. While quotas are kept it never holds less than
             # its burst less the quota's, as it fills faster; half of that and the slack are thus there if all
@@ -137,11 +139,11 @@
             # A name holds one window's use, so that a gateway's first word in it says how much of the store
             # is gone, however long ago the last word was.
             self.elapse(start, c)
-            if c.word is not None and c.word.marks > 0 and c.own > c.size:
+            if c.word is not None and c.word.marks > 0 and c.own > c.size and self.processes == 1:
                 self.watch.window_ended(min(1.0, c.word.marks / c.spread))
             c.window, c.name = start, stable(f"{c.key}/{start:.0f}")
             mark = mark_of(plan.burst, plan.rate, c.span / 1000.0, plan.ceiling_burst)
-            c.word = Name(mark, start >= self.started)
+            c.word = Name(mark, start >= max(self.started, self.marks_from))
             c.drained = c.total = c.mine = 0.0
             c.fresh = max(0.0, c.fresh)
             c.under_way = 0
@@ -338,6 +340,55 @@
             c.total, c.total_at, c.mine = word.units, now, 0.0
         return waits
 
+    # A gateway may be two processes for a while. To the others they are one, so that each keeps to half of
+    # what one may do by itself. Only one of them marks a name: if a gateway marks it twice, it grants twice.
+
+    def beside(self, now: float) -> HandOver:
+        """The next process has come up: half of what is left of the guards goes to it, and all names from now
+        on are its to mark."""
+        self.marks_from = math.inf
+        stocks = []
+        for c in list(self.customers.values()):
+            self.refresh(now, c)
+            c.guard *= 0.5
+            c.told_own *= 0.5
+            heard = c.word is not None and c.total_at >= c.window
+            stocks.append(Stock(
+                c.key, c.plan.name, c.spread // self.processes, c.store, c.guard, 0.5 * c.own, c.others,
+                c.told_own, c.told_all, c.window, c.total + c.mine if heard else math.inf,
+            ))  # fmt: skip
+        self.pair(2)
+        return HandOver(tuple(reversed(stocks)))
+
+    def take_over(self, now: float, stocks: tuple[Stock, ...]) -> None:
+        """What the process before knew. A customer of this process' own is kept as it is."""
+        self.marks_from = now
+        self.pair(2)
+        for s in reversed(stocks):
+            plan = self.plans.get(s.plan)
+            if plan is None or s.customer in self.customers:
+                continue
+            spread = max(1, min(s.spread, self.settings.gateways)) * self.processes
+            guard = min(s.guard, 0.5 * plan.ceiling_burst)
+            c = Customer(s.customer, plan, spread, now, min(s.store, plan.burst), 0.0, guard, now)
+            c.own, c.others, c.told_own, c.told_all = s.own, s.others, s.told_own, max(s.told_all, s.told_own)
+            c.part, c.phase = self.part(c), stable(c.key) / 2.0**63
+            self.refresh(now, c)
+            if c.window == s.window_ms and s.total < math.inf:
+                c.total, c.total_at = s.total, now  # the store knows of these units already
+            self.customers[c.key] = c
+
+    def alone(self, now: float) -> None:
+        """The other process has gone."""
+        self.marks_from = min(self.marks_from, now)
+        self.pair(1)
+
+    def pair(self, processes: int) -> None:
+        """So many processes from now on."""
+        for c in self.customers.values():
+            c.spread = c.spread // self.processes * processes
+        self.processes = processes
+
     def forget_idle(self, now: float) -> None:
         """Ages out customers with nothing open."""
         while self.customers:
@@ -685,6 +736,12 @@
                 self.requests.pop(request_id, None)
                 if attempt := self.attempts.get((request_id, number)):
                     attempt.began = now_ms
+            case Beside():
+                self.actions.append(self.quota.beside(now_ms))
+            case TakeOver(stocks):
+                self.quota.take_over(now_ms, stocks)
+            case Alone():
+                self.quota.alone(now_ms)
         return self.actions
 
     def tick(self, now: float) -> None:
--- a/heathglade/simhost.py
+++ b/heathglade/simhost.py
@@ -261,6 +261,8 @@
             return ["tail", gid, True]
         case api.Log(message):
             return ["say_log", gid, message]
+        case api.HandOver():
+            raise WireError("the simulator's gateways have no second process")
 
 
 def serve(lines: Iterable[str], out: TextIO) -> int:
