Late answers of the counter are learned from; a slow counter is no longer taken for a mute one

Three such in a row made the counter mute, and the gateway kept to its lot. Ruled out: lost calls (the links stayed up) and the gateway's own load (0.2 s of CPU a second, loop late by < 1 ms). At fault: peers/counter.Call.end and policy.Quota.counted. Design: the link tells what became of a timed-out call, once and in order; the module learns from it as from any total, keeping units behind it apart (`after`). Also: units of a call that was turned away were never told if its request went on; and a request that could not ask keeps to its part only if the last word is older than the store's turnover.

--- a/glenchute/backends/resp2.py
+++ b/glenchute/backends/resp2.py
@@ -368,7 +368,7 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, limits: Limits) -> None:
         self.loop = loop
         self.limits = limits
-        self.most = limits.connections  # of this process, at the moment
+        self.part = 1.0  # of the limits that is this process's at the moment
         self.pools: dict[str, Pool] = {}
         self.leaving: set[Pool] = set()  # no longer listed, with connections open
         self.connecting = 0
@@ -409,9 +409,13 @@
 
     def share(self, share: float) -> None:
         """From now on this process keeps to so much of the gateway's connections and memory."""
-        self.most = max(1, int(self.limits.connections * share))
+        self.part = share
         self.turns.most = max(1, int(self.limits.long_values * share))
 
+    def most(self) -> float:
+        """Connections that this process may have now."""
+        return self.limits.connections * self.part
+
     def count(self) -> int:
         """Sockets in use."""
         pools = [*self.pools.values(), *self.leaving]
@@ -419,11 +423,11 @@
 
     def has_room(self) -> bool:
         """Whether `make_room` would succeed."""
-        return self.count() < self.most or any(pool.idle for pool in self.pools.values())
+        return self.count() < self.most() or any(pool.idle for pool in self.pools.values())
 
     def make_room(self) -> bool:
         """Whether one more connection may be opened; the longest idle one is closed for it if need be."""
-        if self.count() < self.most:
+        if self.count() < self.most():
             return True
         pools = [pool for pool in self.pools.values() if pool.idle]
         if not pools:
--- a/glenchute/capture/codec.py
+++ b/glenchute/capture/codec.py
@@ -107,6 +107,8 @@
     if kind is api.ServerList:
         rows = [{**row, "state": api.ServerState(row["state"])} for row in values[1]]
         return api.ServerList(api.ListKind(values[0]), tuple(api.ServerEntry(**row) for row in rows))
+    if kind is api.TakeOver:
+        return api.TakeOver(tuple(api.Stock(**row) for row in values[0]))
     at = ENDING_AT.get(kind)
     if at is not None:
         values = [*values[:at], api.Ending(values[at]), *values[at + 1 :]]
--- a/glenchute/core/gateway.py
+++ b/glenchute/core/gateway.py
@@ -245,10 +245,13 @@
         def done(total: float, ending: api.Ending, took_ms: float) -> None:
             self.post(api.CountReply(name, total, ending, took_ms))
 
+        def late(total: float, ending: api.Ending, took_ms: float) -> None:
+            self.post(api.CountReply(name, total, ending, took_ms, True))
+
         if self.counter is None:
             done(0.0, api.Ending.UNREACHABLE, 0.0)
         else:
-            self.counter.call(name, amount, ttl_ms, done)
+            self.counter.call(name, amount, ttl_ms, done, late)
 
     def send(self, action: api.Send) -> None:
         """Starts an attempt, or ends it unsent where it must not go."""
--- a/glenchute/core/types.py
+++ b/glenchute/core/types.py
@@ -188,6 +188,13 @@
     """The shared counter."""
 
     def call(
-        self, name: int, amount: float, ttl_ms: float, done: Callable[[float, Ending, float], None]
+        self,
+        name: int,
+        amount: float,
+        ttl_ms: float,
+        done: Callable[[float, Ending, float], None],
+        late: Callable[[float, Ending, float], None],
     ) -> None:
-        """Adds an amount; `done` gets total, ending and milliseconds, once, within the time-out."""
+        """Adds an amount; `done` gets total, ending and milliseconds, once, within the time-out. After a
+        time-out `late` gets what became of the call, once, within a bounded time; a time-out again where
+        that stays unknown."""
--- a/glenchute/peers/counter.py
+++ b/glenchute/peers/counter.py
@@ -28,12 +28,16 @@
 
 
 class Call:
-    """One call; `done` takes the total, the ending and the milliseconds that it took, once."""
+    """One call; `done` takes the total, the ending and the milliseconds that it took, once. If that was a
+    time-out, `late` takes the same once more when the truth is known, or never will be."""
 
-    __slots__ = ("done", "name", "sent", "timer")
+    __slots__ = ("done", "late", "name", "sent", "timer")
 
-    def __init__(self, done: Done | None, sent: float, name: int | None = None) -> None:
+    def __init__(
+        self, done: Done | None, sent: float, name: int | None = None, late: Done | None = None
+    ) -> None:
         self.done = done
+        self.late = late
         self.sent = sent
         self.name = name
         self.timer: asyncio.TimerHandle | None = None
@@ -41,6 +45,8 @@
     def end(self, now: float, ending: Ending, total: float = 0.0) -> None:
         """Tells the ending, if it has not been told."""
         done, self.done = self.done, None
+        if done is None:
+            done, self.late = self.late, None
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
@@ -140,7 +146,8 @@
         else:
             self.heart.cancel()
         for call in calls:
-            call.end(self.loop.time(), Ending.TIMEOUT)  # it may have been added
+            call.end(self.loop.time(), Ending.TIMEOUT)  # it may have been added ...
+            call.end(self.loop.time(), Ending.TIMEOUT)  # ... and nobody will know
 
     def beat(self) -> None:
         """Keeps the connection from standing idle, and gives up one that has gone silent."""
@@ -166,6 +173,7 @@
         for call in self.calls:
             if call.name == name:
                 call.end(self.loop.time(), Ending.TIMEOUT)
+                call.end(self.loop.time(), Ending.TIMEOUT)  # what it still tells would come out of turn
 
     def close(self) -> None:
         """The end of the connection, for good."""
@@ -197,15 +205,19 @@
             link.retire()
         self.links = [Link(self.loop, address) for _ in range(LINKS)]
 
-    def call(self, name: int, amount: float, ttl_ms: float, done: Done) -> None:
-        """Adds an amount to a name; `done` is called once, within the time-out."""
+    def call(
+        self, name: int, amount: float, ttl_ms: float, done: Done, late: Done | None = None
+    ) -> None:
+        """Adds an amount to a name; `done` is called once, within the time-out. After a time-out `late` is
+        called once, with what became of the call, within `SILENT_S` and half a second."""
         link, now = self.links[name % LINKS], self.loop.time()
         if self.leaving:
             for old in self.leaving:
                 old.give_up(name)
             self.leaving = [old for old in self.leaving if old.calls]
-        call = Call(done, now, name)
+        call = Call(done, now, name, late)
         if not link.ready():
+            call.late = None
             call.end(now, Ending.UNREACHABLE)  # nothing was written, so nothing was added
             return
         call.timer = self.loop.call_later(self.timeout_s, self.expire, call, link)
--- a/heathglade/interface.py
+++ b/heathglade/interface.py
@@ -220,12 +220,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CountReply:
-    """The answer to one `Count`; answers for one name come in the order of the calls."""
+    """The answer to one `Count`; answers for one name come in the order of the calls. `late`: the call has
+    ended as timed out before, and this is what became of it; those too come in the order of the calls. A
+    transport that can't tell sends none."""
 
     name: int
     total: float
     ending: Ending
     took_ms: float = 0.0
+    late: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -92,6 +92,9 @@
         # Calls without an answer, by name: customer, its word, units, mark, the request that waits for it,
         # whether nothing was taken off its units, how many units were told ahead for that request.
         self.calls_out: dict[int, deque[tuple[Customer, Name, float, float, str | None, bool, float]]] = {}
+        # Those that had no answer in time, of windows in force: an answer may still come. Whether a request
+        # waited stands last.
+        self.timed_out: dict[int, deque[tuple[Customer, Name, float, float, bool]]] = {}
         self.ahead = 0.0  # the last of these, of the last answer
         longest = max([plan.burst / plan.rate for plan in settings.plans if plan.rate], default=1.0)
         self.watch = Watch(min(IDLE_MS, 1000.0 * max(WINDOW_S, longest)), MUTE_AFTER)
@@ -141,6 +144,7 @@
             self.elapse(start, c)
             if c.word is not None and c.word.marks > 0 and c.own > c.size and self.processes == 1:
                 self.watch.window_ended(min(1.0, c.word.marks / c.spread))
+            self.timed_out.pop(c.name, None)
             c.window, c.name = start, stable(f"{c.key}/{start:.0f}")
             mark = mark_of(plan.burst, plan.rate, c.span / 1000.0, plan.ceiling_burst)
             c.word = Name(mark, start >= max(self.started, self.marks_from))
@@ -212,9 +216,9 @@
 
     def admit(self, now: float, c: Customer, units: float, asked: bool, blind: bool) -> float | None:
         """None to send the request on, else the time in which a refused client should stay away."""
-        blind = (
-            blind or self.mute
-        )  # without a word it keeps to its part: else each would spend all of a quota
+        # Without a word it keeps to its part: else each would spend all of a quota. One that is younger than
+        # the time in which the store turns over tells of the others' use, so that `fraction` parts the rest.
+        blind = self.mute or (blind and now - c.total_at > c.span)
         c.own += units / WINDOW_S
         plan = c.plan
         wait: float | None = None
@@ -290,6 +294,9 @@
 
     def counted(self, now: float, reply: CountReply) -> str | None:
         """An answer: the total's rise beyond the own part is the others' use. Returns who waits for it."""
+        if reply.late:
+            self.counted_late(now, reply)
+            return None
         if not (calls := self.calls_out.get(reply.name)):
             return None
         c, word, amount, toll, waits, whole, extra = calls.popleft()
@@ -309,6 +316,8 @@
             self.missed += 1
             if current and reply.ending is Ending.TIMEOUT:
                 c.mine += amount  # it may have been added, and adding it twice would be worse
+                out = c, word, amount, toll, waits is not None
+                self.timed_out.setdefault(c.name, deque()).append(out)
             elif current and waits is None:
                 c.fresh += amount
             return waits
@@ -316,30 +325,58 @@
         # A slow answer tells of a crowd before any call is turned away; work on unheard answers is wasted.
         factor = 1.02 if reply.took_ms < 0.5 * self.settings.counter_timeout_ms else 0.92
         self.share = min(1.0, max(LEAST_SHARE, factor * self.share))
-        again = word.heard(reply.total, amount, toll)
-        self.watch.answered(now, again is not None)
-        self.watch.share = self.share
         if current:
             c.mine += amount
             c.whole = whole
-            rise = word.units - c.total - c.mine
-            if again is not None:
-                # The own words were lost with the others'. They are put in again, once, so that gateways that
-                # know nothing hear of them; the store stands, as a fresh memory is no fresh quota.
-                c.fresh += again
-                self.due[c.key] = c
-                rise = -math.inf
-            dt = max(now - max(c.total_at, c.window), 1.0) / 1000.0
-            if rise >= -0.5:  # else counts were lost, not demand: the last known demand stands
-                c.told_own = TOLD_KEPT * c.told_own + max(0.0, c.mine)
-                c.told_all = TOLD_KEPT * c.told_all + max(0.0, c.mine) + max(0.0, rise)
-                weight = 1.0 - math.exp(-max(now - c.total_at, 1.0) / 1000.0 / WINDOW_S)
-                c.others += (max(rise, 0.0) / (dt + 0.1) - c.others) * weight
-                c.store = min(c.plan.burst, max(0.0, c.store + c.drained - max(rise, 0.0)))
-                c.drained = 0.0
-            c.total, c.total_at, c.mine = word.units, now, 0.0
+            self.timed_out.pop(c.name, None)  # answers come in order: those before it never will
+        self.learn(now, c, word, reply.total, amount, toll, 0.0)
         return waits
 
+    def counted_late(self, now: float, reply: CountReply) -> None:
+        """What became of a call that had no answer in time. A slow counter is not a mute one, and its totals
+        are as true; nobody waits for them any more."""
+        if not (calls := self.timed_out.get(reply.name)):
+            return  # of a window that has ended
+        c, word, amount, toll, waited = calls.popleft()
+        if reply.ending is Ending.OK:
+            self.missed = 0
+            self.learn(now, c, word, reply.total, amount, toll, sum(call[2] for call in calls))
+        elif reply.ending is not Ending.TIMEOUT:  # nothing was added after all
+            word.unsent(toll)
+            c.mine -= amount
+            if not waited:
+                c.fresh += amount
+                self.due[c.key] = c
+        if not calls:
+            del self.timed_out[reply.name]
+
+    def learn(
+        self, now: float, c: Customer, word: Name, total: float, amount: float, toll: float, after: float
+    ) -> None:
+        """A total; `after`: own units that may have been added behind it."""
+        again = word.heard(total, amount, toll)
+        self.watch.answered(now, again is not None)
+        self.watch.share = self.share
+        if word is not c.word:
+            return
+        rise = word.units - c.total - (c.mine - after)
+        if again is not None:
+            # The own words were lost with the others'. They are put in again, once, so that gateways that
+            # know nothing hear of them; the store stands, as a fresh memory is no fresh quota.
+            c.fresh += again
+            self.due[c.key] = c
+            rise = -math.inf
+        dt = max(now - max(c.total_at, c.window), 1.0) / 1000.0
+        if rise >= -0.5:  # else counts were lost, not demand: the last known demand stands
+            told = max(0.0, c.mine - after)
+            c.told_own = TOLD_KEPT * c.told_own + told
+            c.told_all = TOLD_KEPT * c.told_all + told + max(0.0, rise)
+            weight = 1.0 - math.exp(-max(now - c.total_at, 1.0) / 1000.0 / WINDOW_S)
+            c.others += (max(rise, 0.0) / (dt + 0.1) - c.others) * weight
+            c.store = min(c.plan.burst, max(0.0, c.store + c.drained - max(rise, 0.0)))
+            c.drained = 0.0
+        c.total, c.total_at, c.mine = word.units, now, after
+
     # A gateway may be two processes for a while. To the others they are one, so that each keeps to half of
     # what one may do by itself. Only one of them marks a name: if a gateway marks it twice, it grants twice.
 
@@ -726,7 +763,8 @@
             case CountReply():
                 self.count(f"counter: {event.ending.value}")
                 if waiting := self.requests.get(self.quota.counted(now_ms, event) or ""):
-                    self.decide(now_ms, waiting, event.ending is Ending.OK)
+                    waiting.counted = event.ending in (Ending.OK, Ending.TIMEOUT)  # else nothing was added
+                    self.decide(now_ms, waiting, event.ending is Ending.OK, event.ending is not Ending.OK)
             case AttemptHeld(request_id):
                 if self.settings.overlap and (held := self.requests.get(request_id)):
                     self.copy(now_ms, held)
@@ -798,14 +836,15 @@
             if (call := self.quota.ask(now, customer, request)) is not None:
                 self.actions.append(call)
                 return
-        self.decide(now, opened, False)
+        self.decide(now, opened, False, opened.counted)
 
-    def decide(self, now: float, opened: Open, asked: bool) -> None:
-        """Lets a request go on or refuses it."""
+    def decide(self, now: float, opened: Open, asked: bool, blind: bool = False) -> None:
+        """Lets a request go on or refuses it. `asked`: by a word of the moment; `blind`: such a word was
+        asked for, and did not come."""
         request, cls, customer = opened.request, opened.cls, opened.customer
         if customer is not None:
             value = cls.worth * customer.plan.price
-            wait = self.quota.admit(now, customer, request.units, asked, opened.counted and not asked)
+            wait = self.quota.admit(now, customer, request.units, asked, blind)
             many = len(self.attempts) > max(FEW, 2.0 * len(self.fleet.servers) / self.settings.gateways)
             if wait is None and not self.pressure.admit(value, request.units, cls.aim_ms, many):
                 wait, self.quota.cause = self.settings.max_retry_after_ms, "overload"
--- /dev/null
+++ b/tests/test_late_answers.py
@@ -0,0 +1,202 @@
+"""Answers of the counter that come after their time-out: told by the link, learned from by the module."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from glenchute.peers.counter import Counter
+from heathglade import interface as api
+from heathglade.interface import Count, CountReply, Ending, ListKind, Send, ServerList
+
+from .loopback import RespPeer, Script, always, play, site, until
+from .rig import Rig, entries, only
+
+Told = tuple[str, float, Ending]
+
+
+async def told_by(reply: Any, go: asyncio.Event, calls: int) -> list[Told]:
+    """What a counter that answers as `reply` when `go` is set makes of so many calls for one name."""
+    peer = RespPeer(reply)
+    await peer.start()
+    counter = Counter(asyncio.get_running_loop(), ("127.0.0.1", peer.port), 0.05)
+    told: list[Told] = []
+    await until(lambda: all(link.ready() for link in counter.links))
+    for _ in range(calls):
+        counter.call(
+            7, 1.0, 4000.0,
+            lambda total, ending, took: told.append(("done", total, ending)),
+            lambda total, ending, took: told.append(("late", total, ending)),
+        )  # fmt: skip
+    await until(lambda: len(told) == calls)
+    go.set()
+    await until(lambda: len(told) == 2 * calls)
+    await asyncio.sleep(0.05)
+    counter.close()
+    await asyncio.sleep(0.02)
+    await peer.stop()
+    return told
+
+
+@pytest.mark.parametrize(
+    ("answer", "total", "ending"),
+    [
+        (b"$1\r\n5\r\n", 5.0, Ending.OK),
+        (b"-BUSY\r\n", 0.0, Ending.FULL),
+        (b"+noise\r\n", 0.0, Ending.TIMEOUT),
+    ],
+)
+def test_after_a_time_out_the_truth_is_told_once(answer: bytes, total: float, ending: Ending) -> None:
+    async def scenario() -> None:
+        go = asyncio.Event()
+
+        async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+            if words[0] == b"PING":
+                return b"+PONG\r\n"
+            await go.wait()
+            return answer
+
+        told = await told_by(reply, go, 3)
+        assert told[:3] == [("done", 0.0, Ending.TIMEOUT)] * 3
+        assert told[3:] == [("late", total, ending)] * 3
+
+    play(scenario())
+
+
+def test_a_link_that_breaks_tells_that_nobody_will_know() -> None:
+    async def scenario() -> None:
+        go = asyncio.Event()
+
+        async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> bytes | None:
+            if words[0] == b"PING":
+                return b"+PONG\r\n"
+            await go.wait()
+            writer.close()
+            return None
+
+        told = await told_by(reply, go, 2)
+        assert told == [("done", 0.0, Ending.TIMEOUT)] * 2 + [("late", 0.0, Ending.TIMEOUT)] * 2
+
+    play(scenario())
+
+
+def test_the_core_hands_late_answers_to_the_module() -> None:
+    async def scenario() -> None:
+        go = asyncio.Event()
+
+        async def slow(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+            if words[0] != b"PING":
+                await go.wait()
+            return b"+PONG\r\n" if words[0] == b"PING" else b"$1\r\n4\r\n"
+
+        script = Script(lambda event: [])
+        async with site(always(b""), decisions=script, counter=slow) as one:
+            counter = one.program.counter
+            assert counter is not None
+            counter.timeout_s = 0.05
+            one.program.gateway.perform(Count(12, 1.0, 4000.0))
+            await until(lambda: script.of(api.CountReply))
+            go.set()
+            await until(lambda: len(script.of(api.CountReply)) == 2)
+            first, second = script.of(api.CountReply)
+            assert (first.ending, first.late) == (Ending.TIMEOUT, False)
+            assert (second.ending, second.total, second.late) == (Ending.OK, 4.0, True)
+
+    play(scenario())
+
+
+# --- the module --------------------------------------------------------------------------------------------
+
+
+class Slow(Rig):
+    """A gateway whose counter answers every call too late, or not at all."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.feed(ServerList(ListKind.SAVED, entries(3)))
+        self.ending = Ending.TIMEOUT
+        self.totals: dict[int, float] = {}
+        self.told = 0
+
+    def answer_late(self, ending: Ending = Ending.OK, others: float = 0.0) -> None:
+        """All calls that have timed out are answered, in order."""
+        calls = [action for _, action in self.log if isinstance(action, Count)][self.told :]
+        self.told += len(calls)
+        for call in calls:
+            if ending is Ending.OK:
+                self.totals[call.name] = self.totals.get(call.name, 0.0) + call.amount + others
+            total = self.totals.get(call.name, 0.0)
+            self.feed(CountReply(call.name, total if ending is Ending.OK else 0.0, ending, 70.0, True))
+
+    def spend(self, requests: int, late: bool = True) -> int:
+        """Requests of one customer, 100 ms apart; how many went on."""
+        gone = 0
+        for _ in range(requests):
+            gone += bool(only(self.ask("read", "rate", "c", spread=2)[1], Send))
+            self.answer_calls()
+            if late:
+                self.answer_late()
+            self.advance(100.0)
+            self.answer_calls()
+            if late:
+                self.answer_late()
+        return gone
+
+
+def test_a_counter_that_answers_late_is_not_mute() -> None:
+    slow, mute = Slow(), Slow()
+    slow.spend(15)
+    mute.spend(15, late=False)
+    assert mute.gateway.quota.mute and not slow.gateway.quota.mute
+
+
+def test_late_totals_tell_of_the_others_use_and_own_units_count_once() -> None:
+    alone, crowded = Slow(), Slow()
+    for rig, others in ((alone, 0.0), (crowded, 2.0)):
+        for _ in range(12):
+            rig.ask("read", "rate", "c", spread=2)
+            rig.advance(250.0)
+            rig.answer_calls()
+            rig.answer_late(others=others)
+    assert alone.gateway.quota.customers["c"].others < 0.2, "own units passed for the others'"
+    assert crowded.gateway.quota.customers["c"].others > 1.0
+    assert crowded.gateway.quota.customers["c"].store < alone.gateway.quota.customers["c"].store + 0.1
+
+
+def test_what_was_turned_away_late_is_told_again() -> None:
+    rig = Slow()
+    rig.ask("read", "rate", "c", spread=2)
+    rig.advance(300.0)
+    rig.answer_calls()
+    c = rig.gateway.quota.customers["c"]
+    owed = c.fresh + c.mine
+    rig.answer_late(Ending.FULL)
+    assert c.mine == 0.0 and c.fresh <= owed
+    assert not rig.gateway.quota.timed_out
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(st.lists(st.sampled_from(["ask", "wait", "late", "full", "never", "long"]), max_size=60))
+def test_in_any_order_nothing_grows_and_no_figure_leaves_its_range(steps: list[str]) -> None:
+    rig = Slow()
+    for step in steps:
+        if step == "ask":
+            rig.ask("read", "hard", "c", spread=2)
+        elif step in ("wait", "long"):
+            rig.advance(150.0 if step == "wait" else 9_000.0)
+        else:
+            endings = {"late": Ending.OK, "full": Ending.FULL, "never": Ending.TIMEOUT}
+            rig.answer_calls()
+            rig.answer_late(endings[step])
+        rig.answer_calls()
+    quota = rig.gateway.quota
+    for c in quota.customers.values():
+        assert 0.0 <= c.store <= c.plan.burst and c.own >= 0.0 and c.others >= 0.0
+        assert c.word is None or not c.word.marks or c.word.marks <= 2
+    assert sum(map(len, quota.timed_out.values())) <= 60
+    names = {c.name for c in quota.customers.values()}
+    assert set(quota.timed_out) <= names, "kept for a window that has ended"
