--- /dev/null
+++ b/benchmarks/operations.py
@@ -0,0 +1,121 @@
+"""Days of operation on loopback: `_ready`'s wait under load, and short requests beside long values.
+
+``python -m benchmarks.operations [STREAMS]``
+
+One gateway in a process of its own. First a closed load of short requests alone, then the same beside STREAMS
+long values of 4 MiB, each given at 1 MiB/s. Printed: the short requests' times, the wait for `_ready`, asked
+every 20 ms, and the process' peak memory.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import re
+import statistics
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import uvloop
+
+from benchmarks.machine import machine
+from lab.nodes import Node, Trade
+from lab.peers import Client
+from lab.site import GatewayProcess, LabSite, free_port
+
+LONG = 4 * 1024 * 1024
+PIECE = 64 * 1024
+SECONDS = 5.0
+CLIENTS = 16
+SHORT = b"c=report-read,t=korporativni,d=2000,units=0.001"
+
+
+class LongNode(Node):
+    """Answers requests whose id begins with L with a long value, slowly."""
+
+    async def answer(self, words: list[bytes], writer: asyncio.StreamWriter) -> bytes | None:
+        if len(words) < 4 or not words[2].startswith(b"L"):
+            return await super().answer(words, writer)
+        writer.write(b"*3\r\n$%d\r\n" % LONG)
+        for _ in range(LONG // PIECE):
+            writer.write(b"x" * PIECE)
+            await writer.drain()
+            await asyncio.sleep(PIECE / 2**20)
+        return b"\r\n*-1\r\n$-1\r\n"
+
+
+async def short(port: int, number: int, until: float, took: list[float]) -> None:
+    """One client of short requests, in a closed loop."""
+    client = await Client.connect(port)
+    serial = 0
+    while time.monotonic() < until:
+        serial += 1
+        began = time.monotonic()
+        name = b"s%d-%d" % (number, serial)
+        if isinstance(await client.ask(b"CALL.GET", b"%016x" % (2000 + number), name, SHORT), bytes):
+            took.append(time.monotonic() - began)
+        await asyncio.sleep(0.005)
+    client.writer.close()
+
+
+async def long(port: int, number: int, counts: list[int]) -> None:
+    """One client that takes a long value."""
+    client = await Client.connect(port)
+    got = await client.ask(b"CALL.GET", b"%016x" % (9000 + number), b"L%d" % number, SHORT)
+    counts[isinstance(got, bytes) and len(got) == LONG] += 1
+    client.writer.close()
+
+
+async def ready(port: int, until: float, took: list[float]) -> None:
+    """Asks whether it is ready."""
+    while time.monotonic() < until:
+        began = time.monotonic()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        answer = await reader.read()
+        took.append(time.monotonic() - began if answer.startswith(b"HTTP/1.1 200") else 9.0)
+        writer.close()
+        await asyncio.sleep(0.02)
+
+
+def told(took: list[float]) -> str:
+    """Median, 99th percentile and most, in milliseconds."""
+    found = sorted(1000.0 * value for value in took)
+    most, late = found[-1], found[int(0.99 * len(found))]
+    return f"n={len(found)} p50={statistics.median(found):.1f} p99={late:.1f} most={most:.1f} ms"
+
+
+async def main(streams: int) -> None:
+    """Both phases."""
+    async with LabSite([LongNode(f"n{i}", Trade({"report-read": 10.0}, slots=64)) for i in range(4)]) as site:
+        with tempfile.TemporaryDirectory() as folder:
+            platform = site.platform()
+            second = free_port()
+            platform["operator"] = f"127.0.0.1:{second}"
+            gateway = GatewayProcess(Path(folder), platform)
+            gateway.start()
+            await gateway.ready()
+            assert gateway.process is not None
+            print(machine())
+            for count in (0, streams):
+                took: list[float] = []
+                waits: list[float] = []
+                counts = [0, 0]
+                end = time.monotonic() + SECONDS
+                values = [asyncio.create_task(long(gateway.port, n, counts)) for n in range(count)]
+                await asyncio.gather(
+                    ready(second, end, waits), *[short(gateway.port, n, end, took) for n in range(CLIENTS)]
+                )
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(asyncio.gather(*values), 60.0)
+                status = Path(f"/proc/{gateway.process.pid}/status").read_text()
+                peak = re.search(r"VmHWM:\s+(\d+)", status)
+                print(f"{count} long values ({counts[True]} whole): short {told(took)}")
+                print(f"  _ready {told(waits)}; peak memory {int(peak[1]) // 1024 if peak else 0} MiB")
+            await gateway.stop()
+
+
+if __name__ == "__main__":
+    uvloop.run(main(int(sys.argv[1]) if len(sys.argv) > 1 else 100))
