Captures of a replacement replay to the bit; nothing of it is there where none is asked for

Need: a test that records TakeOver, Beside and Alone found that the replayed HandOver held stocks where the record holds rows (capture/codec.told), so that each such capture would differ.

--- a/glenchute/capture/codec.py
+++ b/glenchute/capture/codec.py
@@ -58,6 +58,7 @@
     api.Log,
     api.HandOver,
 )
+HAND_OVER = ACTIONS.index(api.HandOver)
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder()
 
@@ -118,7 +119,11 @@
 
 def told(actions: Sequence[api.Action]) -> list[Any]:
     """Actions in the form of a record that was read, to be compared with one."""
-    return [[number, list(values)] for number, values in taken_apart(actions)]
+    apart = [[number, list(values)] for number, values in taken_apart(actions)]
+    for row in apart:
+        if row[0] == HAND_OVER:  # the one action with rows inside
+            row[1] = DECODER.decode(ENCODER.encode(row[1]))
+    return apart
 
 
 def readable(action: list[Any]) -> str:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -5,6 +5,9 @@
 import asyncio
 import json
 import math
+import subprocess
+import sys
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -12,6 +15,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from glenchute.capture.recorder import Recorder, Rule
+from glenchute.capture.replay import replay as replayed
+from glenchute.capture.replay import runs
 from glenchute.deciders.succession import (
     FIELDS,
     LEAST_SHARE,
@@ -23,10 +29,23 @@
     parse,
 )
 from glenchute.peers import succession as way
-from heathglade.interface import Alone, Beside, Count, CountReply, Ending, HandOver, Send, Stock, TakeOver
+from heathglade.interface import (
+    Alone,
+    Beside,
+    Count,
+    CountReply,
+    Ending,
+    Event,
+    HandOver,
+    Request,
+    Send,
+    Stock,
+    TakeOver,
+)
+from heathglade.policy import Gateway
 
-from .loopback import play, until
-from .rig import Rig, only
+from .loopback import always, play, site, until
+from .rig import SETTINGS, Rig, only
 
 STOCK = Stock("c", "rate", 2, 3.0, 0.0, 1.0, 0.5, 2.0, 4.0, 1000.0, 7.0)
 figures = st.floats(-1e12, 1e12)
@@ -291,3 +310,40 @@
 
 def test_every_field_of_a_stock_is_told() -> None:
     assert Stock.__match_args__ == FIELDS
+
+
+def test_a_replacement_is_recorded_and_replayed_to_the_bit(tmp_path: Path) -> None:
+    clock = [0.0]
+    keeper = Recorder(Gateway(SETTINGS, 1), SETTINGS, 1, Rule(str(tmp_path)), lambda: clock[0])
+    keeper.handle(1000.0, next_list())
+    events: list[Event] = [TakeOver((STOCK, replace(STOCK, customer="d", total=math.inf))), Alone()]
+    for n in range(20):
+        events.append(Request(f"r{n}", "read", "rate", "c", 900.0, 1.0, 2))
+    events += [Beside(), Request("last", "read", "rate", "c", 900.0, 1.0, 2), Alone()]
+    for at, event in enumerate(events):
+        keeper.handle(1001.0 + at, event)
+    keeper.trigger("asked for")
+    keeper.writer.close(10.0)
+    (files,) = runs(tmp_path).values()
+    report = replayed(files)
+    assert not report.differences and not report.faults and report.records == len(events) + 1
+
+
+def test_where_the_platform_asks_for_none_there_is_no_second_process_nor_a_socket_for_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """On the platform's other days no Unix socket is opened, and nothing of it is imported."""
+    code = (
+        "import sys, glenchute.cli.run\n"
+        "for name in ('peers.succession', 'cli.succession', 'fronts.operations', 'backends.long'):\n"
+        "    assert 'glenchute.' + name not in sys.modules, name\n"
+    )
+    subprocess.run([sys.executable, "-c", code], check=True)
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+
+    async def scenario() -> None:
+        async with site(always(b"")) as one:
+            assert one.program.succession is None and one.program.operations is None
+            assert not list(tmp_path.iterdir())
+
+    play(scenario())
