Of many gateways a word of the counter must be younger for a request that could not ask

At fault: policy.Quota.admit, which took any word younger than the store's turnover for good enough, at a hundred gateways as at two, though each is off by its own. Design: the age allowed falls with the customer's spread beyond four gateways.

--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -218,8 +218,9 @@
     def admit(self, now: float, c: Customer, units: float, asked: bool, blind: bool) -> float | None:
         """None to send the request on, else the time in which a refused client should stay away."""
         # Without a word it keeps to its part: else each would spend all of a quota. One that is younger than
-        # the time in which the store turns over tells of the others' use, so that `fraction` parts the rest.
-        blind = self.mute or (blind and now - c.total_at > c.span)
+        # the time in which the store turns over tells of the others' use, so that `fraction` parts the rest;
+        # of many gateways each is off by its own, so that they have to be surer.
+        blind = self.mute or (blind and now - c.total_at > c.span * min(1.0, LEARNED / c.spread))
         c.own += units / WINDOW_S
         plan = c.plan
         wait: float | None = None
--- /dev/null
+++ b/tests/test_trust.py
@@ -0,0 +1,28 @@
+"""How old a word of the counter may be for a request that could not ask."""
+
+from __future__ import annotations
+
+import pytest
+
+from heathglade.interface import Count, CountReply, Ending
+
+from .rig import SETTINGS, Rig, entries, with_
+
+
+@pytest.mark.parametrize(("spread", "free"), [(2, True), (100, False)])
+def test_of_many_gateways_a_word_must_be_younger(spread: int, free: bool) -> None:
+    """Half a second after a word, of a window of three: of two gateways one may spend what the store is
+    thought to hold, of a hundred each keeps to its part, as they would overspend it a hundredfold."""
+    rig = Rig(entries(4), with_(SETTINGS, gateways=spread))
+    rig.ask(plan="rate", spread=spread)
+    rig.advance(1200.0)
+    for call in [action for _, action in rig.log if isinstance(action, Count)]:
+        rig.feed(CountReply(call.name, call.amount, Ending.OK))
+    rig.advance(500.0)
+    quota = rig.gateway.quota
+    c = quota.customers["c"]
+    quota.refresh(rig.now, c)
+    c.part = 0.5  # less than a request
+    assert c.store > 2.0 and rig.now - c.total_at < c.span
+    assert (quota.admit(rig.now, c, 1.0, False, True) is None) == free
+    assert quota.admit(rig.now, c, 1.0, False, False) is None  # where it was sure, both
