--- a/lab/sim/world.py
+++ b/lab/sim/world.py
@@ -93,6 +93,7 @@
     answers: int = 0
     attempts: int = 0
     out: set[int] = field(default_factory=set)
+    until: dict[int, float] = field(default_factory=dict)  # by attempt: how long the gateway waits
     sent_zone: str | None = None  # where the first attempt went that may have run
     first_left: float | None = None  # when its bytes left
     ran: int = 0
@@ -300,6 +301,7 @@
         asked.out.add(attempt)
         left = asked.deadline - MARGIN_MS - self.now
         timeout = min(action.timeout_ms or left, left)
+        asked.until[attempt] = self.now + max(0.0, timeout)
         back = (number, incarnation, asked, attempt, action.server, self.now)
         self.dispatch(node, back, max(0.0, timeout), action)
 
@@ -357,7 +359,7 @@
     def serve(self, node: Node, back: tuple[Any, ...]) -> None:
         """A command runs."""
         asked = back[2]
-        if self.now > asked.deadline:  # its `d` is over: a server that finds that begins nothing
+        if self.now > asked.until.get(back[3], asked.deadline):  # its `d` is over: nothing is begun then
             node.busy -= 1
             self.at(NET_MS, self.ended, *back, api.Ending.FULL)
             return
--- a/tests/test_operator_files.py
+++ b/tests/test_operator_files.py
@@ -55,7 +55,20 @@
     return Bad(text, found, facts)
 
 
+FLEET = "[fleet]\nfleet = 'lab'\nname = 'g0'\nlisten = '127.0.0.1:7946'\n"
+MEMBER = "[[fleet.members]]\nname = 'g1'\naddress = '127.0.0.1:7947'\n"
+
 BAD = [
+    # members
+    bad("[fleet]\nname = 'g0'\n", ("missing-key", 1), ("missing-key", 1), ("missing-key", 1)),
+    bad(FLEET + MEMBER + MEMBER, ("member-twice", 9), ("member-twice", 10)),
+    bad(FLEET + MEMBER.replace("g1", "g0"), ("names-itself", 5)),
+    bad(FLEET + MEMBER.replace("7947", "7946"), ("member-twice", 4)),
+    bad(FLEET + MEMBER.replace("7947", "70000"), ("bad-port", 7)),
+    bad(FLEET + MEMBER.replace("127.0.0.1", "gateway"), ("bad-word", 7)),
+    bad(FLEET + "patience_ms = 600\nperiod_ms = 500\n" + MEMBER, ("impatient", 1)),
+    bad(FLEET + "budget_kib_s = 1\n" + MEMBER, ("out-of-range", 5)),
+    bad(FLEET + "control = 'here'\nvoters = 3\n" + MEMBER, ("bad-word", 5), ("unknown-key", 6)),
     # not TOML, or of another shape
     bad("[[route]\n", ("not-toml", 1)),
     bad('name = "a"\nname = "b"\n', ("not-toml", 2)),
@@ -176,7 +189,7 @@
 
 def test_there_are_at_least_sixty_wrong_files_and_each_rule_has_one() -> None:
     assert len(BAD) >= 60
-    source = "".join((ROOT / "glenchute" / "config" / f"{m}.py").read_text() for m in ("rules", "operator", "schema"))
+    source = "".join((ROOT / "glenchute" / "config" / f"{m}.py").read_text() for m in ("rules", "operator", "schema", "fleet"))
     codes = {code for case in BAD for code, _ in case.found}
     for code in codes:
         stem = code.removesuffix("-class").removesuffix("-plan")
