--- a/benchmarks/replication.py
+++ b/benchmarks/replication.py
@@ -54,6 +54,11 @@
             )
 
 
+async def seeds(trouble: str, load: str, on: bool) -> list[tuple[float, float]]:
+    """Three seeds beside each other."""
+    return await asyncio.gather(*(quota(trouble, load, on, seed) for seed in (1, 2, 3)))
+
+
 def quotas() -> None:
     """The worth of members' words, three seeds each."""
     print(f"five processes, one account of {RATE:g} a second and {BURST:g} at once, 8 to 10 a second asked")
@@ -61,7 +66,7 @@
         for load in LOADS:
             row = []
             for on in (False, True):
-                found = [uvloop.run(quota(trouble, load, on, seed)) for seed in (1, 2, 3)]
+                found = uvloop.run(seeds(trouble, load, on))
                 room, over = (statistics.mean(part) for part in zip(*found, strict=True))
                 row.append(f"{'with' if on else 'without'} members {room:.3f}, overshoot {over:4.1f}")
             print(f"{trouble:6} {load:7} refused with room {'; '.join(row)}", flush=True)
--- /dev/null
+++ b/glenchute/deciders/fleet/leases.py
@@ -0,0 +1,275 @@
+"""Leases by a majority of configured voters, without lasting storage and without clocks in common. No I/O.
+
+Source: Trencseni, Gazso, Reinhardt, "PaxosLease: Diskless Paxos for Leases" (2012): Paxos in which the
+value decided is "who holds this for how long", and what was accepted is forgotten when its time is over.
+Added here: a bound on the drift of clocks, tokens that only grow, recovery of a voter's promises from the
+others.
+
+Assumed: each clock runs at 1 - drift to 1 + drift times real time and never goes back; offsets do not
+matter, nor does the wall clock. Messages may be lost, repeated, late and out of order, for ever. A
+process that stops and goes on reads its clock before it acts, and that clock has run meanwhile. A voter
+that starts (it can't know whether for the first time) answers nothing for the longest lease, and until a
+majority of the others have told what they promised.
+
+Then, for each task:
+
+- At no moment of real time do two seekers have `holds` true. The holder's time begins before its proposal
+  leaves and is shorter by the drift than the voters', who promise nothing else meanwhile; two majorities
+  share a voter.
+- Tokens of later holdings are higher, as long as no majority of the voters restarts within one recovery:
+  a new ballot has to pass a voter of each majority before it, or one that has recovered from such a
+  voter. Where all voters have lost everything they begin anew (`anew`): tokens may fall, and a holder
+  waits the longest effect out.
+- While a majority answers and one seeker asks alone, it holds after two exchanges.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import IntEnum
+from typing import NamedTuple
+
+
+class Ballot(NamedTuple):
+    """The number of a try: higher than any that its seeker has heard of, and of this process alone."""
+
+    number: int
+    seeker: str
+    boot: int
+
+    def passes(self, promised: Ballot) -> bool:
+        """Whether a voter that has promised another may take this one. The number alone has to be higher, as
+        it is the token: of two seekers with one number the second would hold with the first one's token."""
+        return self == promised or self.number > promised.number
+
+
+NOTHING = Ballot(0, "", 0)
+
+
+class Kind(IntEnum):
+    """What a message asks or tells."""
+
+    PREPARE = 0
+    PROMISE = 1  # `ballot` is promised; `holder` is the ballot that holds now, if one does
+    PROPOSE = 2  # for `span` seconds
+    ACCEPTED = 3
+    NO = 4  # `holder` has been promised, which is higher
+    RELEASE = 5
+    RECALL = 6  # a voter that has started asks what was promised
+    RECALLED = 7  # `holder` is the highest promise for any task; `ready`: by one that has recovered itself
+
+
+class Lease(NamedTuple):
+    """One message about one task."""
+
+    kind: Kind
+    task: str
+    ballot: Ballot
+    holder: Ballot = NOTHING
+    span: float = 0.0
+    ready: bool = True
+
+
+class Out(NamedTuple):
+    """A message to be sent."""
+
+    to: str
+    message: Lease
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What all voters and seekers have to be configured with alike. Seconds by any clock within the drift."""
+
+    voters: tuple[str, ...]
+    longest: float = 10.0  # no lease is proposed or accepted for longer
+    drift: float = 0.01
+
+    @property
+    def majority(self) -> int:
+        """Voters that decide."""
+        return len(self.voters) // 2 + 1
+
+    @property
+    def silence(self) -> float:
+        """How long a voter that has started answers nothing: all it may have accepted is over by then."""
+        return self.longest * (1.0 + self.drift)
+
+    def held_for(self, span: float) -> float:
+        """How long, by the holder's clock, a lease of a span by the voters' clocks may be used."""
+        return span * (1.0 - self.drift) / (1.0 + self.drift)
+
+
+class Accepted(NamedTuple):
+    """A lease as a voter holds it, by its own clock."""
+
+    ballot: Ballot
+    until: float
+
+
+class Voter:
+    """One voter's promises."""
+
+    def __init__(self, name: str, terms: Terms, now: float) -> None:
+        self.name, self.terms = name, terms
+        self.speaks_at = now + terms.silence
+        self.recalled: dict[str, bool] = {}  # voters that told what they promised; whether they had recovered
+        self.ready = False
+        self.anew = False  # all voters had lost everything
+        self.floor = NOTHING  # promised for every task: the highest that the others had promised for any
+        self.promised: dict[str, Ballot] = {}
+        self.accepted: dict[str, Accepted] = {}
+
+    def tick(self, now: float) -> list[Out]:
+        """Asks the others what was promised, until enough have said; call it some times a second."""
+        for task in [task for task, held in self.accepted.items() if held.until <= now]:
+            del self.accepted[task]
+        if self.ready:
+            return []
+        others = [voter for voter in self.terms.voters if voter != self.name]
+        known, told = sum(self.recalled.values()), len(self.recalled)
+        lost = told - known + 1  # voters that remember nothing, this one included
+        most = self.terms.majority
+        if now >= self.speaks_at and (known >= most or told == len(others) or lost >= most):
+            self.ready, self.anew = True, lost >= most
+            return []
+        return [Out(other, Lease(Kind.RECALL, "", NOTHING)) for other in others]
+
+    def heard(self, now: float, sender: str, message: Lease) -> list[Out]:
+        """A message. A voter that has not recovered answers seekers nothing."""
+        kind, task, ballot = message.kind, message.task, message.ballot
+        if kind is Kind.RECALL:
+            highest = max([self.floor, *self.promised.values()])
+            return [Out(sender, Lease(Kind.RECALLED, "", NOTHING, highest, ready=self.ready))]
+        if kind is Kind.RECALLED:
+            if not self.ready and sender in self.terms.voters:
+                self.recalled[sender] = message.ready
+                self.floor = max(self.floor, message.holder)
+            return []
+        if not self.ready:
+            return []
+        promised = self.promised.get(task, self.floor)
+        held = self.accepted.get(task)
+        if held is not None and held.until <= now:
+            held = None
+        if kind is Kind.PREPARE:
+            if not ballot.passes(promised):
+                return [Out(sender, Lease(Kind.NO, task, ballot, promised))]
+            self.promised[task] = ballot
+            return [Out(sender, Lease(Kind.PROMISE, task, ballot, held.ballot if held else NOTHING))]
+        if kind is Kind.PROPOSE:
+            if not ballot.passes(promised) or message.span > self.terms.longest:
+                return [Out(sender, Lease(Kind.NO, task, ballot, promised))]
+            self.promised[task] = ballot
+            self.accepted[task] = Accepted(ballot, now + message.span)
+            return [Out(sender, Lease(Kind.ACCEPTED, task, ballot))]
+        if kind is Kind.RELEASE and held is not None and held.ballot == ballot:
+            del self.accepted[task]
+        return []
+
+
+@dataclass(slots=True)
+class Holding:
+    """A lease that is held, by this process' clock."""
+
+    token: int
+    until: float
+    ballot: Ballot  # of the last renewal
+
+
+@dataclass(slots=True)
+class Try:
+    """A try under way."""
+
+    ballot: Ballot
+    promises: set[str] = field(default_factory=set)
+    accepts: set[str] = field(default_factory=set)
+    until: float | None = None  # set when the proposal leaves
+
+
+class Seeker:
+    """One process that would hold a task's lease."""
+
+    def __init__(self, name: str, boot: int, task: str, terms: Terms, span: float) -> None:
+        if span > terms.longest:
+            raise ValueError("a lease must not be longer than the longest")
+        self.name, self.boot, self.task, self.terms, self.span = name, boot, task, terms, span
+        self.highest = 0  # number of the highest ballot heard of
+        self.trying: Try | None = None
+        self.holding: Holding | None = None
+        self.other: Ballot = NOTHING  # who was found to hold it
+
+    def holds(self, now: float) -> bool:
+        """Whether this process may act at this very moment."""
+        return self.holding is not None and now < self.holding.until
+
+    def guard(self, now: float, longest_s: float) -> int | None:
+        """The token, if an effect of this length that begins now ends while the lease is held; else None. Ask
+        just before the effect: a stop between this and the effect's start is covered only where whoever
+        carries it out refuses older tokens."""
+        end = now + longest_s * (1.0 + self.terms.drift)
+        return self.holding.token if self.holding is not None and end < self.holding.until else None
+
+    def seek(self, now: float) -> list[Out]:
+        """Begins a try, or a renewal where this process holds the lease."""
+        if not self.holds(now):
+            self.holding = None
+        self.highest += 1
+        self.trying = Try(Ballot(self.highest, self.name, self.boot))
+        return self.to_all(Lease(Kind.PREPARE, self.task, self.trying.ballot))
+
+    def release(self, now: float) -> list[Out]:
+        """Gives the lease back: not held from this moment on, whatever becomes of the messages."""
+        holding, self.holding, self.trying = self.holding, None, None
+        if holding is None:
+            return []
+        return self.to_all(Lease(Kind.RELEASE, self.task, holding.ballot))
+
+    def heard(self, now: float, sender: str, message: Lease) -> list[Out]:
+        """A voter's answer. One to an older try is only learned from."""
+        self.highest = max(self.highest, message.holder.number)
+        trying = self.trying
+        if message.task != self.task or trying is None or message.ballot != trying.ballot:
+            return []
+        if sender not in self.terms.voters:
+            return []
+        if message.kind is Kind.NO:
+            self.trying = None  # the next try has a higher number
+        elif message.kind is Kind.PROMISE and trying.until is None:
+            if not self.mine(message.holder):
+                self.other = message.holder
+                self.trying = None  # it is held by another
+                return []
+            trying.promises.add(sender)
+            if len(trying.promises) >= self.terms.majority:
+                trying.until = now + self.terms.held_for(self.span)  # begins before the proposal leaves
+                return self.to_all(Lease(Kind.PROPOSE, self.task, trying.ballot, span=self.span))
+        elif message.kind is Kind.ACCEPTED and trying.until is not None:
+            trying.accepts.add(sender)
+            if len(trying.accepts) >= self.terms.majority:
+                self.trying = None
+                if now < trying.until:
+                    token = self.holding.token if self.holds(now) and self.holding else trying.ballot.number
+                    self.holding = Holding(token, trying.until, trying.ballot)
+        return []
+
+    def mine(self, holder: Ballot) -> bool:
+        """Whether nobody else holds it: nobody does, or this very process."""
+        return holder == NOTHING or (holder.seeker, holder.boot) == (self.name, self.boot)
+
+    def to_all(self, message: Lease) -> list[Out]:
+        """The same to each voter."""
+        return [Out(voter, message) for voter in self.terms.voters]
+
+
+def sound_voters(voters: Sequence[str], listed: Sequence[str]) -> str:
+    """What is wrong with a set of voters, in a sentence; empty where nothing is."""
+    if len(set(voters)) != len(voters):
+        return "names a voter twice"
+    if not 3 <= len(voters) <= 9:
+        return f"has {len(voters)} voters; 3 to 9 decide"
+    if len(voters) % 2 == 0:
+        return f"has {len(voters)} voters, and may lose no more than {len(voters) - 1} may; take an odd one"
+    missing = [voter for voter in voters if voter not in listed]
+    return f"names {missing[0]}, which is no member" if missing else ""
