--- a/glenchute/cli/main.py
+++ b/glenchute/cli/main.py
@@ -69,6 +69,7 @@
     parsers["fleet"].add_argument("what", choices=("members", "state", "conflicts", "digest"))
     parsers["fleet"].add_argument("--control", metavar="PATH", required=True, help="the gateway's socket")
     parsers["fleet"].add_argument("--json", action="store_true", help="rows for a program")
+    parsers["quota"].add_argument("--asked", type=float, default=0.0, help="units a second; members' bound")
     parsers["demo"].add_argument("--seconds", type=float, default=8.0, help="length, 2 to 600 (default 8)")
     parsers["demo"].add_argument("--rate", type=float, default=80.0, help="requests a second, 1 to 500")
     parsers["demo"].add_argument("--seed", type=int, default=1, help="of load and faults")
--- a/glenchute/cli/quota.py
+++ b/glenchute/cli/quota.py
@@ -6,7 +6,7 @@
 import sys
 
 from glenchute.config.platform import ConfigError
-from glenchute.deciders.quotabound import bounds
+from glenchute.deciders.quotabound import bounds, members_bound
 
 from .files import platform
 
@@ -38,4 +38,8 @@
         figures = "".join(f"{value:10.2f}" for value in row[1:])
         print(f"{row.plan:16}{figures}" + ("" if row.holds else "  !"))
     print(LEGEND)
+    if args.asked > 0.0:
+        whole, parted = (members_bound(args.asked, spread, largest, split) for split in (False, True))
+        print(f"with [fleet] and a mute counter, asked for {args.asked:g} units a second: past the quota by "
+              f"{whole:.1f}, where the fleet is split by {parted:.1f}")  # fmt: skip
     return 0
--- a/glenchute/deciders/quotabound.py
+++ b/glenchute/deciders/quotabound.py
@@ -77,6 +77,18 @@
     return [bound(plan, spread, clocks_ms, largest) for plan in settings.plans if plan.rate]
 
 
+HEARD_S = 0.4  # a member's word reaches all within this, or the links lose more than the rumours bear
+MISSED_S = 2.5  # a cut is known of to each member after this
+
+
+def members_bound(asked: float, gateways: int, largest: float, split: bool) -> float:
+    """Units by which an account can pass its quota while the counter is mute and members tell each other of
+    use, with `asked` units a second asked for over all gateways: what is asked for while a word is on its
+    way, and one request at each gateway at once; where the fleet is split, also what is asked for until the
+    cut is known of. Not covered: rows that were dropped for want of room."""
+    return (HEARD_S + (MISSED_S if split else 0.0)) * asked + gateways * largest
+
+
 def ceiling_overshoot(found: Bound, restarts: int = 0, restores: int = 0) -> float:
     """Units past the ceiling that are promised not to be passed."""
     return found.ceiling_clocks + restarts * found.ceiling_restart + restores * found.ceiling_restore
--- a/lab/sim/members.py
+++ b/lab/sim/members.py
@@ -23,8 +23,6 @@
 TICK_MS = 50.0
 SPLITS = ("fleet split", "one way", "links lose", "stopped", "counter gone")
 OF_MEMBERS = (*KINDS, *SPLITS)
-HEARD_S = 0.4  # a word reaches all members within this, or is one that the links lost
-MISSED_S = 2.5  # a cut is known of to each member after this
 
 
 class Peer:
@@ -193,10 +191,3 @@
     world.run(16_000.0)
     served = sum(units for _, _, name, units in world.sent if name == plan.name)
     return overshoot(world.sent, plan), served / (plan.burst + 12.0 * plan.rate)
-
-
-def bound(gateways: int, rate: float, split: bool) -> float:
-    """What members' words keep an account's overshoot under while the counter is mute: what is asked for
-    while a word is on its way, and one request at each gateway at once; where the fleet is split, also what
-    is asked for until the cut is known of."""
-    return (HEARD_S + (MISSED_S if split else 0.0)) * rate + gateways
