--- a/benchmarks/replication.py
+++ b/benchmarks/replication.py
@@ -1,6 +1,6 @@
 """What members' words are worth and cost: five real processes with members and without, then simulated sizes.
 
-``python -m benchmarks.replication [quota] [heal] [detect] [cost]`` prints the tables of these, or of all.
+``python -m benchmarks.replication [quota] [heal] [detect] [cost] [sixty]`` prints these, or all.
 """
 
 from __future__ import annotations
@@ -148,7 +148,37 @@
     return f"{count:2} processes: {idle_text}; {busy_text}; {sent / 1024.0:.0f} KiB of rows and hashes sent"
 
 
-PARTS = {"quota": quotas, "heal": heals, "detect": detections, "cost": costs}
+def sixty() -> None:
+    """Sixty processes, a tenth of whose links are cut both ways and another tenth lose three in ten."""
+    print(uvloop.run(among(60)), flush=True)
+
+
+async def among(count: int) -> str:
+    """How long until all take part and know of all use, and who is buried in 20 s by mistake."""
+    rng, every = random.Random(1), range(count)
+    with tempfile.TemporaryDirectory() as folder:
+        async with FleetSite(Path(folder), count) as site:
+            for link in site.links.values():
+                drawn = rng.random()
+                for way in link.ways:
+                    way.cut, way.lose = drawn < 0.1, 0.3 if drawn < 0.2 else 0.0
+            began = time.monotonic()
+            for first in range(0, count, 10):
+                await site.start(every[first : first + 10])
+            started = time.monotonic() - began
+            whole = await site.until(lambda: site.whole(every, 0.9), 120.0)
+            accounts = [Account(b"%016x" % i, "standard", 1.0, f",spread={count},first=0") for i in range(50)]
+            told = await site.load(20.0, 1.0, accounts)
+            assert checks.lost(told) == 0 and checks.refused_and_ran(site.site.nodes, told) == 0
+            buried = sum(gateway.log.read_text().count(": dead") for gateway in site.gateways)
+            same = await site.until(lambda: site.same_digest(every), 60.0)
+            what = f"{count} processes, a tenth of the links cut, a tenth losing 30 %"
+            load = f"{len(told)} requests, none lost; copies the same {same:.1f} s after them"
+            start = f"started by tens in {started:.0f} s, whole {whole:.1f} s later"
+            return f"{what}: {start}; {buried} false burials; {load}"
+
+
+PARTS = {"quota": quotas, "heal": heals, "detect": detections, "cost": costs, "sixty": sixty}
 
 
 def main() -> int:
