A successor takes the members' address and name over; a boot is not of the platform's seed

Seen by a new test with a process and its successor on one socket: the successor ended with 'could not bind', as the first one had the members' address; and with the same platform file both had one boot, so they passed for one process and wrote the same rows. The end of the first one also took the control socket's path of the second away.

Change: the address is tried on until it is free, which it is as soon as the first one leaves; boots are drawn from the system; the control socket is taken away only by the process that made it.

--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -273,7 +273,7 @@
             # GOAWAY at once: a proxy opens its next stream elsewhere, and what is open is served to its end.
             proxies = self.loop.create_task(self.extproc.stop(LEAVE_S))
         if self.fleet is not None:
-            self.fleet.leave()
+            self.fleet.leave(replaced=self.passed is not None)
         self.listener.leave(replaced=self.passed is not None)
         if self.passed is None:
             await asyncio.sleep(ACCEPT_S)
--- a/glenchute/control/server.py
+++ b/glenchute/control/server.py
@@ -29,6 +29,7 @@
         self.verbs: dict[str, Verb] = {}
         self.server: asyncio.Server | None = None
         self.callers = 0
+        self.made = 0  # the socket's inode: the next process may have put its own there
 
     def register(self, subsystem: str, verbs: dict[str, Verb]) -> None:
         """Adds verbs, as `fleet members`."""
@@ -44,6 +45,7 @@
         before = os.umask(0o177)
         try:
             self.server = await asyncio.start_unix_server(self.serve, self.path, limit=MOST_LINE)
+            self.made = os.stat(self.path).st_ino
         finally:
             os.umask(before)
 
@@ -80,4 +82,5 @@
         if self.server is not None:
             self.server.close()
             with contextlib.suppress(OSError):
-                os.unlink(self.path)
+                if os.stat(self.path).st_ino == self.made:
+                    os.unlink(self.path)
--- a/glenchute/peers/fleet/node.py
+++ b/glenchute/peers/fleet/node.py
@@ -9,8 +9,11 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
+import os
 import random
+import socket
 from collections import Counter
 from collections.abc import Callable
 from typing import Any, cast
@@ -27,6 +30,7 @@
 from .wire import Bad, decode, encode
 
 TICK_S = 0.025
+RETRY_S = 0.1
 RANK = {api.ServerState.ACTIVE: 0.0, api.ServerState.DRAINING: 1.0, api.ServerState.GONE: 2.0}
 
 log = logging.getLogger("glenchute.fleet")
@@ -41,7 +45,9 @@
     ) -> None:  # fmt: skip
         rng = random.Random(seed)
         self.loop, self.fleet, self.name, self.gateways = loop, raw["fleet"], raw["name"], made.gateways
-        self.boot = rng.getrandbits(62)
+        # Not of the seed: a platform that starts a process again with an old file gives it the old seed, and
+        # then two processes would be taken for one.
+        self.boot = int.from_bytes(os.urandom(8), "big") >> 2
         self.listen = address_of(raw["listen"])
         self.addresses = {row["name"]: address_of(row["address"]) for row in raw["members"]}
         self.names = {address: name for name, address in self.addresses.items()}
@@ -58,31 +64,53 @@
         self.version = 0  # of the list that this process has from discovery
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.opening: asyncio.TimerHandle | None = None  # the next try to open the socket
         self.bad: Counter[str] = Counter()
         self.received = 0
         self.heard_at = -1e9  # when the last datagram of a member came
         self.shown = 0  # conflicts that the log has told of
 
     async def start(self) -> None:
-        """Opens the socket; the first probes go out."""
-        await self.loop.create_datagram_endpoint(lambda: self, self.listen)
+        """Opens the socket; the first probes go out. Where the address is taken, as by the process before
+        until it leaves, it is tried on: without it this gateway goes by its own part."""
+        await self.open()
         self.tick()
 
+    async def open(self) -> None:
+        """One try."""
+        made = socket.socket(type=socket.SOCK_DGRAM)
+        made.setblocking(False)
+        try:
+            made.bind(self.listen)  # by hand, as the loop does not tell why it could not
+        except OSError as error:
+            made.close()
+            if error.errno != errno.EADDRINUSE:
+                raise
+            if self.opening is None:
+                log.warning("the fleet's address is taken; tried on until it is free")
+            self.opening = self.loop.call_later(RETRY_S, lambda: self.loop.create_task(self.open()))
+            return
+        await self.loop.create_datagram_endpoint(lambda: self, sock=made)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.DatagramTransport, transport)  # uvloop's is none by its class
 
     def error_received(self, exc: Exception) -> None:
         self.bad["refused by the machine"] += 1  # a member whose port is closed; the probes tell
 
-    def leave(self) -> None:
-        """This process ends, and says so once; what that does not reach finds out."""
+    def leave(self, replaced: bool) -> None:
+        """This process ends, and says so once; what that does not reach finds out. `replaced`: the next
+        process waits for the address and has it at once."""
         for out in self.members.leave(self.loop.time()):
             self.send(out.to, out.message)
+        if replaced:
+            self.close()
 
     def close(self) -> None:
         """Closes the socket."""
-        if self.timer is not None:
-            self.timer.cancel()
+        for timer in (self.timer, self.opening):
+            if timer is not None:
+                timer.cancel()
         if self.transport is not None:
             self.transport.close()
 
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -18,6 +19,7 @@
 from lab.fleet.processes import FleetSite
 from lab.load import Account, Kind
 from lab.peers import play
+from lab.site import GatewayProcess
 
 ONE = Account(b"%016x" % 77, "standard", 1.0, ",spread=5,first=0")  # 4 a second, 12 at once
 RATE, BURST = 4.0, 12.0
@@ -178,6 +180,44 @@
 """
 
 
+def test_a_successor_takes_the_name_and_the_sockets_over(tmp_path: Path) -> None:
+    """Both processes are alive under one name for a while; the first has the address until it leaves."""
+
+    async def scenario() -> None:
+        async with FleetSite(tmp_path, 3) as site:
+            old = site.gateways[0]
+            with socket.create_server(("127.0.0.1", old.port), backlog=512) as door:
+                old.passed, old.shared = door, tmp_path
+                await site.start()
+                await site.until(lambda: site.whole(range(3), 1.0))
+                boot = (await site.asked(0, "members"))[0]["boot"]
+                load = asyncio.create_task(site.load(6.0, 15.0, MANY, [0, 1]))
+                (tmp_path / "next").mkdir()
+                new = GatewayProcess(tmp_path / "next", old.platform, old.operator.read_text())
+                new.passed, new.shared = door, tmp_path
+                new.start()
+                try:
+                    await site.until(lambda: shows(new, "tried on until it is free"))
+                    old.signal(signal.SIGTERM)
+                    await site.until(lambda: taken(site, boot))
+                    outcomes = await load
+                    assert old.process is not None and old.process.wait() == 0
+                    await site.until(lambda: site.whole(range(3), 1.0))  # the control socket is the new one's
+                    assert checks.lost(outcomes) == 0
+                    assert checks.refused_and_ran(site.site.nodes, outcomes) == 0
+                finally:
+                    new.signal(signal.SIGKILL)
+
+    async def shows(one: GatewayProcess, line: str) -> bool:
+        return line in one.log.read_text()
+
+    async def taken(site: FleetSite, boot: str) -> bool:
+        rows = [row for row in await site.asked(1, "members") if row["name"] == "g0"]
+        return bool(rows) and rows[0]["boot"] != boot and rows[0]["state"] == "alive"
+
+    play(scenario())
+
+
 def test_one_trouble_after_another_among_six(tmp_path: Path) -> None:
     """A one-way cut, a member that flaps, one cut off in mid-catch-up, and all but one killed at once."""
     every = range(6)
