One account of a store, one length of a window; dead state of the exchange goes out

Change: each calls the one that stands; World.booked loses an argument that was not read. Behaviour is as it was.

--- a/glenchute/deciders/fleet/gossip.py
+++ b/glenchute/deciders/fleet/gossip.py
@@ -24,7 +24,6 @@
 
 ROW_BYTES = 64  # what a row is reckoned at in the budget
 MOST_ROWS = 16  # in a message, which thus stays under a datagram's size
-MOST_OWED = BUCKETS * BUCKETS  # leaves owed to one member
 MOST_NEWS = 20_000  # rows waiting to be passed on; past this the comparison has to bring them
 
 
@@ -94,7 +93,6 @@
         self.allowed_at = now
         self.sent_bytes = self.rows_sent = self.rows_taken = 0
         self.longest = max(rules.life_s for rules in replica.rules.values())
-        self.caught_up_at: float | None = None
         self.changed: list[Row] = []
 
     def tell(self, now: float, row: Row, size: int) -> None:
@@ -120,7 +118,7 @@
         self.allowance = min(self.pace.budget / 4.0, self.allowance + fresh)
         self.allowed_at = now
         if not self.known and (now - self.began >= self.longest or self.complete(alive)):
-            self.known, self.caught_up_at = True, now
+            self.known = True
         self.owed = {name: leaves for name, leaves in self.owed.items() if leaves and name in alive}
         if not alive:
             return []
@@ -143,7 +141,7 @@
         """Passes news on to one member. What restrains is passed on even if nothing seems new, a few rows at
         a time, as a digest that agrees by chance must not hide it."""
         waiting = sorted(self.news, key=lambda at: at[0])
-        if not waiting and (drains := [at for at in self.replica.order[Kind.SERVER]]):
+        if not waiting and (drains := list(self.replica.order[Kind.SERVER])):
             waiting = self.rng.sample(drains, min(2, len(drains)))
         to = self.rng.choice(alive)
         while waiting and self.allowance > 0.0:
@@ -248,8 +246,8 @@
         return self.rng.choice(alive)
 
     def owe(self, name: str, bucket: int, leaves: Sequence[int]) -> None:
-        """Leaves that a member is to be sent, bounded."""
+        """Leaves that a member is to be sent; each once, so no more than the tree has."""
         mine = self.owed.setdefault(name, {})
         for leaf in leaves[:BUCKETS]:
-            if 0 <= leaf < BUCKETS and len(mine) < MOST_OWED:
+            if 0 <= leaf < BUCKETS:
                 mine[bucket, leaf] = None
--- a/glenchute/deciders/fleet/replica.py
+++ b/glenchute/deciders/fleet/replica.py
@@ -186,10 +186,6 @@
         held = self.rows.get((kind, key, writer))
         return held.row if held is not None else None
 
-    def age(self, now: float, row: Row) -> float:
-        """How old a held row is, in seconds."""
-        return now - self.rows[row.kind, row.key, row.writer].made
-
     # --- comparing copies --------------------------------------------------------------------------------
 
     def compared(self, now: float, leaf: tuple[int, int]) -> Iterable[Held]:
--- a/glenchute/deciders/quotabound.py
+++ b/glenchute/deciders/quotabound.py
@@ -25,7 +25,7 @@
 
 from heathglade.interface import Plan, Settings
 from heathglade.policy import COUNTED, LEAST_PART
-from heathglade.windows import IDLE_MS, WINDOW_S
+from heathglade.windows import span_of
 
 
 class Bound(NamedTuple):
@@ -49,7 +49,7 @@
 
 def window_s(plan: Plan) -> float:
     """The length of the plan's windows, as the module has it."""
-    return min(IDLE_MS / 1000.0, max(WINDOW_S, plan.burst / plan.rate if plan.rate else 0.0))
+    return span_of(plan) / 1000.0
 
 
 def bound(plan: Plan, spread: int, clocks_ms: float, largest: float) -> Bound:
--- a/lab/fleet/checks.py
+++ b/lab/fleet/checks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from ..load import Outcome
 from ..nodes import Node
@@ -28,9 +28,15 @@
 
 def overshoot(nodes: Sequence[Node], customer: bytes, rate: float, burst: float) -> float:
     """Units by which a store of this rate and burst went below nothing, by what ran at the nodes."""
+    moments = sorted(run.at + node.began for node in nodes for run in node.ran if run.customer == customer)
+    return passed([(at, 1.0) for at in moments], rate, burst)
+
+
+def passed(taken: Iterable[tuple[float, float]], rate: float, burst: float) -> float:
+    """The same for moments, in seconds and in order, and the units that were taken at each."""
     level, last, lowest = burst, None, 0.0
-    for at in sorted(run.at + node.began for node in nodes for run in node.ran if run.customer == customer):
-        level = min(burst, level + (0.0 if last is None else rate * (at - last))) - 1.0
+    for at, units in taken:
+        level = min(burst, level + (0.0 if last is None else rate * (at - last))) - units
         lowest, last = min(lowest, level), at
     return -lowest
 
--- a/lab/sim/members.py
+++ b/lab/sim/members.py
@@ -17,6 +17,7 @@
 from heathglade import Gateway
 from heathglade import interface as api
 
+from ..fleet import checks
 from .swarm import KINDS
 from .world import Node, World
 
@@ -168,13 +169,8 @@
 
 def overshoot(sent: list[tuple[float, str, str, float]], plan: api.Plan) -> float:
     """Units by which the store of a plan's only account went below nothing, by what was sent on first."""
-    level, last, lowest = plan.burst, None, 0.0
-    for at, _, name, units in sent:
-        if name == plan.name:
-            filled = 0.0 if last is None else plan.rate * (at - last) / 1000.0
-            level = min(plan.burst, level + filled) - units
-            lowest, last = min(lowest, level), at
-    return -lowest
+    taken = [(at / 1000.0, units) for at, _, name, units in sent if name == plan.name]
+    return checks.passed(taken, plan.rate, plan.burst)
 
 
 def mute_run(seed: int, gateways: int, rate: float, split: bool, members: bool) -> tuple[float, float]:
--- a/lab/sim/recovery.py
+++ b/lab/sim/recovery.py
@@ -67,7 +67,7 @@
             self.served_in_tail[row] += 1
         super().answered(asked, how)
 
-    def booked(self, asked: Asked, customer: str) -> None:
+    def booked(self, asked: Asked) -> None:
         row = (asked.number, asked.cls.name, asked.plan)
         if self.counting:
             self.asked_in_tail[row] += 1
--- a/lab/sim/world.py
+++ b/lab/sim/world.py
@@ -426,14 +426,14 @@
         asked = Asked(ref, number, self.incarnation[number], kind, plan, deadline, ref, 0, 0, units=units)
         asked.came = self.now
         self.asked[ref] = asked
-        self.booked(asked, customer)
+        self.booked(asked)
         left = deadline - self.now
         event = api.Request(ref, cls, plan, customer, left, units, self.settings.gateways)
         self.feed(number, self.incarnation[number], event)
         if ref in self.asked and self.rng.random() < 0.02:
             self.at(self.rng.uniform(1.0, 300.0), self.leave, asked)
 
-    def booked(self, asked: Asked, customer: str) -> None:
+    def booked(self, asked: Asked) -> None:
         """A request has been taken; for sites that keep further books."""
 
     def leave(self, asked: Asked) -> None:
