--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -38,6 +38,7 @@
 TOLERATED = 0.5  # median time of answers against their aims that V settles at in overload
 MOST_SPAN_S = 4.0  # ... or this long
 HEARD = 0.25  # of the time that answers take, what each new one tells
+PACE_MS = 60_000.0  # what was learned of a server's pace fades in this time
 RATE_S = 3.0  # the rate of answers is taken over this long
 WORD = 0.3  # of what a report tells beyond the mean; it is late when it comes, and others heard it too
 LOOKS_PER_S = 4.0  # at a server that can't be reached, by all gateways
@@ -435,8 +436,12 @@
             c.spread = c.spread // self.processes * processes
         self.processes = processes
 
-    def forget_idle(self, now: float) -> None:
-        """Ages out customers with nothing open."""
+    def idle(self, now: float) -> None:
+        """Ages out customers with nothing open. Where no call is out, a second counts as an answer in time:
+        of a counter that is not asked, nothing else would ever tell that its crowd has gone."""
+        if not self.calls_out:
+            self.share = min(1.0, self.share * 1.02 ** (TICK_MS / 1000.0))
+            self.watch.share = self.share
         while self.customers:
             c = next(iter(self.customers.values()))
             if now - c.seen < IDLE_MS or c.open or c.under_way:
@@ -520,7 +525,7 @@
         # on average takes its place: else all would pass for idle, and none would seem worth sparing.
         usual = self.crowd[warmth >= 1.0] * server.size
         held = usual + WORD * (server.held - usual) * math.exp((server.held_at - now) / 1000.0)
-        wait = server.pace * (1.0 + server.out) + held / server.size
+        wait = self.pace(server, now) * (1.0 + server.out) + held / server.size
         if server.silent_since is not None:
             # An answer overdue says hung, slow, or cut off, before any time-out does.
             wait = max(wait, (now - server.silent_since) / mean)
@@ -547,6 +552,11 @@
             server.turn = kept if kept >= 1.0 else server.turn % 1.0
         return server.turn >= 1.0
 
+    def pace(self, server: Server, now: float) -> float:
+        """Time of its answers against the fleet's. One that was slow is asked no more, and so never found
+        to be well again, unless what was learned of it grows old."""
+        return 1.0 + (server.pace - 1.0) * math.exp((server.paced_at - now) / PACE_MS)
+
     def answers(self, server: Server, now: float) -> float:
         """What it answers here, a second."""
         return server.rate * math.exp((server.rated_at - now) / 1000.0 / RATE_S)
@@ -584,7 +594,8 @@
             mean = self.mean(cls, units)
             self.means[key] = mean + 0.03 * (event.took_ms - mean)
             self.load += 0.12 * (event.took_ms / mean - self.load)
-            server.pace += 0.12 * (event.took_ms / mean - server.pace)
+            pace = self.pace(server, now)
+            server.pace, server.paced_at = pace + 0.12 * (event.took_ms / mean - pace), now
         if event.ending is Ending.OK:
             server.fails = faded * 0.7
             if warm:
@@ -800,7 +811,7 @@
             line = ", ".join(f"{what} {n}" for what, n in sorted(self.tally.items()))
             self.actions.append(Log(f"in {(now - self.tallied_at) / 1000.0:.1f} s: {line}"))
             self.tally, self.tallied_at = {}, now
-        self.quota.forget_idle(now)
+        self.quota.idle(now)
         for customer in list(self.quota.due.values()):
             self.actions += self.quota.calls(now, customer)
         self.resume(now)
--- a/heathglade/records.py
+++ b/heathglade/records.py
@@ -58,6 +58,7 @@
     size: float = 1.0  # as the list has it
     out: int = 0  # own attempts under way
     pace: float = 1.0  # time of answers against the fleet's mean for the same kind of request
+    paced_at: float = 0.0  # as of then; what is old says less
     fails: float = 0.0  # recent share of failures, fading
     fails_at: float = 0.0
     refused: int = 0  # attempts in a row that did not connect
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -9,8 +9,16 @@
 import pytest
 
 from benchmarks.recovery import measure
-from heathglade.interface import Ending, Send
-from heathglade.policy import Pressure
+from heathglade.interface import (
+    AttemptEnded,
+    Ending,
+    ListKind,
+    Repeat,
+    RequestClass,
+    Send,
+    ServerList,
+)
+from heathglade.policy import LEAST_SHARE, Pressure
 from lab.peers import play
 from lab.sim.recovery import drawn, shape_of, tried
 from lab.sim.swarm import Fault, Script
@@ -152,3 +160,152 @@
             assert row.refused == 0 and row.served == row.asked > 20
 
     play(scenario())
+
+
+def mute(rig: Rig) -> None:
+    """The counter answers nothing, with units to tell it of."""
+    rig.ending = Ending.TIMEOUT
+    for _ in range(4):
+        rig.ask(plan="rate", customer="c")
+        rig.advance(1500.0)
+        rig.answer_calls()
+
+
+def heard_again(rig: Rig) -> bool:
+    """The counter answers; one request, by the lot, gives something to tell it of."""
+    rig.ending = Ending.OK
+    rig.ask(plan="rate", customer="other")
+    for _ in range(8):
+        rig.advance(250.0)
+        rig.answer_calls()
+    return not rig.gateway.quota.mute
+
+
+def crowd(rig: Rig) -> None:
+    rig.gateway.quota.share, rig.gateway.quota.slow = LEAST_SHARE, 1.0
+
+
+def overloaded(rig: Rig) -> None:
+    """V is at its floor, and the credit of what asks is spent."""
+    rig.gateway.pressure.capacity, rig.gateway.pressure.took = 0.01, 3.0
+    while only((one := rig.ask())[1], Send):
+        rig.end(one[0], 0, Ending.OK, 900.0)
+
+
+def filled(rig: Rig) -> None:
+    """So much is out that a new request would come late; then all of it runs out of time."""
+    names = []
+    while only((one := rig.ask(left=500.0))[1], Send):
+        names.append(one[0])
+    rig.now += 500.0
+    for name in names:
+        rig.end(name, 0, Ending.TIMEOUT, 500.0, final=True)
+
+
+def moved(rig: Rig) -> None:
+    """By the counter's words all of a customer's use came another way; then it is silent, the part spent."""
+    rig.others = 60.0
+    for _ in range(4):
+        rig.ask(plan="rate", customer="c")
+        rig.advance(3000.0)
+        rig.answer_calls()
+    rig.others = 0.0
+    mute(rig)
+    rig.gateway.quota.customers["c"].part = 0.0
+
+
+def gone(rig: Rig, refusals: int = 10) -> None:
+    """A server that could not be reached ten times in a row is paused, and judged by it."""
+    request = RequestClass("read", 1000.0, 1.0, Repeat.SAFE)
+    end = AttemptEnded("x", 0, "s0", Ending.UNREACHABLE, 1.0, False)
+    for _ in range(refusals):
+        rig.gateway.fleet.ended(rig.now, end, request, 1.0)
+
+
+def cold(rig: Rig) -> None:
+    """All servers have just started, and their turns are spent."""
+    rig.feed(ServerList(ListKind.FULL, entries(3, started=rig.now)))
+    for server in rig.gateway.fleet.servers.values():
+        server.turn, server.turn_at = 0.0, rig.now
+
+
+def forgot(rig: Rig) -> None:
+    """The counter lost what it knew of a window; its name grants nothing more."""
+    rig.ask(plan="hard", customer="c")
+    rig.advance(1500.0)
+    rig.answer_calls()
+    word = rig.gateway.quota.customers["c"].word
+    assert word is not None
+    word.lost = True
+
+
+def spent(rig: Rig) -> None:
+    rig.gateway.retries = 0.0
+
+
+def slow(rig: Rig) -> None:
+    """One server answered sixty times as late as the others, so that they would rather refuse than ask it."""
+    server = rig.gateway.fleet.servers["s0"]
+    server.pace, server.paced_at = 60.0, rig.now
+
+
+def serves(rig: Rig, plan: str = "wide", customer: str = "c") -> bool:
+    return bool(only(rig.ask(plan=plan, customer=customer)[1], Send))
+
+
+def reaches(rig: Rig, server: str = "s0") -> bool:
+    """Whether a burst goes to this server too."""
+    return any(server in rig.sent.get(rig.ask(customer=f"b{n}")[0], ()) for n in range(24))
+
+
+def granting(rig: Rig) -> bool:
+    rig.ask(plan="hard", customer="c")
+    rig.advance(1500.0)
+    rig.answer_calls()
+    word = rig.gateway.quota.customers["c"].word
+    return word is not None and word.granted(2) > 0.0
+
+
+def repeats(rig: Rig) -> bool:
+    """A try that failed is made again, after the five requests that one repeat costs."""
+    for _ in range(5):
+        name, _ = rig.ask()
+        rig.end(name, 0, Ending.OK)
+    return bool(only(rig.end(rig.ask()[0], 0, Ending.RESET), Send))
+
+
+def asks(rig: Rig) -> bool:
+    return rig.gateway.quota.share == 1.0
+
+
+HELD: dict[str, tuple[Callable[[Rig], None], Callable[[Rig], bool], float]] = {
+    # what a fault leaves; whether it is over; the silence after which it must be, in seconds
+    "V and credit": (overloaded, serves, 24.0),
+    "peak and backlog": (filled, serves, 0.0),
+    "a lot of next to nothing, the counter mute": (moved, lambda rig: serves(rig, "rate"), 61.0),
+    "a mute counter": (mute, heard_again, 0.0),
+    "slowed calls": (crowd, asks, 120.0),
+    "a pause of a server": (gone, reaches, 12.5),
+    "a judgement of a server": (gone, lambda rig: rig.gateway.fleet.judge(rig.now) == [], 5.0),
+    "turns at cold servers": (cold, serves, 10.0),
+    "a window's lost memory": (forgot, granting, 3.0),
+    "the budget of repeats": (spent, repeats, 0.0),
+    "the pace of a slow server": (slow, reaches, 180.0),
+}
+
+
+@pytest.mark.parametrize("state", HELD)
+def test_each_state_that_could_hold_itself_ends_though_nothing_is_asked(state: str) -> None:
+    strike, over, silence = HELD[state]
+    rig = Rig(entries(3))
+    rig.warm_up()
+    strike(rig)
+    if silence:
+        assert not over(rig), "the fault left no such state"
+    rig = Rig(entries(3))
+    rig.warm_up()
+    strike(rig)
+    for _ in range(int(silence * 4.0)):
+        rig.advance(250.0)
+        rig.answer_calls()
+    assert over(rig)
