--- a/glenchute/deciders/pipeline.py
+++ b/glenchute/deciders/pipeline.py
@@ -345,7 +345,8 @@
         if most < 2 or node.at_risk() >= self.rules.at_risk or job.rescue_by <= now:
             return []
         sizes = sorted((len(p.places), p.number) for p in node.posts.values() if 0 < len(p.places) < most)
-        bound = min(job.rescue_by, job.until)
+        # A moment before its own time is up: both timers fall due together else, and either may come first.
+        bound = min(job.rescue_by, job.until - COARSE_MS)
         found: list[tuple[Post, float]] = []
         for _, number in sizes:
             post = node.posts[number]
