--- a/glenchute/backends/resp2.py
+++ b/glenchute/backends/resp2.py
@@ -10,7 +10,6 @@
 import math
 import re
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from glenchute.core.types import About, Address, Result, Source
@@ -18,6 +17,7 @@
 from glenchute.wire import resp
 from glenchute.wire.long import LongReply
 from heathglade.interface import Ending
+from heathglade.record import record
 
 if TYPE_CHECKING:
     from .long import LongAnswer
@@ -31,7 +31,7 @@
 LOAD = re.compile(r"[a-z_0-9]+=[0-9.]+(,[a-z_0-9]+=[0-9.]+)*")
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Limits:
     """What the settings allow, in seconds."""
 
--- a/glenchute/config/facts.py
+++ b/glenchute/config/facts.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from heathglade.interface import Repeat
+from heathglade.record import record
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class ClassFacts:
     """One class of the platform's file."""
 
@@ -23,7 +23,7 @@
         return "GET" if self.repeat is Repeat.SAFE else "POST"
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Facts:
     """What of the platform's file the rules are about."""
 
--- a/glenchute/config/platform.py
+++ b/glenchute/config/platform.py
@@ -4,7 +4,6 @@
 
 import json
 import socket
-from dataclasses import dataclass
 from typing import Any
 
 from glenchute.backends.resp2 import Limits
@@ -12,6 +11,7 @@
 from glenchute.fronts.resp2.commands import Bounds, bounds
 from glenchute.peers.discovery import ListError, address, read_list
 from heathglade.interface import Settings
+from heathglade.record import record
 from heathglade.simhost import SCOPES, num, settings
 
 from .facts import ClassFacts, Facts
@@ -27,7 +27,7 @@
     """A configuration that no gateway can run on."""
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Config:
     """What the platform tells a gateway."""
 
--- a/glenchute/core/types.py
+++ b/glenchute/core/types.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import field
 from typing import NamedTuple, Protocol
 
 from heathglade.interface import Action, Ending, Event, ServerList
+from heathglade.record import record
 
 Address = tuple[str, int]
 
 
-@dataclass(slots=True)
+@record(slots=True)
 class Call:
     """A client's request as the core needs it; each front adds what its backend is to be sent."""
 
@@ -33,21 +34,21 @@
         return None
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Served:
     """Final answer: the value as a server gave it for this request."""
 
     value: bytes
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Refused:
     """Final answer: no try ran; come again after this time, 0 for no advice."""
 
     retry_after_ms: float
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Failed:
     """Final answer: no promise about the effect."""
 
@@ -85,7 +86,7 @@
         """Nobody wants it any more. No call to the sink follows."""
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Streamed:
     """Final answer: a value too long to be held, as a server gives it for this request."""
 
@@ -95,7 +96,7 @@
 Answer = Served | Streamed | Refused | Failed
 
 
-@dataclass(slots=True)
+@record(slots=True)
 class Result:
     """How an attempt ended; `sound` where the connection can be used again, `last` where whoever carries the
     attempts makes no further one."""
@@ -107,7 +108,7 @@
     last: bool = False
 
 
-@dataclass(slots=True)
+@record(slots=True)
 class News:
     """A list or changes to it, with the addresses, which only the transport needs."""
 
--- a/glenchute/deciders/exchange.py
+++ b/glenchute/deciders/exchange.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
 from enum import Enum
 
 from heathglade.interface import Ending, Repeat
+from heathglade.record import record
 
 # Response code details of a proxy's own replies, as Envoy's page "Response code details" lists them. Only
 # these prove that no byte reached a node; every other one, and any of tomorrow's, counts as "may have run".
@@ -67,7 +67,7 @@
     LATE = "late"  # the chosen node takes nothing any more, or repeats are no longer dropped
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Asking:
     """What is known where an attempt asks."""
 
--- a/glenchute/deciders/places.py
+++ b/glenchute/deciders/places.py
@@ -22,10 +22,11 @@
 
 from collections import OrderedDict
 from collections.abc import Hashable, Iterator
-from dataclasses import dataclass
 from enum import Enum
 from typing import Generic, TypeVar
 
+from heathglade.record import record
+
 IDLE_S = 5.0  # what a connection between requests is allowed with every place free
 ONCE_POWER = 3  # one that never came back loses its allowance by this power of the free share, others by 1
 SILENT_S = 2.0  # a newcomer has this long for its first command with every place free ...
@@ -69,7 +70,7 @@
     FLOOD = "flood"  # a newcomer, or one being left, past the spare places too
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Close(Generic[Key]):
     """End this connection. After IDLE, SILENT, ROOM, PARTIAL and FULL `Places` counts it as LEAVING, to be
     closed cleanly; after STUCK, LINGERED and FLOOD it is forgotten, to be cut off."""
@@ -78,7 +79,7 @@
     reason: Reason
 
 
-@dataclass(slots=True)
+@record(slots=True)
 class Place(Generic[Key]):
     """One connection's record."""
 
--- a/glenchute/fronts/extproc/calls.py
+++ b/glenchute/fronts/extproc/calls.py
@@ -13,13 +13,13 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 
 from glenchute.core.gateway import Gateway, Live
 from glenchute.core.types import About, Address, Answer, Call, Carrier, Refused, Result, Served, Source
 from glenchute.deciders.exchange import Asking, Gate, Show, ending, gate, may_follow, show
 from glenchute.deciders.mapping import Fields, MappingError, NeedsBody, Rules, View
 from heathglade.interface import Ending, Repeat
+from heathglade.record import record
 
 from . import events as ev
 from .token import Signer, Token
@@ -42,7 +42,7 @@
 TIMEOUT_SLACK_S = 0.001  # what ends without a word this long before its time, or later, ran out of it
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Ways:
     """The operator's settings of the front; times in seconds."""
 
@@ -74,7 +74,7 @@
     return values[0].decode("latin-1") if len(values) == 1 and len(values[0]) <= 4096 else ""
 
 
-@dataclass(slots=True)
+@record(slots=True)
 class Asked(Call):
     """A request whose attempts its proxy makes."""
 
--- a/glenchute/fronts/resp2/commands.py
+++ b/glenchute/fronts/resp2/commands.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
 from typing import Any
 
 from glenchute.core.types import Call
 from glenchute.wire import resp
 from heathglade.interface import Repeat, Settings
+from heathglade.record import record
 from heathglade.simhost import num
 
 MOST_FIELDS = 512  # bytes of the list of names and values
@@ -19,7 +19,7 @@
 WHOLE = re.compile(rb"[0-9]{1,6}")
 
 
-@dataclass(slots=True)
+@record(slots=True)
 class Command(Call):
     """A client's command, parsed and checked once. `fields` has a gap where the time left goes."""
 
@@ -37,7 +37,7 @@
     """A command that can't be served; the text goes to the client."""
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Bounds:
     """The most that a command may ask for."""
 
--- a/glenchute/peers/discovery.py
+++ b/glenchute/peers/discovery.py
@@ -16,8 +16,6 @@
 from collections.abc import Callable
 from typing import Any
 
-import h11
-
 from glenchute.core.types import News
 from heathglade.interface import ListKind, ServerEntry, ServerList, ServerState
 
@@ -87,6 +85,9 @@
     """One HTTP connection: a request at a time, each answer handed on whole."""
 
     def __init__(self, answered: Callable[[int, bytes], None], lost: Callable[[], None]) -> None:
+        import h11  # a tenth of what a start imports, and not needed before the first call
+
+        self.h11 = h11
         self.answered = answered
         self.lost = lost
         self.http = h11.Connection(h11.CLIENT)
@@ -105,10 +106,10 @@
         """Sends a request."""
         assert self.transport is not None
         self.told = False
-        head = h11.Request(
+        head = self.h11.Request(
             method="GET", target=target, headers=[("Host", host), ("Accept", "application/json")]
         )
-        self.transport.write((self.http.send(head) or b"") + (self.http.send(h11.EndOfMessage()) or b""))
+        self.transport.write((self.http.send(head) or b"") + (self.http.send(self.h11.EndOfMessage()) or b""))
 
     def data_received(self, data: bytes) -> None:
         self.take(data)
@@ -122,33 +123,33 @@
             self.http.receive_data(data)
             while self.event():
                 pass
-        except h11.RemoteProtocolError:
+        except self.h11.RemoteProtocolError:
             self.abort()
 
     def event(self) -> bool:
         """One step of the parser; False when it needs more bytes."""
         event = self.http.next_event()
-        if isinstance(event, h11.Response):
+        if isinstance(event, self.h11.Response):
             self.status, self.body = event.status_code, b""
-        elif isinstance(event, h11.Data):
+        elif isinstance(event, self.h11.Data):
             self.body += bytes(event.data)
             if len(self.body) > MOST_BODY:
                 self.abort()
                 return False
-        elif isinstance(event, h11.EndOfMessage):
+        elif isinstance(event, self.h11.EndOfMessage):
             status, body = self.status, self.body
             self.told = True
-            if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            if self.http.our_state is self.h11.DONE and self.http.their_state is self.h11.DONE:
                 self.http.start_next_cycle()
                 self.answered(status, body)
             else:
                 self.answered(status, body)
                 self.abort()
             return False
-        elif isinstance(event, h11.ConnectionClosed):
+        elif isinstance(event, self.h11.ConnectionClosed):
             self.abort()
             return False
-        return event is not h11.NEED_DATA and event is not h11.PAUSED
+        return event is not self.h11.NEED_DATA and event is not self.h11.PAUSED
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
@@ -156,7 +157,7 @@
 
     def usable(self) -> bool:
         """Whether another request may be sent."""
-        idle = self.http.our_state is h11.IDLE
+        idle = self.http.our_state is self.h11.IDLE
         return idle and self.transport is not None and not self.transport.is_closing()
 
     def abort(self) -> None:
--- a/heathglade/interface.py
+++ b/heathglade/interface.py
@@ -14,9 +14,10 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum
 
+from .record import record
+
 
 class Repeat(Enum):
     """Whether a request may be carried out more than once."""
@@ -67,7 +68,7 @@
 # --- settings, handed over once at start ---------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class RequestClass:
     """One class of requests."""
 
@@ -80,7 +81,7 @@
     late_worth: float = 0.0  # share of the worth that a later answer earns
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Plan:
     """One plan; its quotas hold for each customer over all gateways together. 0 means no such limit."""
 
@@ -96,7 +97,7 @@
     beyond_cost: float = 0.0  # share of its worth that one costs
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Safety:
     """Figures of the rules."""
 
@@ -106,7 +107,7 @@
     overload_ms: float = 1000.0  # ... for this long, a cold server falls over
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Settings:
     """What a gateway knows at start."""
 
@@ -129,7 +130,7 @@
 # --- events --------------------------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class ServerEntry:
     """One server in a list."""
 
@@ -141,7 +142,7 @@
     state: ServerState = ServerState.ACTIVE
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class ServerList:
     """News of the servers."""
 
@@ -149,7 +150,7 @@
     entries: tuple[ServerEntry, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Request:
     """A client's request; the module owes it exactly one final answer within `time_left_ms`."""
 
@@ -164,7 +165,7 @@
     copy_after_ms: float = 0.0  # a second copy may go out beside the first after this; 0: never
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class AnswerBegan:
     """A streamed answer has begun: the attempt is the client's from now on."""
 
@@ -172,7 +173,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class AttemptEnded:
     """An attempt ended. `final`: the client has its answer; else one is still owed, unless given before."""
 
@@ -187,7 +188,7 @@
     next_after_ms: float = 0.0  # a further attempt may start no sooner; inf: none may
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class AttemptHeld:
     """An attempt waits behind another whose answer does not come: a second copy elsewhere would help."""
 
@@ -195,7 +196,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class AttemptPlaced:
     """On which connection an attempt went out, and why. Decides nothing: for captures and their readers."""
 
@@ -204,21 +205,21 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class RequestGone:
     """The client left; no answer is owed."""
 
     request_id: str
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class TimerFired:
     """A timer set by `SetTimer` is due."""
 
     token: int
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class CountReply:
     """The answer to one `Count`; answers for one name come in the order of the calls. `late`: the call has
     ended as timed out before, and this is what became of it; those too come in the order of the calls. A
@@ -231,7 +232,7 @@
     late: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Stock:
     """What one customer's quota stands at, in units and units a second, for the gateway's next process. Of
     the ceiling's guard it holds a half, which the giver has given away."""
@@ -249,26 +250,26 @@
     total: float  # ... and the units of the last word of it, with own ones added since; inf: no word
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Beside:
     """Another process of this very gateway runs beside this one from now on, and takes over: what the gateway
     may do by itself is halved, and names on the counter that begin from now on are the other's to mark. A
     `HandOver` answers."""
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class TakeOver:
     """The process that ran before still runs, and told this. Halved likewise."""
 
     stocks: tuple[Stock, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Alone:
     """The other process of this gateway has gone."""
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Used:
     """Gateways have told each other, beside the counter, what they let in of a customer: the units of all
     others in the window that began at `window_ms` and in the one before, and the share of the gateways that
@@ -291,7 +292,7 @@
 # --- actions -------------------------------------------------------------------------------------------
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Send:
     """Start an attempt, numbered 0, 1, 2 ... for each request. `timeout_ms` 0: until the client leaves. Not a
     byte of it may leave after `write_by_ms`, if that is not 0: repeats are no longer dropped from then on."""
@@ -302,7 +303,7 @@
     write_by_ms: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Cancel:
     """Stop waiting for an attempt."""
 
@@ -310,7 +311,7 @@
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Refuse:
     """Final answer: turned away; trying again is harmless."""
 
@@ -318,14 +319,14 @@
     retry_after_ms: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Fail:
     """Final answer: failed, with no promise about the effect."""
 
     request_id: str
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class SetTimer:
     """Ask for a `TimerFired` at or after `at_ms`."""
 
@@ -333,7 +334,7 @@
     at_ms: float
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Count:
     """Add `amount` to the shared number `name`, which is forgotten `ttl_ms` after its first call."""
 
@@ -342,19 +343,19 @@
     ttl_ms: float
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Subscribe:
     """Ask for changes to the server list from now on."""
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class Log:
     """A line for the operators."""
 
     message: str
 
 
-@dataclass(frozen=True, slots=True)
+@record(frozen=True, slots=True)
 class HandOver:
     """What the next process is to know, the customers seen last first."""
 
--- a/heathglade/marks.py
+++ b/heathglade/marks.py
@@ -21,9 +21,10 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
 from enum import Enum
 
+from .record import record
+
 ROOM = 8.0  # a mark is worth so many times what a window can hold, so that units never pass for marks
 BLUR = 0.02  # share of a mark that units may fall without telling of a loss
 DIGITS = 1e-6  # of a total, seven digits are exact
@@ -34,7 +35,7 @@
     return float(10.0 ** math.ceil(math.log10(ROOM * max(1.0, burst + rate * span_s, most))))
 
 
-@dataclass(slots=True)
+@record(slots=True)
 class Name:
     """What this gateway knows of one window's name."""
 
@@ -95,7 +96,7 @@
     RECOVERING = "recovering"  # answers again; windows that began before are still open
 
 
-@dataclass(slots=True)
+@record(slots=True)
 class Watch:
     """The state of the counter as a whole, for the operators. Driven by replies and time only."""
 
--- a/heathglade/records.py
+++ b/heathglade/records.py
@@ -6,13 +6,14 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import field
 
 from .interface import Plan, Request, RequestClass, ServerEntry
 from .marks import Name
+from .record import record
 
 
-@dataclass(slots=True)
+@record(slots=True)
 class Customer:
     """What this gateway knows of one customer."""
 
@@ -50,7 +51,7 @@
     called_at: float = -1e9
 
 
-@dataclass(slots=True)
+@record(slots=True)
 class Server:
     """What this gateway knows of one server."""
 
@@ -72,7 +73,7 @@
     rated_at: float = 0.0
 
 
-@dataclass(slots=True)
+@record(slots=True)
 class Open:
     """A request that awaits its final answer."""
 
@@ -89,7 +90,7 @@
     home: ServerEntry | None = None  # where that one went
 
 
-@dataclass(slots=True)
+@record(slots=True)
 class Attempt:
     """An attempt under way; it may outlive its request."""
 
--- /dev/null
+++ b/tests/test_record.py
@@ -0,0 +1,48 @@
+"""Records are dataclasses to whoever looks, without what dataclasses compile."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, fields, replace
+
+import pytest
+
+from heathglade.record import record
+
+
+@record(frozen=True, slots=True)
+class Point:
+    """A point."""
+
+    x: int
+    y: int = 2
+
+
+@record(slots=True)
+class Named(Point):
+    """Inherits."""
+
+    name: str = ""
+    seen: list[int] = field(default_factory=list)
+
+
+@dataclass
+class Plain(Named):
+    more: int = 0
+
+
+def test_a_record_is_what_a_dataclass_is() -> None:
+    assert Point(1) == Point(1, 2) == Point(x=1) != Point(2) and Point(1) != Named(1)
+    assert len({Point(1), Point(1, 2), Point(3)}) == 2
+    assert repr(Point(1)) == "Point(x=1, y=2)" and repr(Named(1).seen) == "[]"
+    one, other = Named(1, 2, "a"), Named(1, 2, "a")
+    one.seen.append(1)
+    assert one != other and other.seen == [] and not hasattr(one, "__dict__")
+    assert replace(one, x=5).x == 5 and replace(one, x=5).seen == [1]
+    assert [f.name for f in fields(Named)] == ["x", "y", "name", "seen"]
+    assert Plain(1, more=4).more == 4 and Plain(1).seen == []
+    match Point(1):
+        case Point(x, y):
+            assert (x, y) == (1, 2)
+    for wrong in (lambda: Point(), lambda: Point(1, 2, 3), lambda: hash(one)):
+        with pytest.raises(TypeError):
+            wrong()
