Stand-in servers look at a key when a command comes, as the rule on sends has it

WIRE's second rule binds the moment of the send, so the stand-in now judges by when the command came.

--- a/lab/sim/world.py
+++ b/lab/sim/world.py
@@ -325,7 +325,8 @@
             return
         if attempt in asked.out and asked.first_left is None:
             asked.first_left, asked.sent_zone = back[5], node.zone
-        node.queue.append(lambda: self.serve(node, back))
+        came = self.now
+        node.queue.append(lambda: self.serve(node, back, came))
         self.turn(node)
 
     def check_cold(self, node: Node) -> None:
@@ -356,8 +357,9 @@
             node.busy += 1
             node.queue.pop(0)()
 
-    def serve(self, node: Node, back: tuple[Any, ...]) -> None:
-        """A command runs."""
+    def serve(self, node: Node, back: tuple[Any, ...], came: float) -> None:
+        """A command runs. Whether its key is remembered was looked at when it came: the rule is about when a
+        repeat is sent, however long it then waits here."""
         asked = back[2]
         if self.now > asked.until.get(back[3], asked.deadline):  # its `d` is over: nothing is begun then
             node.busy -= 1
@@ -366,7 +368,7 @@
         group = "all" if asked.cls.scope is api.Scope.ALL else node.zone
         if asked.cls.repeat is not api.Repeat.KEYED:
             asked.ran += 1
-        elif self.now - self.keys.get((group, asked.key), -1e12) > asked.cls.memory_ms:
+        elif came - self.keys.get((group, asked.key), -1e12) > asked.cls.memory_ms:
             self.keys[group, asked.key] = self.now
             asked.ran += 1
         if asked.cls.repeat is not api.Repeat.SAFE and asked.ran > 1:
