--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -18,6 +18,7 @@
 from glenchute.core.gateway import Gateway
 from glenchute.core.types import Decisions, News
 from glenchute.deciders.lifecycle import ACCEPT_S
+from glenchute.deciders.pacing import Doubt, Terms
 from glenchute.fronts.resp2.clients import Listener
 from glenchute.fronts.resp2.commands import Catalogue
 from glenchute.peers.counter import Counter
@@ -35,6 +36,7 @@
     from .succession import Succession
 
 LIST_WAIT_S = 0.3  # a start waits this long for the list of the day before it serves by the saved one
+SERVING_S = 5.0  # attempts that fail so long after the last answer tell that no server answers
 LEAVE_S = 3.2  # what is still held this long after SIGTERM is answered and left; the kill comes at 3.7 s
 LINGER_S = 0.05
 LOG_LINES_S = 20
@@ -100,13 +102,28 @@
             self.extproc = self.processing(operator.fronts["extproc"])
         self.succession = self.succeeding() if self.passed is not None else None
         self.operations = self.operating() if config.operations is not None else None
-        self.discovery = Discovery(loop, config.discovery, self.listed, made.gateways, config.seed)
+        asked = (operator.discovery if operator is not None else None) or {}
+        self.doubt = Doubt() if asked.get("doubt") else None
+        self.discovery = Discovery(
+            loop, config.discovery, self.listed, self.terms(asked), config.seed, self.doubt, self.serving
+        )
         if self.fleet is not None:
             self.fleet.follow = self.gateway.news
         # What of the operator's file holds until a restart.
         self.begun = started(operator) if operator is not None else None
         self.stopping = asyncio.Event()
 
+    def terms(self, asked: dict[str, Any]) -> Terms:
+        """Who shares discovery, and what it bears."""
+        terms = Terms(self.config.settings.gateways, self.config.number)
+        return terms._replace(
+            rate=asked.get("calls_per_s", terms.rate), list_age_s=asked.get("list_age_s", terms.list_age_s)
+        )
+
+    def serving(self) -> bool:
+        """Whether servers answer, as far as anybody has asked them."""
+        return self.gateway.failed_at - self.gateway.served_at < SERVING_S
+
     def backend(self, shared: dict[str, Any] | None) -> Servers:
         """The connections to the servers: one for each attempt, or shared where the operator's file says
         so."""
@@ -222,16 +239,19 @@
             await self.operations.start(*self.config.operations)
         if self.config.known is not None:
             self.gateway.news(self.config.known)
-            self.discovery.since = self.config.known.version
-        self.discovery.start()
+            if self.doubt is not None:
+                self.doubt.follow(self.config.known.version, self.config.known.event)
+        turn = self.discovery.begin(self.config.known.version if self.config.known is not None else None)
         if self.fleet is not None:
             await self.fleet.start()
         if self.control is not None:
             await self.control.start()
         if self.succession is not None:
             await self.succession.take()
-        # The saved list may be old: a moment is given for today's, but no start hangs on discovery.
-        await wait(self.discovery.first, LIST_WAIT_S)
+        # The saved list may be old: a moment is given for today's, but no start hangs on discovery. Where the
+        # turn to ask comes later than that, the saved list serves until then.
+        if turn < LIST_WAIT_S or self.config.known is None:
+            await wait(self.discovery.first, LIST_WAIT_S)
         await self.listener.start(*self.config.listen, self.passed)
         if self.succession is not None:
             await self.succession.open()
@@ -263,7 +283,8 @@
             self.bind(operator)
             log.info("the operator's file was read again")
             if self.begun is not None and started(operator) != self.begun:
-                log.warning("what changed in [capture], [fleet], [fronts] and [pipeline] waits for a restart")
+                tables = "[capture], [discovery], [fleet], [fronts] and [pipeline]"
+                log.warning("what changed in %s waits for a restart", tables)
 
     async def leave(self) -> None:
         """A planned end: takes what still comes, finishes what is held, and is gone before the kill."""
@@ -310,7 +331,7 @@
 
 def started(operator: Operator) -> tuple[Any, ...]:
     """What of an operator's file is followed only from a start on."""
-    return operator.capture, operator.fronts, operator.pipeline, operator.fleet
+    return operator.capture, operator.fronts, operator.pipeline, operator.fleet, operator.discovery
 
 
 async def wait(event: asyncio.Event, seconds: float) -> None:
--- a/glenchute/config/operator.py
+++ b/glenchute/config/operator.py
@@ -22,7 +22,7 @@
 from .fronts import FRONTS
 from .pipeline import MOST_DEPTH, PIPELINE
 from .rules import violations
-from .schema import MISSING, Number, Path, Rows, Table, Word, Words, label
+from .schema import MISSING, Number, Path, Rows, Switch, Table, Word, Words, label
 
 MOST_BYTES = 256 * 1024
 MOST_ROUTES = 500
@@ -61,10 +61,18 @@
     },
     ("folder",),
 )
+DISCOVERY = Table(
+    {
+        "calls_per_s": Number(0.1, 100_000),  # that the service bears of all gateways together
+        "list_age_s": Number(2.5, 3600),  # what it has to tell counts as told after this
+        "doubt": Switch(),  # odd lists wait for a second word
+    }
+)
 SHAPE = Table(
     {
         "defaults": Table(BOUNDS),
         "capture": CAPTURE,
+        "discovery": DISCOVERY,
         "fleet": FLEET,
         "fronts": FRONTS,
         "pipeline": PIPELINE,
@@ -102,6 +110,7 @@
     fronts: dict[str, Any] | None = None
     pipeline: dict[str, Any] | None = None
     fleet: dict[str, Any] | None = None
+    discovery: dict[str, Any] | None = None
 
 
 class Reading(NamedTuple):
@@ -238,9 +247,10 @@
             faults("empty-match", (*path, "match"), "matches everything; use [defaults] for that")
         found = tuple(match.get(key, ()) for key in ("class", "plan", "command"))
         routes.append(Matched(at, bounds_of(name, row, base), *found))
+    kept = good.get("fleet"), good.get("discovery")
     if facts is None:
         equal_ranks(routes, None, faults)
-        return Operator({}, tuple(routes), good.get("capture"), fronts, shared, good.get("fleet"))
+        return Operator({}, tuple(routes), good.get("capture"), fronts, shared, *kept)
     known = True
     for one in routes:
         for key, given, there in (("class", one.classes, facts.classes), ("plan", one.plans, facts.plans)):
@@ -253,7 +263,7 @@
     if known:
         equal_ranks(routes, facts, faults)
     table = resolved(routes, base, facts, faults)
-    return Operator(table, tuple(routes), good.get("capture"), fronts, shared, good.get("fleet"))
+    return Operator(table, tuple(routes), good.get("capture"), fronts, shared, *kept)
 
 
 def own_sense(raw: dict[str, Any], path: Path, faults: Faults) -> None:
--- a/glenchute/config/platform.py
+++ b/glenchute/config/platform.py
@@ -41,6 +41,7 @@
     known: News | None
     passed: int | None  # the descriptor of the clients' listening socket, where the platform holds that
     settings: Settings
+    number: int | None  # of this gateway among `settings.gateways`; None where the platform does not say
     limits: Limits
     bounds: Bounds
     facts: Facts
@@ -92,6 +93,7 @@
         known=read_list(raw["known"], saved=True) if raw.get("known") else None,
         passed=descriptor(environ.get("EDGE_PASSED_SOCKET")),
         settings=made,
+        number=own_number(raw["settings"].get("me"), made.gateways),
         limits=Limits(
             connect_s=num(limits.get("connect_timeout_ms"), 250.0) / 1000.0,
             idle_s=max(0.5, num(limits.get("conn_idle_ms"), 15_000.0) / 1000.0 - 2.0),
@@ -104,6 +106,11 @@
     )
 
 
+def own_number(me: Any, gateways: int) -> int | None:
+    """This gateway's number among them, if it is one."""
+    return me if isinstance(me, int) and not isinstance(me, bool) and 0 <= me < gateways else None
+
+
 def descriptor(text: str | None) -> int | None:
     """A descriptor's number, in decimal."""
     if not text:
--- a/glenchute/core/gateway.py
+++ b/glenchute/core/gateway.py
@@ -117,6 +117,8 @@
         self.serial = 0
         self.routes: Routes | None = None
         self.handing: Callable[[tuple[api.Stock, ...]], None] | None = None  # to the gateway's next process
+        self.served_at = loop.time()  # when a server last answered, or this process began
+        self.failed_at = -math.inf  # when an attempt last failed
         self.overlap = False  # a second copy may be out beside the first
         self.most_attempts = 0  # of a request; told where attempts are placed on shared connections, else 0
         self.tells_places = False  # the module is recorded, and is told where attempts went
@@ -345,7 +347,10 @@
         if took_ms is None:
             took_ms = 1000.0 * (self.loop.time() - attempt.started)
         if result.ending is api.Ending.OK and result.value is not None:
+            self.served_at = self.loop.time()
             self.answer(live.ref, Served(result.value))
+        else:
+            self.failed_at = self.loop.time()
         queue, active = report(result.report)
         final = live.ref not in self.live
         again = math.inf if result.last else 0.0 if final else self.next_after(live, result.ending)
