A start asks discovery at once unless an age of lists is stated; members share the list

So no call of a start may be put off unless somebody says how old a list may be: without [discovery] list_age_s all goes out as it did, but for calls that the service turns away.

Also: news that a start's watch brings are in step with all others' (seen: 19 of 20 processes called in 10 ms after a change; their first answer passed for a start's), and with [fleet] share_list three members ask discovery for all (deciders/fleet/coldstart.py). What a member is told is applied whole and may only restrain; the age of a list counts from the question. Found by its property: an asker that had joined at version 4 told 'nothing changed since 2' though a server had gone; it now sends the whole list.

--- a/glenchute/cli/fleet.py
+++ b/glenchute/cli/fleet.py
@@ -9,7 +9,7 @@
 
 from glenchute.control.client import ControlError, ask
 
-VERBS = ("members", "state", "conflicts", "digest")
+VERBS = ("members", "state", "list", "conflicts", "digest")
 
 
 def command(args: argparse.Namespace) -> int:
--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -116,9 +116,7 @@
     def terms(self, asked: dict[str, Any]) -> Terms:
         """Who shares discovery, and what it bears."""
         terms = Terms(self.config.settings.gateways, self.config.number)
-        return terms._replace(
-            rate=asked.get("calls_per_s", terms.rate), list_age_s=asked.get("list_age_s", terms.list_age_s)
-        )
+        return terms._replace(rate=asked.get("calls_per_s", terms.rate), list_age_s=asked.get("list_age_s"))
 
     def serving(self) -> bool:
         """Whether servers answer, as far as anybody has asked them."""
@@ -241,7 +239,9 @@
             self.gateway.news(self.config.known)
             if self.doubt is not None:
                 self.doubt.follow(self.config.known.version, self.config.known.event)
-        turn = self.discovery.begin(self.config.known.version if self.config.known is not None else None)
+        version = self.config.known.version if self.config.known is not None else None
+        asks = self.fleet is not None and self.fleet.begin(self.config.known, self.discovery)
+        awaited = self.discovery.begin(version, LIST_WAIT_S, asks)
         if self.fleet is not None:
             await self.fleet.start()
         if self.control is not None:
@@ -250,7 +250,7 @@
             await self.succession.take()
         # The saved list may be old: a moment is given for today's, but no start hangs on discovery. Where the
         # turn to ask comes later than that, the saved list serves until then.
-        if turn < LIST_WAIT_S or self.config.known is None:
+        if awaited:
             await wait(self.discovery.first, LIST_WAIT_S)
         await self.listener.start(*self.config.listen, self.passed)
         if self.succession is not None:
--- a/glenchute/config/fleet.py
+++ b/glenchute/config/fleet.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from .schema import Number, Rows, Table, Word
+from .schema import Number, Rows, Switch, Table, Word
 
 if TYPE_CHECKING:
     from .facts import Facts
@@ -24,6 +24,7 @@
         "push_ms": Number(10, 5_000),
         "compare_ms": Number(50, 60_000),
         "budget_kib_s": Number(4, 10_240),
+        "share_list": Switch(),
         "control": Word("/[^\\x00-\\x1f]{1,100}", "the path of a socket, from the root"),
     },
     ("fleet", "name", "listen", "members"),
--- a/glenchute/deciders/pacing.py
+++ b/glenchute/deciders/pacing.py
@@ -5,7 +5,7 @@
 each alone are spread over what the service bears. The rate of the whole fleet is held by additive increase
 and multiplicative decrease (Chiu and Jain, 1989), each gateway by its share; jitter keeps them out of step.
 
-What a service sees of N gateways, at a rate of R calls a second and lists that must not be older than B:
+What a service sees of N gateways, at a rate of R calls a second and lists that may be B old, both stated:
 
 - N that start at once: at most `calls_bound` in any second, which is the larger of `LOAD` R and
   4/3 N / (B - 2 s), and one. Where the size is set wrong by a factor, so is this, until the service has
@@ -37,6 +37,7 @@
 DECREASE = 4.0  # of the rate, at each call that is turned away
 INCREASE = 0.1  # of what is left then, at each answer
 MOST_SPREAD_S = 60.0
+UNSTATED_SPREAD_S = 20.0
 BACKOFF_S = (0.1, 1.0)  # pauses between tries at a service that does not answer
 MOST_RETRY_AFTER_S = 60.0
 
@@ -46,12 +47,16 @@
 
     gateways: int
     number: int | None = None  # of this gateway among them, from 0; None: not known
-    rate: float = 100.0  # calls a second, of all together, that the service is taken to bear at first
-    list_age_s: float = 6.0  # what the service has to tell counts as told after this
+    rate: float = 12.0  # calls a second, of all together, that the service is taken to bear at first
+    # What the service has to tell counts as told after this, for a gateway that starts too. None: nobody says
+    # so, a saved list may be of long ago, and no call is put off but those that the service turns away.
+    list_age_s: float | None = None
 
 
 def calls_bound(terms: Terms, listed: bool = True) -> float:
     """Calls in any one second, at most, by gateways that all begin in one moment and know their numbers."""
+    if terms.list_age_s is None:
+        return float(terms.gateways)
     most = max(LOAD * terms.rate, terms.gateways / (1.0 - URGENT) / max(1e-9, terms.list_age_s - ANSWER_S))
     return min(float(terms.gateways), most * (1.0 if listed else (1.0 - URGENT) / URGENT) + 1.0)
 
@@ -77,7 +82,10 @@
     @property
     def most(self) -> float:
         """The longest spread."""
-        return MOST_SPREAD_S if self.crowded else max(0.0, self.terms.list_age_s - ANSWER_S)
+        age = self.terms.list_age_s
+        if self.crowded:
+            return UNSTATED_SPREAD_S if age is None else MOST_SPREAD_S
+        return 0.0 if age is None else max(0.0, age - ANSWER_S)
 
     def first(self, listed: bool) -> float:
         """The pause before a start's first call. `listed`: a list that can be served by is at hand."""
@@ -111,7 +119,7 @@
         """A call was turned away: the pause before the next. Who has a list leaves the first part of the
         spread to those that have none."""
         self.crowded = True
-        self.rate = max(self.gateways / (LOAD * MOST_SPREAD_S), self.rate / DECREASE)
+        self.rate = max(self.gateways / (LOAD * self.most), self.rate / DECREASE)
         self.step = INCREASE * self.rate
         least = max(BACKOFF_S[0], min(MOST_RETRY_AFTER_S, retry_after_s or 0.0))
         part = self.rng.uniform(URGENT, 1.0) if listed else URGENT * self.rng.uniform(0.1, 1.0)
@@ -129,7 +137,8 @@
     def patience(self) -> float:
         """How long a watch waits for news. Gateways that began together must not end together."""
         wait = min(WAIT_S[1], max(WAIT_S[0], self.gateways / CALLS_PER_S))
-        wait = max(wait, min(CROWDED_WAIT_S, self.gateways / (WATCHES * self.rate)))
+        if self.terms.list_age_s is not None:
+            wait = max(wait, min(CROWDED_WAIT_S, self.gateways / (WATCHES * self.rate)))
         return wait * self.rng.uniform(0.75, 1.0)
 
 
--- a/glenchute/peers/discovery.py
+++ b/glenchute/peers/discovery.py
@@ -199,18 +199,28 @@
         self.failed = 0  # tries since the last good answer
         self.asked = 0.0
         self.first = asyncio.Event()  # set with the first answer
+        self.awaited = True  # a start waits for it
+        # Members may ask for this gateway: how long it is to leave the service alone, and the longest wait of
+        # its watch where it asks for them.
+        self.others: Callable[[], tuple[float, float]] = lambda: (0.0, float("inf"))
+        self.confirmed: Callable[[int], None] = lambda version: None  # told of each sound answer
         self.closed = False
 
-    def begin(self, known: int | None = None) -> float:
-        """The first call, in this gateway's turn; how long until that. `known`: the version of the saved
-        list, if there is one that can be served by."""
+    def begin(self, known: int | None, patience_s: float, at_once: bool = False) -> bool:
+        """The first call, in this gateway's turn. `known`: the version of the saved list, if there is one
+        that can be served by. Whether the answer is worth waiting for so long."""
         self.since = known
-        pause = self.turns.first(known is not None)
+        pause = 0.0 if at_once else self.turns.first(known is not None)
+        self.awaited = pause < patience_s or known is None
         self.expect(pause, self.start)
-        return pause
+        return self.awaited
 
     def start(self) -> None:
-        """Opens a connection, and asks on it."""
+        """Opens a connection, and asks on it; later, where members ask for this gateway."""
+        left_alone = self.others()[0]
+        if left_alone > 0.0:
+            self.expect(left_alone + self.turns.in_step(), self.start)
+            return
         self.task = self.loop.create_task(self.open())
 
     def move(self, where: tuple[str, int]) -> None:
@@ -243,6 +253,11 @@
         """The next call; an answer that does not come ends the connection."""
         if self.closed or self.exchange is None:
             return
+        left_alone, longest = self.others()
+        if left_alone > 0.0:
+            # Whoever was silenced together must not come back together.
+            self.expect(left_alone + self.turns.in_step(), self.ask)
+            return
         if not self.exchange.usable():
             self.exchange.abort()
             if self.exchange.told:
@@ -254,7 +269,8 @@
         target, wait = "/v1/servers", QUIET_S
         if self.since is not None:
             # The first answer is what a start waits for, and there may be no news.
-            patience = self.turns.patience() if self.first.is_set() else AT_ONCE_S
+            waited = self.awaited and not self.first.is_set()
+            patience = AT_ONCE_S if waited else min(longest, self.turns.patience())
             target += f"?since={self.since}&timeout_ms={patience * 1000.0:.0f}"
             wait += patience
         self.expect(wait, self.exchange.abort)
@@ -298,13 +314,13 @@
             self.failed = 0
         if self.since is None or news.event.entries or news.event.kind is ListKind.FULL:
             self.tell(news)
+        self.confirmed(news.version)
         at_once = not news.event.entries and self.loop.time() - self.asked < IDLE_GAP_S
         self.since = news.version
         self.turns.answered()
-        began = not self.first.is_set()
         self.first.set()
-        # News end all gateways' watches in the same moment; a start has had its turn just now.
-        pause = 0.0 if began or not news.event.entries else self.turns.in_step()
+        # News end all gateways' watches in the same moment.
+        pause = self.turns.in_step() if news.event.entries else 0.0
         self.expect(IDLE_GAP_S if at_once else pause, self.ask)
 
     def failing(self, why: str) -> None:
--- a/glenchute/peers/fleet/node.py
+++ b/glenchute/peers/fleet/node.py
@@ -11,15 +11,18 @@
 import asyncio
 import errno
 import logging
+import math
 import os
 import random
 import socket
 from collections import Counter
 from collections.abc import Callable
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from glenchute.core.types import Address, Decisions, News
+from glenchute.deciders.fleet import coldstart
 from glenchute.deciders.fleet import members as membership
+from glenchute.deciders.fleet.coldstart import ASKER_WAIT_S, ListShare
 from glenchute.deciders.fleet.gossip import Gossip, Pace, Rows
 from glenchute.deciders.fleet.members import Members, Rules, State
 from glenchute.deciders.fleet.replica import Kind, Replica, Row
@@ -29,6 +32,9 @@
 from .telling import Telling
 from .wire import Bad, decode, encode
 
+if TYPE_CHECKING:
+    from glenchute.peers.discovery import Discovery
+
 TICK_S = 0.025
 RETRY_S = 0.1
 RANK = {api.ServerState.ACTIVE: 0.0, api.ServerState.DRAINING: 1.0, api.ServerState.GONE: 2.0}
@@ -60,6 +66,8 @@
         self.gossip = Gossip(self.replica, pace, rng, now)
         self.use = Use(f"{self.name}#{self.boot:x}")
         self.telling = Telling(module, made, self.use, self.told, self.share)
+        self.lists = ListShare(self.name, now, rng) if raw.get("share_list") else None
+        self.discovery: Discovery | None = None
         self.follow: Callable[[News], None] | None = None  # takes what others heard of servers
         self.version = 0  # of the list that this process has from discovery
         self.transport: asyncio.DatagramTransport | None = None
@@ -128,9 +136,57 @@
         """A word of this process' own."""
         self.gossip.tell(self.loop.time(), row, len(self.members.members))
 
+    def begin(self, known: News | None, discovery: Discovery) -> bool:
+        """Before discovery is asked, with the saved list. Whether this gateway asks for all, and does so at
+        once."""
+        if self.lists is None:
+            return False
+        self.discovery = discovery
+        if known is not None:
+            self.lists.discovery(self.loop.time(), known.version, True, servers_of(known), ())
+            self.lists.confirmed = -1e9  # by nobody of late
+        discovery.others, discovery.confirmed = self.leave_alone, self.confirmed
+        return self.lists.asks(self.there())
+
+    def confirmed(self, version: int) -> None:
+        """Discovery has answered: it has nothing newer than this."""
+        if self.lists is not None and version == self.lists.version:
+            self.lists.confirmed = self.loop.time()
+
+    def there(self) -> list[str]:
+        """Members that are not known to be gone."""
+        gone = (State.DEAD, State.LEFT)
+        return [m.name for m in self.members.members.values() if m.state not in gone]
+
+    def leave_alone(self) -> tuple[float, float]:
+        """How long discovery is left alone, and the longest wait of a watch."""
+        assert self.lists is not None
+        others = self.there()
+        longest = ASKER_WAIT_S if self.lists.asks(others) else math.inf
+        return self.lists.waits(self.loop.time(), others), longest
+
+    def shared(self, sents: list[coldstart.Sent], rows: list[coldstart.Server]) -> None:
+        """Sends what is to be sent of the list, and follows what members told of it."""
+        for sent in sents:
+            self.send(sent.to, sent.body)
+        if not rows or self.follow is None or self.lists is None or self.discovery is None:
+            return
+        states = {number: state for state, number in coldstart.STATES.items()}
+        entries = tuple(
+            api.ServerEntry(r.server, r.zone, r.cell, r.size, r.started_ms, states[r.state]) for r in rows
+        )
+        addresses = {row.server: address_of(row.address) for row in rows if row.address and row.state == 0}
+        self.version = max(self.version, self.lists.version)
+        self.discovery.since = self.lists.version
+        self.follow(News(self.lists.version, api.ServerList(api.ListKind.CHANGES, entries), addresses))
+
     def news(self, news: News) -> None:
         """Discovery's word, before the core has it: restraint that it asks for is told on."""
         self.version = max(self.version, news.version)
+        if self.lists is not None:
+            full = news.event.kind is api.ListKind.FULL
+            rows = servers_of(news)
+            self.shared(self.lists.discovery(self.loop.time(), news.version, full, rows, self.there()), [])
         for entry in news.event.entries:
             if entry.state is not api.ServerState.ACTIVE and news.event.kind is api.ListKind.CHANGES:
                 self.told(Row(Kind.SERVER, entry.server, "", news.version, RANK[entry.state]))
@@ -169,6 +225,10 @@
             for out in self.members.heard(now, name, boot, body):
                 self.send(out.to, out.message)
             return
+        if isinstance(body, coldstart.Told | coldstart.Part | coldstart.Ask):
+            if self.lists is not None:
+                self.shared(*self.lists.heard(now, name, body))
+            return
         for sent in self.gossip.heard(now, name, body, len(self.members.members)):
             self.send(sent.to, sent.body)
         if isinstance(body, Rows):
@@ -182,6 +242,8 @@
             self.send(out.to, out.message)
         for sent in self.gossip.tick(now, self.members.alive()):
             self.send(sent.to, sent.body)
+        if self.lists is not None:
+            self.shared(self.lists.tick(now, self.there()), [])
         self.replica.expire(now)
         for change in self.members.taken():
             what = "two processes under one name" if change.conflict else change.now.name.lower()
@@ -201,8 +263,8 @@
 
     def verbs(self) -> dict[str, Callable[[], list[dict[str, Any]]]]:
         """What the control socket can be asked."""
-        return {"members": self.show_members, "state": self.show_state, "conflicts": self.show_conflicts,
-                "digest": self.show_digest}  # fmt: skip
+        return {"list": self.show_list, "members": self.show_members, "state": self.show_state,
+                "conflicts": self.show_conflicts, "digest": self.show_digest}  # fmt: skip
 
     def show_members(self) -> list[dict[str, Any]]:
         """A row a member, this process first."""
@@ -218,6 +280,15 @@
         ]  # fmt: skip
         return [me, *rows]
 
+    def show_list(self) -> list[dict[str, Any]]:
+        """A row: the list shared by members, where it is."""
+        if self.lists is None:
+            return []
+        age = self.loop.time() - self.lists.confirmed
+        serve = sum(row.state == 0 for row in self.lists.rows.values())
+        return [{"version": self.lists.version, "confirmed_s": round(min(age, 1e6), 2), "servers": serve,
+                 "asks": self.lists.asks(self.there())}]  # fmt: skip
+
     def show_state(self) -> list[dict[str, Any]]:
         """A row for what is held and exchanged."""
         held = {kind.name.lower(): len(self.replica.order[kind]) for kind in Kind}
@@ -244,6 +315,18 @@
         return [{"digest": f"{mark:016x}", "rows": len(self.replica.rows)}]
 
 
+def servers_of(news: News) -> list[coldstart.Server]:
+    """An answer of discovery, as members tell of it."""
+    rows = []
+    for entry in news.event.entries:
+        host, port = news.addresses.get(entry.server, ("", 0))
+        rows.append(coldstart.Server(
+            news.version, entry.server, f"{host}:{port}" if host else "", entry.zone, entry.cell, entry.size,
+            entry.started_ms, coldstart.STATES[entry.state],
+        ))  # fmt: skip
+    return rows
+
+
 def address_of(text: str) -> Address:
     """`127.0.0.1:9000`, checked at load."""
     host, _, port = text.rpartition(":")
--- a/glenchute/peers/fleet/wire.py
+++ b/glenchute/peers/fleet/wire.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from glenchute.deciders.fleet import gossip, members
+from glenchute.deciders.fleet import coldstart, gossip, members
 from glenchute.deciders.fleet.gossip import Body
 from glenchute.deciders.fleet.replica import BUCKETS, Kind, Row
 
@@ -41,16 +41,25 @@
     """A datagram that is not taken; the text names why, for a counter."""
 
 
+LIST_FORMS: dict[type, int] = {coldstart.Told: 5, coldstart.Part: 6, coldstart.Ask: 7}
 ENCODER = msgspec.msgpack.Encoder()
 PACKET = msgspec.msgpack.Decoder(Packet)
 PROBE = msgspec.msgpack.Decoder(Probe)
 ROWS = msgspec.msgpack.Decoder(list[tuple[int, str, str, int, float, int]])
 DIGEST = msgspec.msgpack.Decoder(tuple[int, list[int], bool])
 DONE = msgspec.msgpack.Decoder(tuple[list[int], bool])
+TOLD = msgspec.msgpack.Decoder(tuple[int, int, int])
+PART = msgspec.msgpack.Decoder(
+    tuple[int, int, int, int, list[tuple[int, str, str, str, int, float, float, int]]]
+)
+ASK = msgspec.msgpack.Decoder(tuple[int, int])
 WANT = msgspec.msgpack.Decoder(tuple[int, list[int]])
 
 
-def encode(fleet: str, name: str, boot: int, body: members.Message | Body) -> bytes:
+Said = members.Message | Body | coldstart.Body
+
+
+def encode(fleet: str, name: str, boot: int, body: Said) -> bytes:
     """A datagram."""
     if isinstance(body, members.Message):
         words = [(u.name, int(u.state), u.incarnation, u.boot) for u in body.updates]
@@ -62,12 +71,14 @@
         form, raw = 2, ENCODER.encode((body.bucket, body.marks, body.known))
     elif isinstance(body, gossip.Want):
         form, raw = 3, ENCODER.encode((body.bucket, body.leaves))
-    else:
+    elif isinstance(body, gossip.Done):
         form, raw = 4, ENCODER.encode((body.buckets, body.known))
+    else:  # about the list of servers
+        form, raw = LIST_FORMS[type(body)], ENCODER.encode(tuple(body))
     return ENCODER.encode(Packet(VERSION, fleet, name, boot, form, msgspec.Raw(raw)))
 
 
-def decode(fleet: str, data: bytes) -> tuple[str, int, members.Message | Body]:
+def decode(fleet: str, data: bytes) -> tuple[str, int, Said]:
     """Sender's name, its boot, and what it says; Bad where any of it is not sound."""
     if len(data) > MOST_BYTES:
         raise Bad("too long")
@@ -87,7 +98,7 @@
         raise Bad("body") from None
 
 
-def body_of(packet: Packet) -> members.Message | Body:
+def body_of(packet: Packet) -> Said:
     """What a packet of this fleet says."""
     if packet.form == 0:
         probe = PROBE.decode(packet.body)
@@ -118,4 +129,13 @@
     if packet.form == 4:
         buckets, known = DONE.decode(packet.body)
         return gossip.Done(tuple(buckets), known)
+    if packet.form == 5:
+        return coldstart.Told(*TOLD.decode(packet.body))
+    if packet.form == 6:
+        since, version, at, of, raw = PART.decode(packet.body)
+        if len(raw) > coldstart.MOST_ROWS or not 0 <= at < of <= coldstart.MOST_PARTS:
+            raise ValueError
+        return coldstart.Part(since, version, at, of, tuple(coldstart.Server(*row) for row in raw))
+    if packet.form == 7:
+        return coldstart.Ask(*ASK.decode(packet.body))
     raise ValueError
--- a/lab/fleet/processes.py
+++ b/lab/fleet/processes.py
@@ -16,6 +16,7 @@
 
 from glenchute.control.client import ControlError, ask
 
+from ..coldstart import ListService
 from ..counter import PartedCounter, Parts
 from ..links import DatagramLink, StreamLink
 from ..load import Account, Kind, Load, Outcome
@@ -30,10 +31,13 @@
 
     def __init__(
         self, folder: Path, gateways: int, seed: int = 1, fleet: bool = True,
-        settings: dict[str, Any] | None = None, more: str = "",
+        settings: dict[str, Any] | None = None, more: str = "", lists: float = 0.0,
     ) -> None:  # fmt: skip
+        """`lists`: calls a second that discovery bears, by its own books; 0: any."""
         self.folder, self.count, self.seed, self.on, self.more = folder, gateways, seed, fleet, more
         self.settings = {**(settings or SETTINGS), "balancers": gateways}
+        self.calls_per_s = lists
+        self.lists: ListService | None = None
         self.parts = Parts(1)
         self.counter = PartedCounter(self.parts)
         nodes = [Node(f"s{i}", Trade({"report-read": 4.0, "check-charge": 4.0}, slots=32)) for i in range(3)]
@@ -50,6 +54,9 @@
         self.began = asyncio.get_running_loop().time()
         await self.site.__aenter__()
         await self.counter.start()
+        if self.calls_per_s:
+            self.lists = ListService(self.site.rows(), self.calls_per_s, 30)
+            await self.lists.start()
         names = [f"g{i}" for i in range(self.count)]
         listens = [("127.0.0.1", free_port()) for _ in names]
         heard_at: list[dict[int, int]] = [{} for _ in names]  # the others' ports, as each reaches them
@@ -69,6 +76,8 @@
             own.mkdir()
             platform = self.site.platform({**self.settings, "me": number})
             platform |= {"name": name, "counter": f"127.0.0.1:{to_counter.port}"}
+            if self.lists is not None:
+                platform["discovery"] = f"127.0.0.1:{self.lists.port}"
             platform["seed"] = f"{self.seed * 100 + number:x}"
             operator = self.operator(name, listens[number][1], heard_at[number], own) if self.on else None
             self.gateways.append(GatewayProcess(own, platform, operator))
@@ -91,7 +100,7 @@
                 gateway.process.wait()
         for link in self.links.values():
             link.stop()
-        for stream in (*self.to_counter, self.counter):
+        for stream in (*self.to_counter, self.counter, *([self.lists] if self.lists is not None else [])):
             await stream.stop()
         await self.site.__aexit__()
 
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -3,17 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
+import itertools
+import math
 import random
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
+from typing import Any, NamedTuple
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from glenchute.deciders import pacing
+from glenchute.deciders.fleet.coldstart import ListShare, Part, Sent, Server
 from glenchute.deciders.pacing import Doubt, Pacing, Terms, calls_bound
 from heathglade.interface import ListKind, ServerEntry, ServerList, ServerState
 from lab.coldstart import Crowd, Herd, busiest, turned_away
+from lab.fleet.processes import FleetSite
 from lab.load import Account, Kind, Load
 from lab.peers import play, row
 
@@ -223,3 +231,126 @@
             assert odd == (0 if mode == "silent" else 2)
 
     play(scenario())
+
+
+# --- members that ask for each other ---------------------------------------------------------------------
+
+
+def server(version: int, name: str, state: int = 0, started: float = 0.0) -> Server:
+    return Server(version, name, "127.0.0.1:80", "a", 0, 1.0, started, state)
+
+
+class Told(NamedTuple):
+    """What a member holds, and what another's words make of it."""
+
+    held: tuple[int, Server]  # version, row
+    word: Server
+    taken: Server | None
+
+
+MERGES: dict[str, Told] = {
+    "a new server": Told((4, server(4, "a")), server(5, "b"), server(5, "b")),
+    "a drain": Told((4, server(4, "a")), server(5, "a", 1), server(5, "a", 1)),
+    "back from a drain": Told((4, server(4, "a", 1)), server(5, "a", 0), None),
+    "back from the gone": Told((4, server(4, "a", 2)), server(5, "a", 0), None),
+    "started again": Told((4, server(4, "a", 0, 1.0)), server(5, "a", 0, 9.0), server(5, "a", 0, 9.0)),
+    "made warmer": Told((4, server(4, "a", 0, 9.0)), server(5, "a", 0, 1.0), None),
+    "an older word": Told((4, server(4, "a")), server(3, "a", 2), None),
+    "a state that is none": Told((4, server(4, "a")), server(5, "a", 7), None),
+}
+
+
+@pytest.mark.parametrize("name", MERGES)
+def test_a_members_word_restrains_and_never_brings_a_server_back(name: str) -> None:
+    (version, row), word, taken = MERGES[name]
+    share = ListShare("g0", 0.0, random.Random(1))
+    share.discovery(0.0, version, True, [row], ())
+    _, changed = share.heard(1.0, "g1", Part(version, max(5, word.version), 0, 1, (word,)))
+    assert changed == ([taken] if taken is not None else [])
+
+
+@settings(max_examples=40, deadline=None)
+@given(st.integers(0, 10**6), st.integers(3, 40), st.sampled_from([0.0, 0.1, 0.3]))
+def test_lists_pass_between_members_whatever_is_lost(seed: int, count: int, lose: float) -> None:
+    """The others' lists are always what the service said at the version that they name, and nobody holds a
+    list for confirmed when the service had a newer one."""
+    rng = random.Random(seed)
+    names = [f"g{n}" for n in range(count)]
+    shares = {name: ListShare(name, 0.0, rng) for name in names}
+    others = {name: [other for other in names if other != name] for name in names}
+    truth = {f"s{n}": 0 for n in range(30)}
+    past: dict[int, tuple[dict[str, int], float]] = {}  # version: the list, and until when it was the newest
+    due: list[tuple[float, int, str, str, Any]] = []
+    order = itertools.count()
+    version, now = 1, 0.0
+
+    def post(sender: str, sents: list[Sent]) -> None:
+        for sent in sents:
+            for _ in range(1 + (rng.random() < 0.1)):
+                if rng.random() >= lose:
+                    late = rng.choice([0.005, 0.02, 0.4])
+                    heapq.heappush(due, (now + late, next(order), sender, sent.to, sent.body))
+
+    while now < 12.0:
+        now += 0.1
+        if now < 8.0 and rng.random() < 0.2:
+            past[version] = dict(truth), now
+            version += 1
+            truth[rng.choice([name for name, state in truth.items() if state < 2])] += 1
+        for name, share in shares.items():
+            if share.waits(now, others[name]) == 0.0 and rng.random() < 0.3:
+                rows = [server(version, name, state) for name, state in truth.items() if state < 2]
+                post(name, share.discovery(now, version, True, rows, others[name]))
+            post(name, share.tick(now, others[name]))
+        while due and due[0][0] <= now:
+            _, _, sender, to, body = heapq.heappop(due)
+            post(to, shares[to].heard(now, sender, body)[0])
+        past[version] = dict(truth), math.inf
+        for share in shares.values():
+            if share.version > 0:
+                listed, until = past[share.version]
+                held = {name: row.state for name, row in share.rows.items() if row.state < 2}
+                assert held == {name: state for name, state in listed.items() if state < 2}
+                assert share.confirmed <= until + 0.11
+    assert {share.version for share in shares.values()} == {version}
+
+
+def test_three_of_ten_processes_ask_and_are_replaced_when_they_die(tmp_path: Path) -> None:
+    """Killed askers, a gateway cut off from all others, a service that is away for a while."""
+
+    async def scenario() -> None:
+        more = "share_list = true\nperiod_ms = 100\npatience_ms = 1000\n"
+        async with FleetSite(tmp_path, 10, more=more, lists=50.0) as site:
+            lists = site.lists
+            assert lists is not None
+            everyone = range(10)
+
+            async def shown(number: int) -> dict[str, Any]:
+                rows = await site.asked(number, "list")
+                return rows[0] if rows else {"version": -1, "asks": False}
+
+            async def newest(numbers: Iterable[int]) -> bool:
+                return all([(await shown(n))["version"] == lists.version for n in numbers])
+
+            await site.start()
+            await site.until(lambda: site.agree(everyone))
+            askers = [n for n in everyone if (await shown(n))["asks"]]
+            assert len(askers) == 3
+            began = len(lists.calls)
+            since = lists.calls[-1].at
+            lists.update(row("s1", site.site.nodes[1].port, "Terminating"))
+            await site.until(lambda: newest(everyone))
+            while lists.calls[-1].at < since + 4.0:
+                await asyncio.sleep(0.02)
+            assert busiest(lists.calls[began:]) <= 6  # three askers, a wait of 1.1 to 1.5 s each
+            for number in askers:
+                site.send_signal(number, signal.SIGKILL)
+            rest = [n for n in everyone if n not in askers]
+            lists.update(row("s2", site.site.nodes[2].port, "Terminating"))
+            await site.until(lambda: newest(rest), 8.0)
+            lonely = [n for n in rest if not (await shown(n))["asks"]][:1]
+            site.split([lonely, [n for n in everyone if n not in lonely]])
+            lists.update(row("s0", site.site.nodes[0].port, "Ready", 5.0))
+            await site.until(lambda: newest(rest), 8.0)
+
+    play(scenario())
