--- /dev/null
+++ b/benchmarks/cold_start.py
@@ -0,0 +1,130 @@
+"""What a start of the whole fleet costs the list service, and how long it takes to serve.
+
+``python -m benchmarks.cold_start processes [COUNT]``: real gateways beside a service that answers 20 calls a
+second and turns away past a line of 30, all started at once, then seven in ten killed and started again; with
+nothing stated, with rate and age stated, and (a third of them) with members that share the list.
+``python -m benchmarks.cold_start start``: CPU of a start.
+``python -m benchmarks.cold_start simulated``: the same, and outages, at 200 and 500 gateways, no processes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import resource
+import subprocess
+import sys
+import tempfile
+from collections.abc import Callable
+from pathlib import Path
+
+from glenchute.deciders.pacing import Terms, calls_bound
+from lab.coldstart import Call, Crowd, Herd, busiest, turned_away
+from lab.peers import row
+from lab.site import free_port
+
+from .machine import machine
+
+RATE, LINE, AGE = 20.0, 30, 30.0
+STATED = f"[discovery]\ncalls_per_s = {RATE:.0f}\nlist_age_s = {AGE:.0f}\n"
+
+
+def shared(count: int) -> Callable[[int], str]:
+    """Operators' files of members that share the list; no links between them are scripted."""
+    ports = [free_port() for _ in range(count)]
+
+    def of(number: int) -> str:
+        rows = "".join(
+            f'[[fleet.members]]\nname = "g{n}"\naddress = "127.0.0.1:{port}"\n'
+            for n, port in enumerate(ports)
+            if n != number
+        )
+        head = f'[fleet]\nfleet = "lab"\nname = "g{number}"\nlisten = "127.0.0.1:{ports[number]}"\n'
+        return f"{STATED}{head}share_list = true\nperiod_ms = 1000\npatience_ms = 5000\npush_ms = 500\n{rows}"
+
+    return of
+
+
+def told(name: str, count: int, what: str, calls: list[Call], serve: float) -> None:
+    """A line of the table."""
+    print(f"{name:9} {count:4} {what:8} busiest second {busiest(calls):4}, away {turned_away(calls):.3f}"
+          f" of {len(calls):4}, all serve after {serve:.1f} s", flush=True)  # fmt: skip
+
+
+async def herd(name: str, count: int, operator: str | Callable[[int], str] | None) -> None:
+    """Starts all, then seven in ten again while the list changes; a line each."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with Herd(Path(folder), count, RATE, LINE, operator) as one:
+            serve = await one.start(range(count), 120.0)
+            await asyncio.sleep(AGE + 5.0)
+            calls = list(one.lists.calls)
+            told(name, count, "start", calls, serve)
+            killed = [n for n in range(count) if n % 10 < 7]
+            one.kill(killed)
+            began = one.now
+            one.lists.update(row("s9", 9, "Gone"))
+            serve = await one.start(killed, 120.0)
+            await asyncio.sleep(AGE + 5.0)
+            again = [call for call in one.lists.calls if call.at >= began]
+            told(name, count, "restart", again, serve)
+
+
+async def processes(count: int) -> None:
+    """All variants in turn."""
+    await herd("unstated", count, None)
+    await herd("stated", count, STATED)
+    await herd("members", count // 3, shared(count // 3))
+
+
+def simulated() -> None:
+    """Starts, releases, outages at sizes that processes do not reach."""
+    print("gateways  scene    busiest second  turned away  bound of a start")
+    for count in (200, 500):
+        rate = count / 15.0
+        bound = calls_bound(Terms(count, 0, rate, AGE))
+        for scene in ("start", "release", "outage"):
+            crowd = Crowd(count, lambda n, c=count, r=rate: Terms(c, n, r, AGE), rate)  # type: ignore[misc]
+            crowd.start(range(count))
+            crowd.run(60.0)
+            if scene != "start":
+                crowd.calls.clear()
+            if scene == "release":
+                crowd.start(n for n in range(count) if n % 10 < 7)
+                crowd.news()
+            if scene == "outage":
+                crowd.down = True
+                crowd.lose()
+                crowd.run(30.0)
+                crowd.calls.clear()
+                crowd.down = False
+            crowd.run(60.0)
+            print(f"{count:8}  {scene:8} {busiest(crowd.calls):8} of {rate:.1f}"
+                  f" {turned_away(crowd.calls):10.3f} {bound:10.1f}")  # fmt: skip
+
+
+def start() -> None:
+    """CPU and peak memory of a process that imports all that `run` does, the interpreter's own beside it."""
+    for name, text in (("interpreter", "pass"), ("run", "import glenchute.cli.run")):
+        rows = []
+        for _ in range(15):
+            before = resource.getrusage(resource.RUSAGE_CHILDREN)
+            subprocess.run([sys.executable, "-c", text], check=True)
+            after = resource.getrusage(resource.RUSAGE_CHILDREN)
+            rows.append(after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime)
+        print(f"{name:12} CPU median {sorted(rows)[7]:.3f} s, least {min(rows):.3f} s")
+
+
+def main() -> int:
+    """The part that is named."""
+    print(machine())
+    what = sys.argv[1] if len(sys.argv) > 1 else "simulated"
+    if what == "processes":
+        asyncio.run(processes(int(sys.argv[2]) if len(sys.argv) > 2 else 300))
+    elif what == "start":
+        start()
+    else:
+        simulated()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/lab/coldstart.py
+++ b/lab/coldstart.py
@@ -205,7 +205,8 @@
     """Real gateways beside three nodes, a counter and a list service."""
 
     def __init__(
-        self, folder: Path, count: int, rate: float, line: int = 30, operator: str | None = None,
+        self, folder: Path, count: int, rate: float, line: int = 30,
+        operator: str | Callable[[int], str] | None = None,
         settings: dict[str, Any] | None = None, known: bool = True,
     ) -> None:  # fmt: skip
         nodes = [Node(f"s{i}", Trade({"report-read": 4.0}, slots=64)) for i in range(4)]
@@ -227,7 +228,8 @@
             platform["seed"] = f"{7919 * number + 17:x}"
             if not self.known:
                 del platform["known"]
-            self.gateways.append(GatewayProcess(own, platform, self.operator))
+            operator = self.operator(number) if callable(self.operator) else self.operator
+            self.gateways.append(GatewayProcess(own, platform, operator))
         return self
 
     async def __aexit__(self, *failure: object) -> None:
