Leases run tasks: keepers, a guard before each effect, parking, and hand-over

Tasks: asking discovery for all, audit of copies, calls of a service with the token.

Five real processes through stops in mid-act, a cut from the voters alone, kills, two stopped of five, a planned end: no overlap, somebody acts within 5 s. Bugs put in (five) are found.

--- a/glenchute/cli/fleet.py
+++ b/glenchute/cli/fleet.py
@@ -9,13 +9,11 @@
 
 from glenchute.control.client import ControlError, ask
 
-VERBS = ("members", "state", "list", "conflicts", "digest")
-
 
 def command(args: argparse.Namespace) -> int:
     """0 with the rows; 1 where the socket can't be asked."""
     try:
-        rows = ask(args.control, f"fleet {args.what}")
+        rows = ask(args.control, f"fleet {args.what} {args.task}" if args.task else f"fleet {args.what}")
     except ControlError as error:
         print(f"glenchute: {error}", file=sys.stderr)
         return 1
--- a/glenchute/cli/main.py
+++ b/glenchute/cli/main.py
@@ -22,6 +22,9 @@
 }
 
 
+FLEET = ("members", "state", "list", "conflicts", "digest", "tasks", "leases", "release", "unpark")
+
+
 def main(argv: list[str] | None = None) -> int:
     """Carries out a command; the exit status: 0 done, 1 could not start, 2 unusable arguments or files."""
     argv = sys.argv[1:] if argv is None else argv
@@ -66,7 +69,8 @@
     parsers["quota"].add_argument("what", choices=("bound",))
     parsers["quota"].add_argument("--spread", type=int, default=0, help="gateways of an account; else all")
     parsers["quota"].add_argument("--clocks-ms", type=float, default=100.0, help="by which clocks differ")
-    parsers["fleet"].add_argument("what", choices=("members", "state", "conflicts", "digest"))
+    parsers["fleet"].add_argument("what", choices=FLEET)
+    parsers["fleet"].add_argument("task", nargs="?", help="for release and unpark")
     parsers["fleet"].add_argument("--control", metavar="PATH", required=True, help="the gateway's socket")
     parsers["fleet"].add_argument("--json", action="store_true", help="rows for a program")
     parsers["quota"].add_argument("--asked", type=float, default=0.0, help="units a second; members' bound")
--- a/glenchute/config/fleet.py
+++ b/glenchute/config/fleet.py
@@ -4,15 +4,37 @@
 
 from typing import TYPE_CHECKING, Any
 
-from .schema import Number, Rows, Switch, Table, Word
+from .schema import Number, Rows, Switch, Table, Word, Words
 
 if TYPE_CHECKING:
     from .facts import Facts
     from .operator import Faults
 
 MOST_MEMBERS = 500
+MOST_TASKS = 50
 ADDRESS = Word(r"[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}", "an IPv4 address with its port, as 127.0.0.1:7946")
 NAME = Word("[A-Za-z0-9_.-]{1,64}", "1 to 64 letters, digits, '_', '.' or '-'")
+LEASES = Table(
+    {
+        "voters": Words(alone=False),
+        "longest_s": Number(0.5, 300),
+        "drift": Number(0, 0.1),
+        "tasks": Rows(
+            Table(
+                {
+                    "name": NAME,
+                    "kind": Word("ask|audit|call", "ask, audit or call"),
+                    "address": ADDRESS,
+                    "interval_s": Number(0.05, 86_400),
+                    "longest_step_s": Number(0.01, 100),
+                },
+                ("name", "kind"),
+            ),
+            MOST_TASKS,
+        ),
+    },
+    ("voters",),
+)
 FLEET = Table(
     {
         "fleet": NAME,
@@ -25,6 +47,7 @@
         "compare_ms": Number(50, 60_000),
         "budget_kib_s": Number(4, 10_240),
         "share_list": Switch(),
+        "leases": LEASES,
         "control": Word("/[^\\x00-\\x1f]{1,100}", "the path of a socket, from the root"),
     },
     ("fleet", "name", "listen", "members"),
@@ -55,5 +78,36 @@
     if raw.get("patience_ms", 2500.0) < 5.0 * raw.get("period_ms", 200.0):
         message = "patience_ms is under 5 periods: one lost answer could bury a member; raise it"
         faults("impatient", PLACE, message)
+    if "leases" in raw:
+        of_leases(raw, set(names), faults)
     if not names and "members" in raw:
         faults("no-members", PLACE, "has no members; list them, or leave [fleet] out", True)
+
+
+def of_leases(raw: dict[str, Any], names: set[str], faults: Faults) -> None:
+    """What `[fleet.leases]` must be to the members and to itself."""
+    from glenchute.deciders.fleet.leases import Terms, sound_voters  # only for a file that has it
+
+    leases = raw["leases"]
+    at = (*PLACE, "leases")
+    if "voters" in leases and (wrong := sound_voters(leases["voters"], [*names, raw.get("name", "")])):
+        faults("unsound-voters", (*at, "voters"), wrong)
+    seen: dict[str, int] = {}
+    terms = Terms((), leases.get("longest_s", 10.0), leases.get("drift", 0.01))
+    for number, row in enumerate(leases.get("tasks", [])):
+        place = (*at, "tasks", number)
+        name, kind = row.get("name"), row.get("kind")
+        if name in seen:
+            message = f"{name!r} is tasks[{seen[name]}]'s; each name stands once"
+            faults("task-twice", (*place, "name"), message)
+        seen.setdefault(name, number)
+        if (kind == "call") is not ("address" in row) and kind is not None:
+            faults("task-address", place, "kind call wants an address, and no other kind has one")
+        if (kind == "ask") is not (name == "ask") and kind is not None:
+            faults("task-ask", place, "the task that asks discovery is of kind ask and named ask")
+        if kind == "ask" and not raw.get("share_list"):
+            faults("task-ask", place, "asks for a list that nobody is told of; set share_list = true")
+        most = 0.5 * terms.held_for(terms.longest) / (1.0 + terms.drift)
+        if row.get("longest_step_s", 1.0) > most:
+            message = f"longest_step_s is over {most:.2f}, half of what a lease of longest_s lasts"
+            faults("long-step", place, f"{message}: it might never begin; raise longest_s, or cut the step")
--- a/glenchute/deciders/fleet/coldstart.py
+++ b/glenchute/deciders/fleet/coldstart.py
@@ -29,6 +29,7 @@
 from heathglade.interface import ServerState
 
 ASKERS = 3
+TASK = "ask"  # the lease by which one of the askers asks, where there are leases
 FRESH_S = 3.0  # a list confirmed so long ago needs no call
 ASK_S = 1.0  # an asker is asked this often
 ASKER_WAIT_S = 1.5  # an asker's watch waits so long, so that its word is never older
@@ -95,7 +96,7 @@
 
 def rank(name: str) -> bytes:
     """Where a member stands in the order of askers: the same everywhere, and as good as drawn."""
-    return blake2b(name.encode(), digest_size=8).digest()
+    return blake2b(f"{TASK}|{name}".encode(), digest_size=8).digest()
 
 
 class ListShare:
@@ -106,6 +107,8 @@
         self.version = -1  # of the list held; -1: none
         self.base = -1  # changes since then are known; of those before some may be forgotten
         self.rows: dict[str, Server] = {}  # what discovery told, or a member
+        self.leased: bool | None = None  # whether this gateway holds the lease; None: askers go by rank alone
+        self.ages: dict[str, float] = {}  # how old the word of each asker was, when last asked
         self.confirmed = -1e9  # when discovery is known to have had no newer list than this one
         self.ask_at = now
         self.serial = 0
@@ -117,6 +120,8 @@
 
     def asks(self, others: Iterable[str]) -> bool:
         """Whether this gateway asks discovery for all. `others`: members that are not known to be dead."""
+        if self.leased is not None:
+            return self.leased
         mine = rank(self.name)
         return sum(rank(other) < mine for other in others) < ASKERS
 
@@ -169,7 +174,11 @@
         self.serial += 1
         self.asked = {self.serial: now, **dict(list(self.asked.items())[: MOST_ASKED - 1])}
         askers = sorted(others, key=rank)[:ASKERS]
-        return [Sent(self.rng.choice(askers), Ask(self.serial, self.version))]
+        # One whose word was fresh has it from discovery; one that does not answer counts as older each time.
+        self.ages = {name: self.ages.get(name, 0.0) for name in askers}
+        best = min(askers, key=lambda name: self.ages[name] * self.rng.uniform(0.5, 1.5))
+        self.ages[best] += FRESH_S
+        return [Sent(best, Ask(self.serial, self.version))]
 
     # --- what members say --------------------------------------------------------------------------------
 
@@ -182,6 +191,8 @@
             return [*(Sent(sender, part) for part in parts), told], []
         if isinstance(body, Told):
             asked = self.asked.pop(body.serial, None)
+            if sender in self.ages:
+                self.ages[sender] = max(0, body.age_ms) / 1000.0
             if asked is not None and body.version == self.version:
                 self.confirmed = max(self.confirmed, asked - max(0, body.age_ms) / 1000.0)
             elif asked is not None and body.version > self.version:
--- a/glenchute/deciders/fleet/gossip.py
+++ b/glenchute/deciders/fleet/gossip.py
@@ -24,6 +24,7 @@
 
 ROW_BYTES = 64  # what a row is reckoned at in the budget
 MOST_ROWS = 16  # in a message, which thus stays under a datagram's size
+MOST_APART = 1_000
 MOST_NEWS = 20_000  # rows waiting to be passed on; past this the comparison has to bring them
 
 
@@ -92,7 +93,10 @@
         self.allowance = 0.0
         self.allowed_at = now
         self.sent_bytes = self.rows_sent = self.rows_taken = 0
-        self.longest = max(rules.life_s for rules in replica.rules.values())
+        self.longest = max(rules.life_s for rules in replica.rules.values() if rules.whole)
+        # Members whose copy differed at the last comparison: since when, and in how many buckets.
+        self.apart: dict[str, float] = {}
+        self.apart_in: dict[str, int] = {}
         self.changed: list[Row] = []
 
     def tell(self, now: float, row: Row, size: int) -> None:
@@ -202,6 +206,11 @@
         elif body.bucket == -1:
             differing = self.replica.differing(now, None, body.marks)
             same = tuple(set(range(BUCKETS)) - set(differing))
+            if not differing:
+                self.apart.pop(sender, None)
+            elif len(self.apart) < MOST_APART:
+                self.apart.setdefault(sender, now)
+                self.apart_in[sender] = len(differing)
             self.finished(sender, same, body.known)
             if not body.known:
                 self.give(out, Sent(sender, Done(same, self.known)))
--- a/glenchute/deciders/fleet/leases.py
+++ b/glenchute/deciders/fleet/leases.py
@@ -51,13 +51,14 @@
     """What a message asks or tells."""
 
     PREPARE = 0
-    PROMISE = 1  # `ballot` is promised; `holder` is the ballot that holds now, if one does
+    PROMISE = 1  # `ballot` is promised; `holder` is the ballot that holds now, if one does, for `span` more
     PROPOSE = 2  # for `span` seconds
     ACCEPTED = 3
     NO = 4  # `holder` has been promised, which is higher
     RELEASE = 5
     RECALL = 6  # a voter that has started asks what was promised
     RECALLED = 7  # `holder` is the highest promise for any task; `ready`: by one that has recovered itself
+    FREE = 8  # to other seekers: `ballot` has just been given back
 
 
 class Lease(NamedTuple):
@@ -157,7 +158,9 @@
             if not ballot.passes(promised):
                 return [Out(sender, Lease(Kind.NO, task, ballot, promised))]
             self.promised[task] = ballot
-            return [Out(sender, Lease(Kind.PROMISE, task, ballot, held.ballot if held else NOTHING))]
+            if held is None:
+                return [Out(sender, Lease(Kind.PROMISE, task, ballot))]
+            return [Out(sender, Lease(Kind.PROMISE, task, ballot, held.ballot, held.until - now))]
         if kind is Kind.PROPOSE:
             if not ballot.passes(promised) or message.span > self.terms.longest:
                 return [Out(sender, Lease(Kind.NO, task, ballot, promised))]
@@ -198,7 +201,8 @@
         self.highest = 0  # number of the highest ballot heard of
         self.trying: Try | None = None
         self.holding: Holding | None = None
-        self.other: Ballot = NOTHING  # who was found to hold it
+        self.other: Ballot = NOTHING  # who was found to hold it ...
+        self.other_until = -1e9  # ... and until when it does at most, if it does not renew
 
     def holds(self, now: float) -> bool:
         """Whether this process may act at this very moment."""
@@ -239,6 +243,7 @@
         elif message.kind is Kind.PROMISE and trying.until is None:
             if not self.mine(message.holder):
                 self.other = message.holder
+                self.other_until = now + message.span * (1.0 + 2.0 * self.terms.drift)
                 self.trying = None  # it is held by another
                 return []
             trying.promises.add(sender)
--- a/glenchute/deciders/fleet/replica.py
+++ b/glenchute/deciders/fleet/replica.py
@@ -31,6 +31,7 @@
 
     SERVER = 0  # a server drains or is gone; version: discovery's. Safe: what asks for more restraint
     USE = 1  # units let in for an account in a window, by one process. Safe: the larger
+    TASK = 2  # what a task's holders did; version: token and serial. Safe: more failures
 
 
 class Row(NamedTuple):
@@ -49,9 +50,14 @@
 
     life_s: float
     most: int
+    whole: bool = True  # a copy that lacks some is not whole
 
 
-RULES = {Kind.SERVER: KindRules(60.0, 5_000), Kind.USE: KindRules(20.0, 40_000)}
+RULES = {
+    Kind.SERVER: KindRules(60.0, 5_000),
+    Kind.USE: KindRules(20.0, 40_000),
+    Kind.TASK: KindRules(3600.0, 200, whole=False),
+}
 
 
 class Conflict(NamedTuple):
--- a/glenchute/peers/fleet/node.py
+++ b/glenchute/peers/fleet/node.py
@@ -17,6 +17,7 @@
 import socket
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING, Any, cast
 
 from glenchute.core.types import Address, Decisions, News
@@ -24,17 +25,20 @@
 from glenchute.deciders.fleet import members as membership
 from glenchute.deciders.fleet.coldstart import ASKER_WAIT_S, ListShare
 from glenchute.deciders.fleet.gossip import Gossip, Pace, Rows
+from glenchute.deciders.fleet.leases import Lease, Terms
 from glenchute.deciders.fleet.members import Members, Rules, State
 from glenchute.deciders.fleet.replica import Kind, Replica, Row
 from glenchute.deciders.fleet.use import Use, trusted_share
 from heathglade import interface as api
 
+from .tasks import SETTLE_S, Guard, Runner, Task, call
 from .telling import Telling
 from .wire import Bad, decode, encode
 
 if TYPE_CHECKING:
     from glenchute.peers.discovery import Discovery
 
+AUDIT_S = 10.0  # copies that differ for so long are told of
 TICK_S = 0.025
 RETRY_S = 0.1
 RANK = {api.ServerState.ACTIVE: 0.0, api.ServerState.DRAINING: 1.0, api.ServerState.GONE: 2.0}
@@ -67,6 +71,7 @@
         self.use = Use(f"{self.name}#{self.boot:x}")
         self.telling = Telling(module, made, self.use, self.told, self.share)
         self.lists = ListShare(self.name, now, rng) if raw.get("share_list") else None
+        self.runner = self.running(raw["leases"], rng) if "leases" in raw else None
         self.discovery: Discovery | None = None
         self.follow: Callable[[News], None] | None = None  # takes what others heard of servers
         self.version = 0  # of the list that this process has from discovery
@@ -76,8 +81,36 @@
         self.bad: Counter[str] = Counter()
         self.received = 0
         self.heard_at = -1e9  # when the last datagram of a member came
+        self.audited: set[str] = set()  # members that the last audit told of
         self.shown = 0  # conflicts that the log has told of
 
+    def running(self, raw: dict[str, Any], rng: random.Random) -> Runner:
+        """The leases and tasks of this process."""
+        terms = Terms(tuple(raw["voters"]), raw.get("longest_s", 10.0), raw.get("drift", 0.01))
+        tasks = []
+        for row in raw.get("tasks", []):
+            longest = row.get("longest_step_s", 1.0)
+            step = None
+            if row["kind"] == "call":
+                step = call(row["name"], f"{self.name}#{self.boot:x}", address_of(row["address"]), longest)
+            elif row["kind"] == "audit":
+                step = self.audit
+            tasks.append(Task(row["name"], row.get("interval_s", 1.0), 2.0 * longest + SETTLE_S, step))
+        return Runner(
+            self.loop, self.name, self.boot, terms, tasks, rng, self.send, self.told,
+            lambda task: self.replica.get(Kind.TASK, task), self.there,
+        )  # fmt: skip
+
+    async def audit(self, guard: Guard) -> None:
+        """Tells once of each member whose copy has differed from this one's for longer than copies take to
+        agree. It only reads and writes a line, so that it needs no token."""
+        now = self.loop.time()
+        apart = {name for name, since in self.gossip.apart.items() if now - since > AUDIT_S}
+        for name in sorted(apart - self.audited):
+            buckets = self.gossip.apart_in.get(name, 0)
+            log.warning("audit: %s's copy has differed in %d parts for over %.0f s", name, buckets, AUDIT_S)
+        self.audited = apart
+
     async def start(self) -> None:
         """Opens the socket; the first probes go out. Where the address is taken, as by the process before
         until it leaves, it is tried on: without it this gateway goes by its own part."""
@@ -109,6 +142,8 @@
     def leave(self, replaced: bool) -> None:
         """This process ends, and says so once; what that does not reach finds out. `replaced`: the next
         process waits for the address and has it at once."""
+        if self.runner is not None:
+            self.runner.leave()
         for out in self.members.leave(self.loop.time()):
             self.send(out.to, out.message)
         if replaced:
@@ -116,6 +151,8 @@
 
     def close(self) -> None:
         """Closes the socket."""
+        if self.runner is not None:
+            self.runner.close()
         for timer in (self.timer, self.opening):
             if timer is not None:
                 timer.cancel()
@@ -229,6 +266,10 @@
             if self.lists is not None:
                 self.shared(*self.lists.heard(now, name, body))
             return
+        if isinstance(body, Lease):
+            if self.runner is not None:
+                self.runner.heard(name, body)
+            return
         for sent in self.gossip.heard(now, name, body, len(self.members.members)):
             self.send(sent.to, sent.body)
         if isinstance(body, Rows):
@@ -242,6 +283,10 @@
             self.send(out.to, out.message)
         for sent in self.gossip.tick(now, self.members.alive()):
             self.send(sent.to, sent.body)
+        if self.runner is not None:
+            self.runner.tick()
+            if self.lists is not None and coldstart.TASK in self.runner.running:
+                self.lists.leased = self.runner.holds(coldstart.TASK)
         if self.lists is not None:
             self.shared(self.lists.tick(now, self.there()), [])
         self.replica.expire(now)
@@ -263,7 +308,13 @@
 
     def verbs(self) -> dict[str, Callable[[], list[dict[str, Any]]]]:
         """What the control socket can be asked."""
-        return {"list": self.show_list, "members": self.show_members, "state": self.show_state,
+        verbs: dict[str, Callable[[], list[dict[str, Any]]]] = {}
+        if self.runner is not None:
+            verbs = {"tasks": self.runner.show_tasks, "leases": self.runner.show_leases}
+            for task in self.runner.running:
+                verbs[f"release {task}"] = partial(self.runner.release, task)
+                verbs[f"unpark {task}"] = partial(self.runner.unpark, task)
+        return verbs | {"list": self.show_list, "members": self.show_members, "state": self.show_state,
                 "conflicts": self.show_conflicts, "digest": self.show_digest}  # fmt: skip
 
     def show_members(self) -> list[dict[str, Any]]:
--- a/glenchute/peers/fleet/wire.py
+++ b/glenchute/peers/fleet/wire.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from glenchute.deciders.fleet import coldstart, gossip, members
+from glenchute.deciders.fleet import coldstart, gossip, leases, members
 from glenchute.deciders.fleet.gossip import Body
 from glenchute.deciders.fleet.replica import BUCKETS, Kind, Row
 
@@ -41,6 +41,9 @@
     """A datagram that is not taken; the text names why, for a counter."""
 
 
+LEASE = msgspec.msgpack.Decoder(
+    tuple[int, str, tuple[int, str, int], tuple[int, str, int], float, bool]
+)
 LIST_FORMS: dict[type, int] = {coldstart.Told: 5, coldstart.Part: 6, coldstart.Ask: 7}
 ENCODER = msgspec.msgpack.Encoder()
 PACKET = msgspec.msgpack.Decoder(Packet)
@@ -56,7 +59,7 @@
 WANT = msgspec.msgpack.Decoder(tuple[int, list[int]])
 
 
-Said = members.Message | Body | coldstart.Body
+Said = members.Message | Body | coldstart.Body | leases.Lease
 
 
 def encode(fleet: str, name: str, boot: int, body: Said) -> bytes:
@@ -73,6 +76,8 @@
         form, raw = 3, ENCODER.encode((body.bucket, body.leaves))
     elif isinstance(body, gossip.Done):
         form, raw = 4, ENCODER.encode((body.buckets, body.known))
+    elif isinstance(body, leases.Lease):
+        form, raw = 8, ENCODER.encode((int(body.kind), *body[1:]))
     else:  # about the list of servers
         form, raw = LIST_FORMS[type(body)], ENCODER.encode(tuple(body))
     return ENCODER.encode(Packet(VERSION, fleet, name, boot, form, msgspec.Raw(raw)))
@@ -138,4 +143,12 @@
         return coldstart.Part(since, version, at, of, tuple(coldstart.Server(*row) for row in raw))
     if packet.form == 7:
         return coldstart.Ask(*ASK.decode(packet.body))
+    if packet.form == 8:
+        kind, task, ballot, holder, span, ready = LEASE.decode(packet.body)
+        if len(task) > NAME or len(ballot[1]) > NAME or len(holder[1]) > NAME or not 0.0 <= span < 1e4:
+            raise ValueError
+        if not all(0 <= n < 1 << 62 for n in (ballot[0], ballot[2], holder[0], holder[2])):
+            raise ValueError
+        made = leases.Ballot(*ballot), leases.Ballot(*holder)
+        return leases.Lease(leases.Kind(kind), task, *made, span, ready)
     raise ValueError
--- /dev/null
+++ b/lab/fleet/holders.py
@@ -0,0 +1,230 @@
+"""Leases among hundreds of simulated processes, in no real time: clocks that drift, messages lost, late and
+twice, cuts, stops, restarts. Each act is booked by what it acts on, with its token, begin and end; nothing
+that the deciders say of themselves is believed.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
+
+from glenchute.deciders.fleet.leases import Lease, Out, Seeker, Terms, Voter
+from glenchute.deciders.fleet.tasks import Keeper
+
+TICK_S = 0.05
+ACT_S = 0.2  # the longest an effect takes, by its own word
+VOTER_KINDS = ("PREPARE", "PROPOSE", "RELEASE", "RECALL", "RECALLED")
+
+
+class Act(NamedTuple):
+    """One effect as the one acted on books it. Real seconds."""
+
+    task: str
+    token: int
+    by: str
+    began: float
+    ended: float
+
+
+def overlaps(acts: Sequence[Act]) -> list[tuple[Act, Act]]:
+    """Acts of one task by different processes at one moment, and acts with a token lower than one before. An
+    act and a restart of its own process are different ones."""
+    found = []
+    for task in {act.task for act in acts}:
+        rows = sorted((act for act in acts if act.task == task), key=lambda act: act.began)
+        latest = rows[0]
+        for act in rows[1:]:
+            if (act.by != latest.by and act.began < latest.ended) or act.token < latest.token:
+                found.append((latest, act))
+            latest = act if act.ended >= latest.ended else latest._replace(token=act.token)
+    return found
+
+
+def longest_gap(acts: Sequence[Act], task: str, first: float, last: float) -> float:
+    """The longest time without an act of a task."""
+    times = sorted(act.began for act in acts if act.task == task and first <= act.began < last)
+    return max(later - at for at, later in itertools.pairwise([first, *times, last]))
+
+
+class Process:
+    """One process: its clock, its vote, its tasks."""
+
+    def __init__(self, name: str, boot: int, swarm: Swarm, rate: float) -> None:
+        self.name, self.boot, self.swarm, self.rate = name, boot, swarm, rate
+        self.offset = swarm.rng.uniform(0.0, 1e6)  # clocks have nothing in common but their rate
+        self.stopped = False
+        self.buffer: list[tuple[str, Lease]] = []  # what came while it stood
+        now = self.clock()
+        self.voter = Voter(name, swarm.terms, now) if name in swarm.terms.voters else None
+        self.keepers = {}
+        for task in swarm.tasks:
+            seeker = Seeker(name, boot, task, swarm.terms, swarm.terms.longest)
+            self.keepers[task] = Keeper(seeker, random.Random(swarm.rng.getrandbits(60)), now)
+
+    def clock(self) -> float:
+        return self.offset + self.swarm.now * self.rate
+
+    def heard(self, sender: str, message: Lease) -> list[Out]:
+        if message.kind.name in VOTER_KINDS:
+            return self.voter.heard(self.clock(), sender, message) if self.voter is not None else []
+        return self.keepers[message.task].heard(self.clock(), sender, message)
+
+    def tick(self) -> list[Out]:
+        now = self.clock()
+        outs = self.voter.tick(now) if self.voter is not None else []
+        for keeper in self.keepers.values():
+            outs += keeper.tick(now)
+            token = keeper.guard(now, ACT_S)
+            if token is not None and self.swarm.rng.random() < 0.5:
+                self.swarm.act(keeper.seeker.task, token, self)
+        return outs
+
+
+class Swarm:
+    """So many processes, of which the first are voters."""
+
+    def __init__(
+        self, count: int, seed: int, voters: int = 5, tasks: int = 1, longest: float = 3.0,
+        drift: float = 0.01, lose: float = 0.0,
+    ) -> None:  # fmt: skip
+        self.rng = random.Random(seed)
+        self.names = [f"g{n}" for n in range(count)]
+        self.terms = Terms(tuple(self.names[:voters]), longest, drift)
+        self.tasks = [f"task{n}" for n in range(tasks)]
+        self.now, self.lose, self.sent, self.boots = 0.0, lose, 0, 0
+        self.acts: list[Act] = []
+        self.due: list[tuple[float, int, str, str, Lease]] = []
+        self.order = itertools.count()
+        self.cut: Callable[[str, str], bool] = lambda sender, to: False
+        self.down: set[str] = set()
+        self.processes = {name: self.made(name) for name in self.names}
+        for name in self.names:
+            voter = self.processes[name].voter
+            if voter is not None:  # they have run for long
+                voter.ready = True
+        self.place()
+
+    def made(self, name: str) -> Process:
+        self.boots += 1
+        drift = self.terms.drift
+        # At their bounds as often as between them.
+        rate = self.rng.choice([1.0 - drift, 1.0 + drift, self.rng.uniform(1.0 - drift, 1.0 + drift)])
+        return Process(name, self.boots, self, rate)
+
+    def place(self) -> None:
+        """Members know who has gone; who is stopped or cut off they do not."""
+        there = [name for name in self.names if name not in self.down]
+        for name, process in self.processes.items():
+            for keeper in process.keepers.values():
+                keeper.place(one for one in there if one != name)
+
+    def act(self, task: str, token: int, by: Process) -> None:
+        """An effect begins now; what it acts on books it."""
+        took = self.rng.choice([0.0, 0.5, 1.0]) * ACT_S
+        self.acts.append(Act(task, token, f"{by.name}#{by.boot}", self.now, self.now + took))
+
+    def post(self, sender: str, outs: Sequence[Out]) -> None:
+        for out in outs:
+            self.sent += 1
+            for _ in range(1 + (self.rng.random() < 0.02)):
+                if self.rng.random() >= self.lose and not self.cut(sender, out.to):
+                    late = self.rng.choice([0.001, 0.01, 0.01, 0.05, 0.01, 1.5])
+                    row = (self.now + late * self.rng.random(), next(self.order), out.to, sender, out.message)
+                    heapq.heappush(self.due, row)
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass."""
+        end = self.now + seconds
+        while self.now < end:
+            step = self.now + TICK_S
+            while self.due and self.due[0][0] <= step:
+                at, _, to, sender, message = heapq.heappop(self.due)
+                self.now = max(self.now, at)
+                process = self.processes[to]
+                if to in self.down:
+                    continue
+                if process.stopped:
+                    process.buffer.append((sender, message))
+                else:
+                    self.post(to, process.heard(sender, message))
+            self.now = step
+            for name, process in self.processes.items():
+                if name not in self.down and not process.stopped:
+                    self.post(name, process.tick())
+
+    # --- faults ------------------------------------------------------------------------------------------
+
+    def stop(self, name: str) -> None:
+        self.processes[name].stopped = True
+
+    def go_on(self, name: str) -> None:
+        """What it has not read comes first: it was there before the clock is looked at again."""
+        process = self.processes[name]
+        process.stopped, buffer, process.buffer = False, process.buffer, []
+        for sender, message in buffer:
+            self.post(name, process.heard(sender, message))
+
+    def kill(self, name: str) -> None:
+        self.down.add(name)
+        self.place()
+
+    def restart(self, name: str) -> None:
+        self.down.discard(name)
+        self.processes[name] = self.made(name)
+        self.place()
+
+    def holder(self, task: str) -> str | None:
+        """Who acted last."""
+        acts = [act for act in self.acts if act.task == task]
+        return acts[-1].by.partition("#")[0] if acts else None
+
+    def release(self, name: str) -> None:
+        """SIGTERM: all that it holds is given back."""
+        process = self.processes[name]
+        for keeper in process.keepers.values():
+            self.post(name, keeper.release(process.clock()))
+
+
+def troubled(seed: int, count: int, voters: int, seconds: float = 60.0, tasks: int = 1) -> Swarm:
+    """A run with drawn faults, most of them at whoever holds; then a calm time."""
+    rng = random.Random(seed)
+    longest, lose = rng.choice([1.0, 3.0]), rng.choice([0.0, 0.1, 0.3])
+    swarm = Swarm(count, seed, voters, tasks, longest, lose=lose)
+    undo: list[tuple[float, Callable[..., None], tuple[Any, ...]]] = []
+    while swarm.now < seconds:
+        swarm.run(rng.uniform(0.1, 2.0))
+        for row in [row for row in undo if row[0] <= swarm.now]:
+            undo.remove(row)
+            row[1](*row[2])
+        held = swarm.holder(rng.choice(swarm.tasks)) or "g0"
+        name = held if rng.random() < 0.6 else rng.choice(swarm.names)
+        kind = rng.choice(["stop", "restart", "kill", "release", "cut", "one way", "halves"])
+        back = swarm.now + rng.uniform(0.2, 6.0)
+        if name in swarm.down or swarm.processes[name].stopped or len(undo) > max(2, voters // 2):
+            continue
+        if kind == "stop":
+            swarm.stop(name)
+            undo.append((back, swarm.go_on, (name,)))
+        elif kind == "restart":
+            swarm.restart(name)
+        elif kind == "kill":
+            swarm.kill(name)
+            undo.append((back, swarm.restart, (name,)))
+        elif kind == "release":
+            swarm.release(name)
+        else:
+            half = set(rng.sample(swarm.names, len(swarm.names) // 2))
+            cuts: dict[str, Callable[[str, str], bool]] = {
+                "cut": lambda a, b, n=name: n in (a, b),  # type: ignore[misc]
+                "one way": lambda a, b, n=name: a == n,  # type: ignore[misc]
+                "halves": lambda a, b, h=half: (a in h) != (b in h),  # type: ignore[misc]
+            }
+            swarm.cut = cuts[kind]
+            undo.append((back, setattr, (swarm, "cut", lambda a, b: False)))
+    for _, act, args in undo:
+        act(*args)
+    swarm.lose = 0.0
+    return swarm
--- a/lab/fleet/processes.py
+++ b/lab/fleet/processes.py
@@ -32,8 +32,11 @@
     def __init__(
         self, folder: Path, gateways: int, seed: int = 1, fleet: bool = True,
         settings: dict[str, Any] | None = None, more: str = "", lists: float = 0.0,
+        tail: str = "",
     ) -> None:  # fmt: skip
-        """`lists`: calls a second that discovery bears, by its own books; 0: any."""
+        """`more`, `tail`: lines of `[fleet]`, and tables after it. `lists`: calls a second that discovery
+        bears, by its own books; 0: any."""
+        self.tail = tail
         self.folder, self.count, self.seed, self.on, self.more = folder, gateways, seed, fleet, more
         self.settings = {**(settings or SETTINGS), "balancers": gateways}
         self.calls_per_s = lists
@@ -90,7 +93,7 @@
             for other, at in others.items()
         )
         head = f'[fleet]\nfleet = "lab"\nname = "{name}"\nlisten = "127.0.0.1:{port}"\n{self.more}'
-        return f'{head}control = "{own / "control"}"\n{rows}'
+        return f'{head}control = "{own / "control"}"\n{rows}{self.tail}'
 
     async def __aexit__(self, *failure: object) -> None:
         for gateway in self.gateways:
--- /dev/null
+++ b/tests/test_lease_processes.py
@@ -0,0 +1,176 @@
+"""Tasks of five processes behind scripted links: stops, kills, cuts, ends. A service books every act."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from pathlib import Path
+
+import pytest
+
+from lab.fleet.effects import EffectService
+from lab.fleet.holders import longest_gap, overlaps
+from lab.fleet.processes import FleetSite
+from lab.peers import play
+
+LONGEST = 1.0
+EVERY = range(5)
+MORE = "period_ms = 100\npatience_ms = 1000\n"
+# A kill of the holder, the silence of a voter that starts, tries: the longest time without anybody acting.
+NOBODY_S = 2.0 * LONGEST + 3.0
+
+
+def tasks(port: int, *names: str) -> str:
+    rows = "".join(
+        f'[[fleet.leases.tasks]]\nname = "{name}"\nkind = "call"\naddress = "127.0.0.1:{port}"\n'
+        "interval_s = 0.05\nlongest_step_s = 0.2\n"
+        for name in names
+    )
+    voters = ", ".join(f'"g{n}"' for n in EVERY)
+    return f"[fleet.leases]\nvoters = [{voters}]\nlongest_s = {LONGEST}\n{rows}"
+
+
+class Acting:
+    """Five gateways and what they act on."""
+
+    def __init__(self, folder: Path, seed: int, service: EffectService, *names: str) -> None:
+        self.service, self.names, self.folder, self.seed = service, names or ("close",), folder, seed
+
+    async def __aenter__(self) -> Acting:
+        await self.service.start()
+        self.site = FleetSite(
+            self.folder, 5, seed=self.seed, more=MORE, tail=tasks(self.service.port, *self.names)
+        )
+        await self.site.__aenter__()
+        await self.site.start()
+        return self
+
+    async def __aexit__(self, *failure: object) -> None:
+        await self.site.__aexit__()
+        await self.service.stop()
+
+    async def acts(self, more: int = 3, patience_s: float = NOBODY_S) -> int:
+        """Waits for acts from now on; who acted last."""
+        before = len(self.service.acts)
+        async with asyncio.timeout(patience_s):
+            while len(self.service.acts) < before + more:
+                await asyncio.sleep(0.01)
+        return self.holder
+
+    async def another(self, than: int, patience_s: float = NOBODY_S) -> int:
+        """Waits until somebody else acts."""
+        async with asyncio.timeout(patience_s):
+            while self.holder == than:
+                await asyncio.sleep(0.01)
+        return self.holder
+
+    @property
+    def holder(self) -> int:
+        """The number of the gateway that acted last."""
+        return int(self.service.acts[-1].by[1:].partition("#")[0])
+
+    def stop_in_mid_act(self) -> asyncio.Future[int]:
+        """The next that acts is stopped while the act is under way."""
+        stopped: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+
+        def stop(name: str) -> None:
+            if not stopped.done():
+                self.site.send_signal(int(name[1:]), signal.SIGSTOP)
+                stopped.set_result(int(name[1:]))
+
+        self.service.on_act = stop
+        return stopped
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_two_act_at_once_through_stops_kills_cuts_and_ends(seed: int, tmp_path: Path) -> None:
+    async def scenario() -> None:
+        service = EffectService()
+        async with Acting(tmp_path, seed, service) as one:
+            site, rng = one.site, random.Random(seed)
+            began = asyncio.get_running_loop().time()
+            first = await one.acts(5)
+            # Stopped in mid-act, it goes on when its heir acts, with old beliefs.
+            stopped = await one.stop_in_mid_act()
+            heir = await one.another(stopped)
+            await one.acts()
+            site.send_signal(stopped, signal.SIGCONT)
+            await one.acts(10)
+            # Cut off from the voters and not from what it acts on.
+            cut = one.holder
+            site.split([[cut], [n for n in EVERY if n != cut]])
+            await one.another(cut)
+            await one.acts(5)
+            site.split([[cut], [n for n in EVERY if n != cut]], cut=False)
+            # Killed, and back under its name at once: a voter that remembers nothing.
+            killed = one.holder
+            site.send_signal(killed, signal.SIGKILL)
+            await site.start([killed])
+            await one.acts(5)
+            # Stopped at any moment, two of five; the three that are left act.
+            both = [*rng.sample([n for n in EVERY if n != one.holder], 1), one.holder]
+            for number in both:
+                site.send_signal(number, signal.SIGSTOP)
+            await one.another(both[1])
+            for number in both:
+                site.send_signal(number, signal.SIGCONT)
+            await one.acts(5)
+            # A planned end hands over without waiting for the lease's.
+            ended, at = one.holder, asyncio.get_running_loop().time()
+            site.send_signal(ended, signal.SIGTERM)
+            await one.another(ended)
+            handed = asyncio.get_running_loop().time() - at
+            await one.acts(5)
+            assert handed < LONGEST, handed
+            assert overlaps(service.acts) == []
+            assert first in EVERY and heir != stopped
+            assert longest_gap(service.acts, "close", began, asyncio.get_running_loop().time()) < NOBODY_S
+
+    play(scenario())
+
+
+def test_a_stopped_majority_lets_nobody_act_and_its_return_does(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        service = EffectService(fencing=True)
+        async with Acting(tmp_path, 3, service) as one:
+            holder = await one.acts()
+            quiet = [n for n in EVERY if n != holder][:3]
+            for number in quiet:
+                one.site.send_signal(number, signal.SIGSTOP)
+            loop = asyncio.get_running_loop()
+            while loop.time() - service.acts[-1].began < 1.5 * LONGEST:  # its lease ends: it must not act on
+                await asyncio.sleep(0.02)
+            rows = await one.site.asked(holder, "tasks")
+            assert rows and rows[0]["holder"] == "" and rows[0]["nobody"], rows
+            for number in quiet:
+                one.site.send_signal(number, signal.SIGCONT)
+            await one.acts()
+            assert overlaps(service.acts) == [] and service.refused == []
+
+    play(scenario())
+
+
+def test_a_task_that_fails_at_each_holder_is_parked_and_others_go_on(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        service = EffectService()
+        service.poison = "bad"
+        async with Acting(tmp_path, 4, service, "bad", "good") as one:
+            async def parked() -> bool:
+                rows = [await one.site.asked(n, "tasks") for n in EVERY]
+                return all(row and row[0]["parked"] for row in rows)
+
+            await one.site.until(parked)
+            await one.acts(5)
+            bad = [act for act in service.acts if act.task == "bad"]
+            assert 3 <= len(bad) <= 4 and len({act.by for act in bad}) >= 2, bad  # no holder kept it
+            freed = one.site.ask(0, "unpark bad")
+            assert freed == [{"unparked": True}]
+            service.poison = ""
+            before = len(bad)
+            async with asyncio.timeout(NOBODY_S):
+                while sum(act.task == "bad" for act in service.acts) < before + 3:
+                    await asyncio.sleep(0.02)
+            assert overlaps(service.acts) == []
+
+    play(scenario())
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from glenchute.config import operator
 from glenchute.deciders.fleet.leases import (
     NOTHING,
     Ballot,
@@ -17,7 +18,9 @@
     Voter,
     sound_voters,
 )
+from glenchute.deciders.fleet.tasks import CANDIDATES, Keeper, Record
 from lab.explore import Explored, Explorer
+from lab.fleet.holders import ACT_S, Swarm, longest_gap, overlaps, troubled
 from lab.fleet.leasing import LONGEST, TERMS, System, check, events, fresh, held, late, racing, tied
 
 SYSTEMS: dict[str, tuple[Callable[..., System], dict[str, int], int]] = {
@@ -215,3 +218,131 @@
 def test_sets_of_voters(voters: str, what: str) -> None:
     told = sound_voters(list(voters), list("abcdefghij"))
     assert (what in told) if what else not told
+
+
+# --- hundreds, in simulated time -------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(("count", "voters"), [(5, 5), (15, 5), (60, 5), (9, 9), (12, 3)])
+def test_no_two_act_at_once_over_drawn_faults(count: int, voters: int) -> None:
+    """By the books of what they act on; and once faults are over somebody acts, at the latest when the
+    silence of voters that have just started, and one lease, are over."""
+    for seed in range(12):
+        swarm = troubled(seed, count, voters, tasks=1 + seed % 3)
+        calm = swarm.now
+        swarm.run(20.0)
+        assert len(swarm.acts) > 100 and overlaps(swarm.acts) == [], seed
+        most = 2.0 * swarm.terms.silence + 2.0
+        assert max(longest_gap(swarm.acts, task, calm, swarm.now) for task in swarm.tasks) < most, seed
+
+
+def gives_back_at_once(patch: pytest.MonkeyPatch) -> None:
+    """An effect that is under way does not keep the lease."""
+    patch.setattr(Keeper, "acting_until", property(lambda self: -1e9, lambda self, at: None), raising=False)
+
+
+def clock_that_stands(patch: pytest.MonkeyPatch) -> None:
+    """The clock of a stopped process stands as well, as some do while a machine sleeps."""
+
+    def go_on(self: Swarm, name: str) -> None:
+        process = self.processes[name]
+        process.offset -= (self.now - self.since[name]) * process.rate  # type: ignore[attr-defined]
+        process.stopped = False
+
+    def stop(self: Swarm, name: str) -> None:
+        self.since = {**getattr(self, "since", {}), name: self.now}  # type: ignore[attr-defined]
+        self.processes[name].stopped = True
+
+    patch.setattr(Swarm, "stop", stop)
+    patch.setattr(Swarm, "go_on", go_on)
+
+
+def checked_too_early(patch: pytest.MonkeyPatch) -> None:
+    """The time left is held against nothing: an effect may outlast the lease."""
+    patch.setattr(Keeper, "guard", lambda self, now, longest_s: self.seeker.guard(now, 0.0))
+
+
+@pytest.mark.parametrize("bug", [gives_back_at_once, clock_that_stands, checked_too_early, no_silence, half])
+def test_the_swarm_finds_bugs_too(bug: Callable[..., None], monkeypatch: pytest.MonkeyPatch) -> None:
+    bug(monkeypatch)
+    for seed in range(120):
+        swarm = troubled(seed, 5, 5)
+        if overlaps(swarm.acts):
+            print(bug.__name__, seed, overlaps(swarm.acts)[0])
+            return
+    pytest.fail("not found")
+
+
+def test_five_hundred_members_send_no_more_than_their_candidates() -> None:
+    """Messages a second do not grow with the members, and tasks are spread over them."""
+    sent = {}
+    for count in (20, 500):
+        swarm = Swarm(count, 1, tasks=20)
+        swarm.run(5.0)
+        before = swarm.sent
+        swarm.run(10.0)
+        sent[count] = (swarm.sent - before) / 10.0
+        holders = {swarm.holder(task) for task in swarm.tasks}
+        assert None not in holders
+    assert sent[500] < 1.5 * sent[20] + 20.0 and len(holders) >= 15
+    # All candidates of a task die at once: others take their places as soon as members tell.
+    task = swarm.tasks[0]
+    for keeper in [p.keepers[task] for p in swarm.processes.values() if p.keepers[task].candidate]:
+        if keeper.seeker.name not in swarm.terms.voters:
+            swarm.kill(keeper.seeker.name)
+    died = swarm.now
+    swarm.run(8.0)
+    assert sum(act.began > died + 5.0 for act in swarm.acts if act.task == task) > 5
+    assert sum(process.keepers[task].candidate for process in swarm.processes.values()) >= CANDIDATES
+
+
+def test_a_release_hands_over_within_a_tenth_of_a_second() -> None:
+    swarm = Swarm(15, 3)
+    swarm.run(5.0)
+    held = swarm.holder("task0")
+    assert held is not None
+    swarm.release(held)
+    swarm.run(1.0)
+    others = [act.began for act in swarm.acts if act.by.partition("#")[0] != held]
+    assert others and overlaps(swarm.acts) == []
+    assert min(others) - max(a.began for a in swarm.acts if a.began < min(others)) < ACT_S + 0.5
+
+
+@pytest.mark.parametrize(
+    ("steps", "parked"),
+    [("ok ok", False), ("no no no", False), ("no no no no", True), ("no no ok no no no", False)],
+)
+def test_a_task_is_parked_after_holdings_that_failed_in_a_row(steps: str, parked: bool) -> None:
+    record = Record()
+    for token, step in enumerate(steps.split(), 1):
+        marked = record.took(token).step(False)  # before it runs
+        assert marked.version() > record.version()
+        record = Record.of(marked.version(), float(marked.failures))  # told on, and read by the next holder
+        record = record.step(True) if step == "ok" else record
+    assert record.parked is parked and not record.unparked().parked
+
+
+FILE = """\
+[fleet]
+fleet = "lab"
+name = "g0"
+listen = "127.0.0.1:7946"
+members = [{ name = "g1", address = "127.0.0.1:7947" }, { name = "g2", address = "127.0.0.1:7948" }]
+[fleet.leases]
+voters = ["g0", "g1", "g2"]
+"""
+TASK = '[[fleet.leases.tasks]]\nname = "close"\nkind = "call"\naddress = "127.0.0.1:80"\n'
+WRONG = {
+    "unsound-voters": FILE.replace('"g2"]', '"g7"]'),
+    "task-twice": FILE + TASK + TASK,
+    "task-address": FILE + TASK.replace('address = "127.0.0.1:80"\n', ""),
+    "task-ask": FILE + '[[fleet.leases.tasks]]\nname = "ask"\nkind = "ask"\n',
+    "long-step": FILE + TASK + "longest_step_s = 6.0\n",
+}
+
+
+@pytest.mark.parametrize("code", WRONG)
+def test_unsafe_leases_are_refused_with_their_code(code: str) -> None:
+    assert not operator.parse(FILE + TASK, None).findings
+    found = operator.parse(WRONG[code], None).findings
+    assert [finding.code for finding in found] == [code], found
