--- a/glenchute/config/fleet.py
+++ b/glenchute/config/fleet.py
@@ -108,6 +108,6 @@
         if kind == "ask" and not raw.get("share_list"):
             faults("task-ask", place, "asks for a list that nobody is told of; set share_list = true")
         most = 0.5 * terms.held_for(terms.longest) / (1.0 + terms.drift)
-        if row.get("longest_step_s", 1.0) > most:
+        if kind == "call" and row.get("longest_step_s", 1.0) > most:
             message = f"longest_step_s is over {most:.2f}, half of what a lease of longest_s lasts"
             faults("long-step", place, f"{message}: it might never begin; raise longest_s, or cut the step")
--- a/glenchute/deciders/fleet/coldstart.py
+++ b/glenchute/deciders/fleet/coldstart.py
@@ -36,7 +36,7 @@
 MOST_ROWS = 12  # in a message
 MOST_PARTS = 100
 MOST_ASKED = 8  # questions that an answer is still taken to
-SOON_S = 0.1
+SOON_S = 0.25
 MOST_PENDING = 8  # members whose messages are collected at a time
 KEPT_GONE = 2_000  # servers that are gone and still told of
 
@@ -195,8 +195,8 @@
                 self.ages[sender] = max(0, body.age_ms) / 1000.0
             if asked is not None and body.version == self.version:
                 self.confirmed = max(self.confirmed, asked - max(0, body.age_ms) / 1000.0)
-            elif asked is not None and body.version > self.version:
-                self.ask_at = min(self.ask_at, now + SOON_S)  # something was lost on the way
+            if asked is not None and (body.version > self.version or now - self.confirmed > ASKER_WAIT_S):
+                self.ask_at = min(self.ask_at, now + SOON_S)  # lost on the way, or another has a fresher word
             return [], []
         if body.since > self.version or body.version <= self.version or not 0 < body.of <= MOST_PARTS:
             return [], []  # a gap, or nothing new
--- a/glenchute/peers/discovery.py
+++ b/glenchute/peers/discovery.py
@@ -203,6 +203,7 @@
         # Members may ask for this gateway: how long it is to leave the service alone, and the longest wait of
         # its watch where it asks for them.
         self.others: Callable[[], tuple[float, float]] = lambda: (0.0, float("inf"))
+        self.resting: Callable[[], None] | None = None  # what comes after that
         self.confirmed: Callable[[int], None] = lambda version: None  # told of each sound answer
         self.closed = False
 
@@ -217,9 +218,7 @@
 
     def start(self) -> None:
         """Opens a connection, and asks on it; later, where members ask for this gateway."""
-        left_alone = self.others()[0]
-        if left_alone > 0.0:
-            self.expect(left_alone + self.turns.in_step(), self.start)
+        if self.left_alone(self.start):
             return
         self.task = self.loop.create_task(self.open())
 
@@ -253,10 +252,7 @@
         """The next call; an answer that does not come ends the connection."""
         if self.closed or self.exchange is None:
             return
-        left_alone, longest = self.others()
-        if left_alone > 0.0:
-            # Whoever was silenced together must not come back together.
-            self.expect(left_alone + self.turns.in_step(), self.ask)
+        if self.left_alone(self.ask):
             return
         if not self.exchange.usable():
             self.exchange.abort()
@@ -270,12 +266,25 @@
         if self.since is not None:
             # The first answer is what a start waits for, and there may be no news.
             waited = self.awaited and not self.first.is_set()
-            patience = AT_ONCE_S if waited else min(longest, self.turns.patience())
+            patience = AT_ONCE_S if waited else min(self.others()[1], self.turns.patience())
             target += f"?since={self.since}&timeout_ms={patience * 1000.0:.0f}"
             wait += patience
         self.expect(wait, self.exchange.abort)
         self.exchange.get(f"{self.where[0]}:{self.where[1]}", target)
 
+    def left_alone(self, then: Callable[[], None]) -> bool:
+        """Whether members ask for this gateway; then it looks again later, and not in step with others."""
+        seconds = self.others()[0]
+        self.resting = then if seconds > 0.0 else None
+        if seconds > 0.0:
+            self.expect(seconds + self.turns.in_step(), then)
+        return seconds > 0.0
+
+    def hurry(self) -> None:
+        """This gateway is to ask for others from now on."""
+        if self.resting is not None:
+            self.expect(0.0, self.resting)
+
     def expect(self, seconds: float, then: Callable[[], None]) -> None:
         """One timer at a time."""
         if self.timer is not None:
--- a/glenchute/peers/fleet/node.py
+++ b/glenchute/peers/fleet/node.py
@@ -11,7 +11,6 @@
 import asyncio
 import errno
 import logging
-import math
 import os
 import random
 import socket
@@ -198,9 +197,7 @@
     def leave_alone(self) -> tuple[float, float]:
         """How long discovery is left alone, and the longest wait of a watch."""
         assert self.lists is not None
-        others = self.there()
-        longest = ASKER_WAIT_S if self.lists.asks(others) else math.inf
-        return self.lists.waits(self.loop.time(), others), longest
+        return self.lists.waits(self.loop.time(), self.there()), ASKER_WAIT_S
 
     def shared(self, sents: list[coldstart.Sent], rows: list[coldstart.Server]) -> None:
         """Sends what is to be sent of the list, and follows what members told of it."""
@@ -286,7 +283,9 @@
         if self.runner is not None:
             self.runner.tick()
             if self.lists is not None and coldstart.TASK in self.runner.running:
-                self.lists.leased = self.runner.holds(coldstart.TASK)
+                leased, self.lists.leased = self.lists.leased, self.runner.holds(coldstart.TASK)
+                if self.lists.leased and not leased and self.discovery is not None:
+                    self.discovery.hurry()
         if self.lists is not None:
             self.shared(self.lists.tick(now, self.there()), [])
         self.replica.expire(now)
--- a/tests/test_lease_processes.py
+++ b/tests/test_lease_processes.py
@@ -5,14 +5,17 @@
 import asyncio
 import random
 import signal
+from collections.abc import Iterable
 from pathlib import Path
 
 import pytest
 
-from lab.fleet.acting import EVERY, LONGEST, NOBODY_S, Acting
+from lab.coldstart import busiest
+from lab.fleet.acting import EVERY, LONGEST, MORE, NOBODY_S, Acting, tasks
 from lab.fleet.effects import EffectService
 from lab.fleet.holders import longest_gap, overlaps
-from lab.peers import play
+from lab.fleet.processes import FleetSite
+from lab.peers import play, row
 
 
 @pytest.mark.parametrize("seed", [1, 2])
@@ -106,3 +109,43 @@
             assert overlaps(service.acts) == []
 
     play(scenario())
+
+
+def test_one_gateway_asks_discovery_for_all_by_a_lease(tmp_path: Path) -> None:
+    """Killed, it is replaced; a change in the meantime reaches all."""
+
+    async def scenario() -> None:
+        ask = tasks(1).partition("[[")[0] + '[[fleet.leases.tasks]]\nname = "ask"\nkind = "ask"\n'
+        async with FleetSite(tmp_path, 5, more=MORE + "share_list = true\n", tail=ask, lists=50.0) as site:
+            lists = site.lists
+            assert lists is not None
+
+            async def askers(numbers: Iterable[int] = EVERY) -> list[int]:
+                told = {n: await site.asked(n, "list") for n in numbers}
+                return [n for n, rows in told.items() if rows and rows[0]["asks"]]
+
+            async def newest() -> bool:
+                told = [await site.asked(n, "list") for n in rest]
+                return all(rows and rows[0]["version"] == lists.version for rows in told)
+
+            async def one() -> bool:
+                return len(await askers()) == 1
+
+            await site.start()
+            await site.until(one)
+            first = lists.calls[-1].at
+            while lists.calls[-1].at < first + 7.0:
+                await asyncio.sleep(0.02)
+            assert busiest(lists.calls, first + 3.0) <= 2  # before that, those that asked at their start
+            asker = (await askers())[0]
+            rest = [n for n in EVERY if n != asker]
+            site.send_signal(asker, signal.SIGKILL)
+            lists.update(row("s1", site.site.nodes[1].port, "Terminating"))
+            await site.until(newest, 10.0)
+
+            async def replaced() -> bool:
+                return len(await askers(rest)) == 1
+
+            await site.until(replaced)
+
+    play(scenario())
