Five processes with a slow, a lying, a stopped and a dying peer, the counter mute

By clients' and nodes' books nothing lost, no charge twice, no refusal that ran, an account's overshoot within two requests a gateway and 0.4 s of its rate.

--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -15,6 +15,10 @@
 
 import pytest
 
+from glenchute.deciders.fleet.gossip import Rows
+from glenchute.deciders.fleet.replica import Kind as RowKind
+from glenchute.deciders.fleet.replica import Row
+from glenchute.peers.fleet.wire import encode
 from lab.fleet import checks
 from lab.fleet.processes import FleetSite
 from lab.load import Account, Kind
@@ -260,3 +264,68 @@
             assert checks.lost(outcomes) == 0 and checks.refused_and_ran(site.site.nodes, outcomes) == 0
 
     play(scenario())
+
+
+def test_a_slow_a_lying_a_stopped_and_a_dying_peer_cost_no_rule(tmp_path: Path) -> None:
+    """One after the other, the counter mute and one account asked for more than its quota all the time."""
+
+    async def scenario() -> None:
+        async with FleetSite(tmp_path, 5, more="period_ms = 100\npatience_ms = 1500\n") as site:
+            await ready(site)
+            for link in site.to_counter:
+                link.cut()
+            asking = [0, 1, 2]  # clients are sent to these
+            load = asyncio.create_task(site.load(8.0, 4.0, [ONE, *MANY], asking, CHARGES))
+
+            for (one, other), pair in site.links.items():  # a slow way to one member
+                if 4 in (one, other):
+                    for way in pair.ways:
+                        way.delay_s, way.jitter_s = 0.4, 0.2
+            begun = asyncio.get_running_loop().time()
+            while asyncio.get_running_loop().time() < begun + 2.0:
+                assert "g4: dead" not in site.gateways[0].log.read_text()
+                await asyncio.sleep(0.1)
+
+            boot = int((await site.asked(0, "members"))[1]["boot"], 16)  # g1's own
+            used = Row(RowKind.USE, f"{ONE.customer.decode()}/{10**9}", "g1#1", 9, 1e11)
+            gone = Row(RowKind.SERVER, "s2", "", 10**9, 2.0)
+            for fleet, lie in (("lab", used), ("lab", gone), ("other", gone)):
+                site.links[0, 1].send_as(1, encode(fleet, "g1", boot, Rows(((lie, 0),))))
+            await site.until(lambda: dropped(site, 0, "dropped_fleet"))
+
+            site.send_signal(3, signal.SIGSTOP)  # longer than a burial takes; it goes on with old beliefs
+            await site.until(lambda: seen(site, 0, "g3", "dead"))
+            outcomes = await load
+            site.send_signal(3, signal.SIGCONT)
+            outcomes += await site.load(2.0, 4.0, [ONE], [3])
+            await site.until(lambda: seen(site, 0, "g3", "alive"))
+
+            site.send_signal(2, signal.SIGKILL)  # it returns, and the one that it catches up from dies
+            site.split([[2, 0], [1, 3, 4]])
+            await site.start([2])
+            site.send_signal(0, signal.SIGKILL)
+            site.split([[2, 0], [1, 3, 4]], cut=False)
+            await site.until(lambda: site.whole([1, 2, 3], 0.8))
+
+            last = asyncio.create_task(site.load(1.5, 20.0, MANY, [1]))
+            while not site.links[1, 2].ways[0].passed:
+                await asyncio.sleep(0.01)
+            outcomes += await last
+            site.send_signal(1, signal.SIGTERM)  # in mid-exchange with all the others
+            process = site.gateways[1].process
+            assert process is not None
+            assert await asyncio.get_running_loop().run_in_executor(None, process.wait) == 0
+
+            assert checks.lost(outcomes) == 0 and checks.ran_twice(site.site.nodes, "check-charge") == 0
+            assert checks.refused_and_ran(site.site.nodes, outcomes) == 0
+            # What three gateways may let in by themselves while they are not sure of the fleet: a lot each.
+            assert checks.overshoot(site.site.nodes, ONE.customer, RATE, BURST) <= 2.0 * 5 + 4.0 * 0.4
+
+    async def dropped(site: FleetSite, number: int, what: str) -> bool:
+        rows = await site.asked(number, "state")
+        return bool(rows) and rows[0].get(what, 0) > 0
+
+    async def seen(site: FleetSite, by: int, name: str, state: str) -> bool:
+        return (await site.states(by)).get(name) == state
+
+    play(scenario())
