--- a/glenchute/cli/quota.py
+++ b/glenchute/cli/quota.py
@@ -6,15 +6,15 @@
 import sys
 
 from glenchute.config.platform import ConfigError
-from glenchute.deciders.quotabound import bounds, members_bound
+from glenchute.deciders.quotabound import bound, bounds, members_bound, start_bound
 
 from .files import platform
 
 COLUMNS = ("window s", "ceiling", "+restart", "+restore", "slack", "silent", "replaced", "split /s")
 LEGEND = """\
 ceiling: past it, whatever the counter does; +restart: more for each gateway that restarts within a burst;
-+restore: for each part that comes back with an older state. silent: past the quota, once, with no counter
-from the start; replaced: once for each replacement; split /s: a second, for each half after the first.
++restore: for each part that comes back with an older state. silent: past the quota, once, the counter known
+to be mute; replaced: once for each replacement; split /s: a second, for each half after the first.
 !: more than the platform's slack. Tighter: a smaller spread (all but ceiling), closer clocks (ceiling),
 neither of which costs calls; every word that fails is a call that was made anyway."""
 
@@ -39,6 +39,11 @@
         print(f"{row.plan:16}{figures}" + ("" if row.holds else "  !"))
     print(LEGEND)
     if args.asked > 0.0:
+        timeout_s = config.settings.counter_timeout_ms / 1000.0
+        for plan in (plan for plan in config.settings.plans if plan.rate):
+            found = bound(plan, spread, args.clocks_ms, largest)
+            most_units = start_bound(plan, found, args.asked, spread, timeout_s)
+            print(f"{plan.name}: all started at once, asked {args.asked:g} units a second: {most_units:.1f}")
         whole, parted = (members_bound(args.asked, spread, largest, split) for split in (False, True))
         print(f"with [fleet] and a mute counter, asked for {args.asked:g} units a second: past the quota by "
               f"{whole:.1f}, where the fleet is split by {parted:.1f}")  # fmt: skip
--- a/glenchute/deciders/quotabound.py
+++ b/glenchute/deciders/quotabound.py
@@ -15,8 +15,8 @@
 
 The quota. A gateway admits from a store that holds b at most and fills at r, whatever it is told. Heard by
 nobody, k gateways let in k times what one may: the overshoot is (k - 1) (b + r T) at worst, over the time T
-for which the words fail. With no counter from the start each keeps to its part of the store, `LEAST_PART` of
-the largest requests at least.
+for which the words fail. With no counter each keeps to its part of the store, `LEAST_PART` of the largest
+requests at least; from a start on only once `MUTE_AFTER` calls have had no answer (`start_bound`).
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 from typing import NamedTuple
 
 from heathglade.interface import Plan, Settings
-from heathglade.policy import COUNTED, LEAST_PART
+from heathglade.policy import COUNTED, LEAST_PART, MUTE_AFTER
 from heathglade.windows import span_of
 
 
@@ -37,7 +37,7 @@
     ceiling_restart: float  # more for each gateway that restarts in a burst
     ceiling_restore: float  # more for each part that goes back to an older state
     slack: float  # that the platform allows
-    quota_silent: float  # past the quota: no counter from the start, in a burst
+    quota_silent: float  # past the quota: the counter known to be mute, in a burst
     quota_replaced: float  # past the quota for each replacement, in a burst
     quota_split_rate: float  # past the quota in units a second, for each half past the first
 
@@ -77,6 +77,18 @@
     return [bound(plan, spread, clocks_ms, largest) for plan in settings.plans if plan.rate]
 
 
+START_S = 0.1  # beside the calls' time-outs: requests on their way, and calls that wait for a gap
+
+
+def start_bound(plan: Plan, found: Bound, asked: float, gateways: int, timeout_s: float) -> float:
+    """Units by which an account can pass its quota when all gateways start at once, whatever the counter
+    does: each begins with a full store that it may spend until it has heard, or has missed, its first words
+    of the counter, and with `asked` units a second over all gateways no more can be spent in that time; then
+    each keeps to its part."""
+    blind_s = MUTE_AFTER * timeout_s + START_S
+    return found.quota_silent + min((gateways - 1) * plan.burst, asked * blind_s)
+
+
 HEARD_S = 0.4  # a member's word reaches all within this, or the links lose more than the rumours bear
 MISSED_S = 2.5  # a cut is known of to each member after this
 
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -19,11 +19,14 @@
 from glenchute.deciders import pacing
 from glenchute.deciders.fleet.coldstart import ListShare, Part, Sent, Server
 from glenchute.deciders.pacing import Doubt, Pacing, Terms, calls_bound
+from glenchute.deciders.quotabound import bound, start_bound
 from heathglade.interface import ListKind, ServerEntry, ServerList, ServerState
 from lab.coldstart import Crowd, Herd, busiest, turned_away
 from lab.fleet.processes import FleetSite
 from lab.load import Account, Kind, Load
 from lab.peers import play, row
+from lab.sim.members import overshoot
+from lab.sim.world import World
 
 STATED = 30.0  # seconds that a list may be old, where the operators say so
 
@@ -180,6 +183,39 @@
     ]
 
 
+def no_fault(world: World) -> None:
+    """The counter is sound, and as fresh as the gateways."""
+
+
+def slow(world: World) -> None:
+    world.parts.slow(45.0)
+
+
+def mute(world: World) -> None:
+    world.parts.kill()
+
+
+@pytest.mark.parametrize("counter", [no_fault, slow, mute])
+@pytest.mark.parametrize(("gateways", "asked"), [(3, 60.0), (40, 60.0), (300, 300.0)])
+def test_what_a_start_of_all_lets_in_past_a_quota_is_stated(
+    gateways: int, asked: float, counter: Callable[[World], None]
+) -> None:
+    """By the book of what was sent on. With a mute counter the parts alone do not bound it: until three calls
+    have been missed each gateway spends from a full store."""
+    worst = 0.0
+    for seed in (1, 2):
+        world = World(seed, gateways, 6)
+        plan = world.settings.plans[0]
+        counter(world)
+        world.flood(4000.0, asked, plan.name)
+        world.run(6000.0)
+        found = bound(plan, gateways, 100.0, 1.0)
+        timeout_s = world.settings.counter_timeout_ms / 1000.0
+        worst = max(worst, overshoot(world.sent, plan))
+        assert worst <= start_bound(plan, found, asked, gateways, timeout_s)
+    assert counter is not mute or worst > found.quota_silent
+
+
 # --- processes -------------------------------------------------------------------------------------------
 
 CI = 40
