Copies that differ in few rows name them one by one; rows are passed on five times at most

Seen: of the 32 KiB a second most went into hashes of leaves (600 bytes for each of up to 64 buckets that differ, for one or two rows in each) and into log2 N passes of every row on each side. Up to 600 rows are now named by 32 bits each in one datagram, both ways, and only rows that the other lacks go out.

--- a/glenchute/deciders/fleet/gossip.py
+++ b/glenchute/deciders/fleet/gossip.py
@@ -1,12 +1,12 @@
 """Who is sent which rows, and when: pushes of what is new, comparison of copies, catch-up. No I/O.
 
-What is new is passed on a number of times that grows with the logarithm of the fleet's size, most urgent
-kind first, to members drawn at random (rumor mongering: Demers et al., "Epidemic Algorithms for Replicated
-Database Maintenance", 1987). Each `compare` seconds the roots of the hash trees are compared with one
-member; where they differ, leaves are, and only rows of leaves that differ are sent. All of it stands under
-one budget of bytes a second, in good times and bad, and no message needs one before it: what is lost is
-found at the next comparison, from any member, so that a catch-up goes on after a cut or the giver's death
-wherever it stands.
+What is new is passed on a few times by each that it is new to (one in 150 hears nothing of it so, however
+many there are, and finds it in a comparison), most urgent kind first, to members drawn at random (rumor
+mongering: Demers et al., "Epidemic Algorithms for Replicated Database Maintenance", 1987). Each `compare`
+seconds the roots of the hash trees are compared with one member; where they differ, leaves are, and only
+rows of leaves that differ are sent. All of it stands under one budget of bytes a second, in good times
+and bad, and no message needs one before it: what is lost is found at the next comparison, from any
+member, so that a catch-up goes on after a cut or the giver's death wherever it stands.
 
 `known` tells whether this copy can be taken for whole: each bucket of the tree was found to agree with that
 of a member whose copy is whole, or of all that are there; or this process is older than a row can get.
@@ -20,10 +20,13 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from .replica import BUCKETS, Kind, Replica, Row
+from .replica import BUCKETS, Kind, Replica, Row, place_of
 
 ROW_BYTES = 64  # what a row is reckoned at in the budget
+MOST_PASSES = 5
+FEW = 600  # rows whose hashes go into one datagram, cut to 32 bits
 MOST_ROWS = 16  # in a message, which thus stays under a datagram's size
+MARK = 0xFFFFFFFF
 MOST_APART = 1_000
 MOST_NEWS = 20_000  # rows waiting to be passed on; past this the comparison has to bring them
 
@@ -43,6 +46,13 @@
     known: bool
 
 
+class Marks(NamedTuple):
+    """Hashes of all rows that are compared, where they are few. `answer`: the sender wants the receiver's."""
+
+    marks: tuple[int, ...]
+    answer: bool
+
+
 class Want(NamedTuple):
     """Leaves of a bucket whose rows the sender asks for."""
 
@@ -58,7 +68,7 @@
     known: bool
 
 
-Body = Rows | Digest | Want | Done
+Body = Rows | Digest | Marks | Want | Done
 
 
 class Sent(NamedTuple):
@@ -107,7 +117,8 @@
     def spread(self, row: Row, size: int) -> None:
         """A row is new here, and is passed on."""
         if len(self.news) < MOST_NEWS:
-            self.news[row.kind, row.key, row.writer] = 1 + math.ceil(math.log2(size + 1))
+            passes = min(MOST_PASSES, 1 + math.ceil(math.log2(size + 1)))
+            self.news[row.kind, row.key, row.writer] = passes
 
     def taken(self) -> list[Row]:
         """The rows that came from others since the last call."""
@@ -181,6 +192,7 @@
         """Books a message's bytes, roughly, and sends it."""
         body = sent.body
         cost = 24 + (ROW_BYTES * len(body.rows) if isinstance(body, Rows) else 0)
+        cost += 5 * len(body.marks) if isinstance(body, Marks) else 0
         cost += 9 * BUCKETS if isinstance(body, Digest) else 0
         self.allowance -= cost
         self.sent_bytes += cost
@@ -203,6 +215,8 @@
                 self.owe(sender, body.bucket, body.leaves)
         elif isinstance(body, Done):
             self.finished(sender, body.buckets[:BUCKETS], body.known)
+        elif isinstance(body, Marks):
+            self.compared(now, sender, body, out)
         elif body.bucket == -1:
             differing = self.replica.differing(now, None, body.marks)
             same = tuple(set(range(BUCKETS)) - set(differing))
@@ -214,6 +228,11 @@
             self.finished(sender, same, body.known)
             if not body.known:
                 self.give(out, Sent(sender, Done(same, self.known)))
+            if differing and len(self.replica.counted) <= FEW:
+                # So few rows are named one by one for less than the hashes of the buckets that differ.
+                if self.allowance > 0.0:
+                    self.give(out, Sent(sender, Marks(self.marks(), True)))
+                return out
             for bucket in self.rng.sample(differing, len(differing)):
                 if self.allowance <= 0.0:
                     break
@@ -254,6 +273,21 @@
             alive = better or lacking or alive
         return self.rng.choice(alive)
 
+    def marks(self) -> tuple[int, ...]:
+        """The hashes of all rows that are compared."""
+        return tuple(mark & MARK for mark in self.replica.counted.values())
+
+    def compared(self, now: float, sender: str, body: Marks, out: list[Sent]) -> None:
+        """Owes a member the rows that it does not name. Two rows whose cut hashes are the same are taken for
+        one, once in 2^32 pairs: the comparison of buckets goes by the whole ones."""
+        if body.answer and self.allowance > 0.0 and len(self.replica.counted) <= FEW:
+            self.give(out, Sent(sender, Marks(self.marks(), False)))
+        theirs = set(body.marks)
+        for at, mark in self.replica.counted.items():
+            if mark & MARK not in theirs:
+                bucket, leaf = place_of(*at)
+                self.owe(sender, bucket, (leaf,))
+
     def owe(self, name: str, bucket: int, leaves: Sequence[int]) -> None:
         """Leaves that a member is to be sent; each once, so no more than the tree has."""
         mine = self.owed.setdefault(name, {})
--- a/glenchute/peers/fleet/wire.py
+++ b/glenchute/peers/fleet/wire.py
@@ -50,6 +50,7 @@
 PROBE = msgspec.msgpack.Decoder(Probe)
 ROWS = msgspec.msgpack.Decoder(list[tuple[int, str, str, int, float, int]])
 DIGEST = msgspec.msgpack.Decoder(tuple[int, list[int], bool])
+MARKS = msgspec.msgpack.Decoder(tuple[list[int], bool])
 DONE = msgspec.msgpack.Decoder(tuple[list[int], bool])
 TOLD = msgspec.msgpack.Decoder(tuple[int, int, int])
 PART = msgspec.msgpack.Decoder(
@@ -74,6 +75,8 @@
         form, raw = 2, ENCODER.encode((body.bucket, body.marks, body.known))
     elif isinstance(body, gossip.Want):
         form, raw = 3, ENCODER.encode((body.bucket, body.leaves))
+    elif isinstance(body, gossip.Marks):
+        form, raw = 9, ENCODER.encode((body.marks, body.answer))
     elif isinstance(body, gossip.Done):
         form, raw = 4, ENCODER.encode((body.buckets, body.known))
     elif isinstance(body, leases.Lease):
@@ -151,4 +154,9 @@
             raise ValueError
         made = leases.Ballot(*ballot), leases.Ballot(*holder)
         return leases.Lease(leases.Kind(kind), task, *made, span, ready)
+    if packet.form == 9:
+        marks, answer = MARKS.decode(packet.body)
+        if len(marks) > gossip.FEW:
+            raise ValueError
+        return gossip.Marks(tuple(marks), answer)
     raise ValueError
