--- a/benchmarks/replication.py
+++ b/benchmarks/replication.py
@@ -170,7 +170,7 @@
             accounts = [Account(b"%016x" % i, "standard", 1.0, f",spread={count},first=0") for i in range(50)]
             told = await site.load(20.0, 1.0, accounts)
             assert checks.lost(told) == 0 and checks.refused_and_ran(site.site.nodes, told) == 0
-            buried = sum(gateway.log.read_text().count(": dead") for gateway in site.gateways)
+            buried = sum(gateway.log.read_text().count("now=dead") for gateway in site.gateways)
             same = await site.until(lambda: site.same_digest(every), 60.0)
             what = f"{count} processes, a tenth of the links cut, a tenth losing 30 %"
             load = f"{len(told)} requests, none lost; copies the same {same:.1f} s after them"
--- a/glenchute/cli/fleet.py
+++ b/glenchute/cli/fleet.py
@@ -17,10 +17,35 @@
     except ControlError as error:
         print(f"glenchute: {error}", file=sys.stderr)
         return 1
-    print(json.dumps(rows) if args.json else "\n".join(table(rows)))
+    if args.json:
+        print(json.dumps(rows))
+    elif not (sys.stdout.isatty() and rich_table(rows)):
+        print("\n".join(table(rows)))
     return 0
 
 
+def rich_table(rows: list[dict[str, Any]]) -> bool:
+    """The same in rich's table, for people at a terminal; False where rich is not there."""
+    try:
+        from rich.console import Console
+        from rich.table import Table
+    except ImportError:
+        return False
+    made = Table(show_lines=False)
+    if len(rows) == 1:
+        made.add_column("what")
+        made.add_column("is", overflow="fold")
+        for name, value in rows[0].items():
+            made.add_row(name, str(value))
+    else:
+        for name in rows[0] if rows else ():
+            made.add_column(name, justify="right" if isinstance(rows[0][name], int | float) else "left")
+        for row in rows:
+            made.add_row(*(str(row.get(name, "")) for name in rows[0]))
+    Console().print(made if rows else "none")
+    return True
+
+
 def table(rows: list[dict[str, Any]]) -> list[str]:
     """Rows in columns; a single row as a list."""
     if not rows:
--- /dev/null
+++ b/glenchute/peers/fleet/events.py
@@ -0,0 +1,65 @@
+"""What the fleet's part of a process logs: a catalogue, so that each event has one name, one level and known
+fields, and nothing else is logged. Lines are `event key=value ...`, by structlog through the program's log.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import Any, NamedTuple
+
+import structlog
+
+
+class Event(NamedTuple):
+    """One kind of line."""
+
+    level: int
+    fields: tuple[str, ...]
+    means: str
+
+
+CATALOGUE: dict[str, Event] = {
+    "member.changed": Event(
+        logging.INFO, ("member", "now", "was"), "a member is thought alive, suspect, dead or to have left"
+    ),
+    "member.doubled": Event(
+        logging.WARNING, ("member",), "two processes run under one name at once; stop one of them"
+    ),
+    "address.taken": Event(
+        logging.WARNING, ("address",), "another process has this one's address; tried on until it is free"
+    ),
+    "copies.differ": Event(
+        logging.WARNING,
+        ("kind", "key", "writer", "version", "kept", "other", "sender"),
+        "two copies of one version differ; the safe one is kept and passed on",
+    ),
+    "audit.apart": Event(
+        logging.WARNING, ("member", "parts"), "a member's copy has differed from the auditor's for over 10 s"
+    ),
+    "task.failed": Event(
+        logging.WARNING, ("task", "error"), "a step raised, or took too long; another holder is to try"
+    ),
+    "task.parked": Event(
+        logging.ERROR, ("task", "failures"), "holders failed in a row; nobody acts until `fleet unpark`"
+    ),
+}
+
+
+def render(_: Any, __: str, event: Any) -> str:
+    """`event key=value ...`; text that has a space or a quote is shown as Python shows it."""
+    name = event.pop("event")
+    words = [f"{key}={value!r}" if " " in str(value) else f"{key}={value}" for key, value in event.items()]
+    return " ".join([name, *words])
+
+
+_log = structlog.wrap_logger(
+    logging.getLogger("glenchute.fleet"), processors=[render], wrapper_class=structlog.BoundLogger
+)
+
+
+def tell(name: str, **fields: Any) -> None:
+    """Logs an event of the catalogue. KeyError, ValueError where it is not one, or not with these fields."""
+    known = CATALOGUE[name]
+    if tuple(fields) != known.fields:
+        raise ValueError(f"{name} has the fields {', '.join(known.fields)}")
+    getattr(_log, logging.getLevelName(known.level).lower())(name, **fields)
--- a/glenchute/peers/fleet/node.py
+++ b/glenchute/peers/fleet/node.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import errno
-import logging
 import os
 import random
 import socket
@@ -30,6 +29,7 @@
 from glenchute.deciders.fleet.use import Use, trusted_share
 from heathglade import interface as api
 
+from .events import tell
 from .tasks import SETTLE_S, Guard, Runner, Task, call
 from .telling import Telling
 from .wire import Bad, decode, encode
@@ -42,7 +42,6 @@
 RETRY_S = 0.1
 RANK = {api.ServerState.ACTIVE: 0.0, api.ServerState.DRAINING: 1.0, api.ServerState.GONE: 2.0}
 
-log = logging.getLogger("glenchute.fleet")
 
 
 class Fleet(asyncio.DatagramProtocol):
@@ -107,7 +106,7 @@
         apart = {name for name, since in self.gossip.apart.items() if now - since > AUDIT_S}
         for name in sorted(apart - self.audited):
             buckets = self.gossip.apart_in.get(name, 0)
-            log.warning("audit: %s's copy has differed in %d parts for over %.0f s", name, buckets, AUDIT_S)
+            tell("audit.apart", member=name, parts=buckets)
         self.audited = apart
 
     async def start(self) -> None:
@@ -127,7 +126,7 @@
             if error.errno != errno.EADDRINUSE:
                 raise
             if self.opening is None:
-                log.warning("the fleet's address is taken; tried on until it is free")
+                tell("address.taken", address=f"{self.listen[0]}:{self.listen[1]}")
             self.opening = self.loop.call_later(RETRY_S, lambda: self.loop.create_task(self.open()))
             return
         await self.loop.create_datagram_endpoint(lambda: self, sock=made)
@@ -290,13 +289,18 @@
             self.shared(self.lists.tick(now, self.there()), [])
         self.replica.expire(now)
         for change in self.members.taken():
-            what = "two processes under one name" if change.conflict else change.now.name.lower()
-            log.info("member %s: %s (was %s)", change.name, what, change.was.name.lower())
+            if change.conflict:
+                tell("member.doubled", member=change.name)
+            else:
+                now_is, was = change.now.name.lower(), change.was.name.lower()
+                tell("member.changed", member=change.name, now=now_is, was=was)
         while self.shown < self.replica.conflicted:
             self.shown = self.replica.conflicted
             conflict = self.replica.conflicts[-1]
-            kept, other = conflict.kept, conflict.other
-            log.warning("copies differ: kept %s, not %s from %s", kept, other, conflict.seen_from)
+            kept = conflict.kept
+            tell("copies.differ", kind=kept.kind.name.lower(), key=kept.key, writer=kept.writer,
+                 version=kept.version, kept=kept.value, other=conflict.other.value,
+                 sender=conflict.seen_from)  # fmt: skip
 
     def send(self, to: str, body: Any) -> None:
         """One datagram, or none if the machine takes none now."""
--- a/glenchute/peers/fleet/tasks.py
+++ b/glenchute/peers/fleet/tasks.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import json
-import logging
 import random
 import time
 from collections.abc import Awaitable, Callable, Sequence
@@ -22,11 +21,12 @@
 from glenchute.deciders.fleet.replica import Kind, Row
 from glenchute.deciders.fleet.tasks import Keeper, Record
 
+from .events import tell
+
 SETTLE_S = 0.3  # for the mark of a first step to reach others before it runs
 TO_VOTERS = (Said.PREPARE, Said.PROPOSE, Said.RELEASE, Said.RECALL, Said.RECALLED)
 MOST_ANSWER = 1024
 
-log = logging.getLogger("glenchute.fleet")
 
 
 def clock() -> float:
@@ -153,7 +153,7 @@
         if row is not None and row.version > one.record.version():
             was, one.record = one.record.parked, Record.of(row.version, row.value)
             if one.record.parked and not was:
-                log.error("task %s is parked: its last holders failed; fleet unpark starts it", one.task.name)
+                tell("task.parked", task=one.task.name, failures=one.record.failures)
 
     def note(self, one: Running, record: Record) -> None:
         """Tells what became of a task here."""
@@ -174,7 +174,7 @@
             if held is not None and one.record.token < held.token:
                 self.note(one, one.record.took(held.token).step(False))
                 if one.record.parked:
-                    log.error("task %s is parked: its last holders failed", one.task.name)
+                    tell("task.parked", task=one.task.name, failures=one.record.failures)
                     raise LeaseLost
                 await asyncio.sleep(SETTLE_S)
             assert one.task.step is not None
@@ -188,7 +188,7 @@
         except Exception as error:  # whatever a step does, it must not keep the lease
             one.failed += 1
             one.last = f"failed: {error!r:.100}"
-            log.warning("task %s: a step failed: %r", one.task.name, error)
+            tell("task.failed", task=one.task.name, error=repr(error)[:200])
             self.note(one, one.record if one.steps == 0 else one.record.step(False))
             self.give_back(one)
         else:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -6,18 +6,22 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 import signal
 import socket
 import subprocess
 import sys
 from pathlib import Path
+from typing import Any
 
 import pytest
 
+from glenchute.cli import fleet as cli
 from glenchute.deciders.fleet.gossip import Rows
 from glenchute.deciders.fleet.replica import Kind as RowKind
 from glenchute.deciders.fleet.replica import Row
+from glenchute.peers.fleet import events
 from glenchute.peers.fleet.wire import encode
 from lab.fleet import checks
 from lab.fleet.processes import FleetSite
@@ -113,7 +117,7 @@
             await site.until(lambda: seen(site, 0, "g1", "suspect"))
             site.send_signal(1, signal.SIGCONT)
             await site.until(lambda: site.agree(EVERY))
-            assert "g1: dead" not in site.gateways[0].log.read_text()
+            assert "member=g1 now=dead" not in site.gateways[0].log.read_text()
             site.send_signal(2, signal.SIGKILL)
             await site.until(lambda: seen(site, 0, "g2", "dead"))
             await site.start([2])
@@ -121,7 +125,7 @@
             await site.until(lambda: site.whole(EVERY, 1.0))
             site.send_signal(3, signal.SIGTERM)
             await site.until(lambda: seen(site, 0, "g3", "left"))
-            assert "g3: suspect" not in site.gateways[0].log.read_text()
+            assert "member=g3 now=suspect" not in site.gateways[0].log.read_text()
             state = (await site.asked(0, "state"))[0]
             assert sum(count for name, count in state.items() if name.startswith("dropped_")) >= 3, state
             process = site.gateways[3].process
@@ -168,7 +172,8 @@
         "from glenchute.config import operator\n"
         f"found = operator.parse({FLEET!r}, None)\nassert not found.findings, found.findings\n"
         + ("import glenchute.peers.fleet.node\n" if on else "")
-        + "ours = ('glenchute.peers.fleet', 'glenchute.control', 'glenchute.deciders.fleet', 'msgspec')\n"
+        + "ours = ('glenchute.peers.fleet', 'glenchute.control', 'glenchute.deciders.fleet')\n"
+        + "ours += ('msgspec', 'structlog', 'rich')\n"
         + "print(sum(name.startswith(ours) for name in sys.modules))\n"
     )
     out = subprocess.run([sys.executable, "-c", text], capture_output=True, text=True, check=True)
@@ -201,7 +206,7 @@
                 new.passed, new.shared = door, tmp_path
                 new.start()
                 try:
-                    await site.until(lambda: shows(new, "tried on until it is free"))
+                    await site.until(lambda: shows(new, "address.taken"))
                     old.signal(signal.SIGTERM)
                     await site.until(lambda: taken(site, boot))
                     outcomes = await load
@@ -245,7 +250,7 @@
                 outcomes += await site.load(0.4, 10.0, MANY, [0, 5])
             await site.until(lambda: site.agree(every))
             logs = [gateway.log.read_text() for gateway in site.gateways]
-            assert not any(": dead" in log for log in logs)
+            assert not any("now=dead" in log for log in logs)
 
             site.send_signal(1, signal.SIGKILL)
             await site.start([1])
@@ -283,7 +288,7 @@
                         way.delay_s, way.jitter_s = 0.4, 0.2
             begun = asyncio.get_running_loop().time()
             while asyncio.get_running_loop().time() < begun + 2.0:
-                assert "g4: dead" not in site.gateways[0].log.read_text()
+                assert "member=g4 now=dead" not in site.gateways[0].log.read_text()
                 await asyncio.sleep(0.1)
 
             boot = int((await site.asked(0, "members"))[1]["boot"], 16)  # g1's own
@@ -329,3 +334,28 @@
         return (await site.states(by)).get(name) == state
 
     play(scenario())
+
+
+def test_what_is_logged_is_in_the_catalogue_and_on_the_operators_page(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    page = (Path(__file__).parent.parent / "docs/operators/fleet-state.md").read_text()
+    code = "".join(path.read_text() for path in Path(events.__file__).parent.glob("*.py"))
+    for name, event in events.CATALOGUE.items():
+        assert f"| `{name}` {', '.join(event.fields)} | {logging.getLevelName(event.level).lower()} |" in page
+        assert f'tell("{name}"' in code, name
+        with caplog.at_level(logging.INFO, "glenchute.fleet"):
+            events.tell(name, **dict.fromkeys(event.fields, "a b"))
+        assert caplog.messages[-1] == " ".join([name, *(f"{key}='a b'" for key in event.fields)])
+    assert "getLogger" not in code.replace(Path(events.__file__).read_text(), "")
+    with pytest.raises(ValueError):
+        events.tell("task.parked", task="x")
+
+
+@pytest.mark.parametrize("rows", [[], [{"a": 1, "b": "x"}], [{"a": 1, "b": "x"}, {"a": 2, "b": "y"}]])
+def test_rows_are_shown_on_a_terminal_too(
+    rows: list[dict[str, Any]], capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert cli.rich_table(rows)
+    shown = capsys.readouterr().out
+    assert all(str(value) in shown for row in rows for value in row.values()) and (rows or "none" in shown)
