--- a/glenchute/config/fleet.py
+++ b/glenchute/config/fleet.py
@@ -17,6 +17,7 @@
 LEASES = Table(
     {
         "voters": Words(alone=False),
+        "changing": Switch(),
         "longest_s": Number(0.5, 300),
         "drift": Number(0, 0.1),
         "tasks": Rows(
@@ -90,7 +91,8 @@
 
     leases = raw["leases"]
     at = (*PLACE, "leases")
-    if "voters" in leases and (wrong := sound_voters(leases["voters"], [*names, raw.get("name", "")])):
+    listed, changing = [*names, raw.get("name", "")], leases.get("changing", False)
+    if "voters" in leases and (wrong := sound_voters(leases["voters"], listed, changing)):
         faults("unsound-voters", (*at, "voters"), wrong)
     seen: dict[str, int] = {}
     terms = Terms((), leases.get("longest_s", 10.0), leases.get("drift", 0.01))
--- a/glenchute/deciders/fleet/leases.py
+++ b/glenchute/deciders/fleet/leases.py
@@ -304,13 +304,16 @@
         return [Out(voter, message) for voter in self.terms.voters]
 
 
-def sound_voters(voters: Sequence[str], listed: Sequence[str]) -> str:
-    """What is wrong with a set of voters, in a sentence; empty where nothing is."""
+def sound_voters(voters: Sequence[str], listed: Sequence[str], changing: bool = False) -> str:
+    """What is wrong with a set of voters, in a sentence; empty where nothing is. `changing`: it is one
+    between two others. Majorities of two sets have a voter in common if one was added or one taken away, and
+    not if one was put in another's place; so a replacement goes by way of an even set."""
     if len(set(voters)) != len(voters):
         return "names a voter twice"
     if not 3 <= len(voters) <= 9:
         return f"has {len(voters)} voters; 3 to 9 decide"
-    if len(voters) % 2 == 0:
-        return f"has {len(voters)} voters, and may lose no more than {len(voters) - 1} may; take an odd one"
+    if len(voters) % 2 == 0 and not changing:
+        why = f"has {len(voters)} voters, and may lose no more than {len(voters) - 1} may; take an odd one"
+        return f"{why}, or say changing = true while voters are replaced"
     missing = [voter for voter in voters if voter not in listed]
     return f"names {missing[0]}, which is no member" if missing else ""
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -20,7 +20,7 @@
 )
 from glenchute.deciders.fleet.tasks import CANDIDATES, Keeper, Record
 from lab.explore import Explored, Explorer
-from lab.fleet.holders import ACT_S, Swarm, longest_gap, overlaps, troubled
+from lab.fleet.holders import ACT_S, Swarm, changed, longest_gap, overlaps, troubled
 from lab.fleet.leasing import LONGEST, TERMS, System, check, events, fresh, held, late, racing, tied
 
 SYSTEMS: dict[str, tuple[Callable[..., System], dict[str, int], int]] = {
@@ -273,6 +273,28 @@
     pytest.fail("not found")
 
 
+# Voters' numbers, one set after the other, and whether that is safe.
+SETS: dict[str, tuple[list[tuple[int, ...]], bool]] = {
+    "two are added": ([(0, 1, 2), (0, 1, 2, 3), (0, 1, 2, 3, 4)], True),
+    "two are taken away": ([(0, 1, 2, 3, 4), (0, 1, 2, 3), (0, 1, 2)], True),
+    "one in another's place, by way of four": ([(0, 1, 2), (0, 1, 2, 3), (0, 1, 3)], True),
+    "two in others' places at once": ([(0, 1, 2), (0, 3, 4)], False),
+}
+
+
+@pytest.mark.parametrize("name", SETS)
+def test_voters_are_changed_one_at_a_time(name: str) -> None:
+    sets, safe = SETS[name]
+    bad = 0
+    for seed in range(40):
+        swarm = changed(seed, sets)
+        calm = swarm.now
+        swarm.run(5.0)
+        bad += bool(overlaps(swarm.acts))
+        assert longest_gap(swarm.acts, "task0", calm, swarm.now) < 4.0
+    assert (bad == 0) is safe
+
+
 def test_five_hundred_members_send_no_more_than_their_candidates() -> None:
     """Messages a second do not grow with the members, and tasks are spread over them."""
     sent = {}
