--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 
 from glenchute.deciders.pacing import Terms, calls_bound
-from lab.coldstart import Call, Crowd, Herd, busiest, turned_away
+from lab.coldstart import Call, Crowd, Herd, busiest, outage, release, starts, turned_away
 from lab.peers import row
 from lab.site import free_port
 
@@ -81,23 +81,10 @@
     for count in (200, 500):
         rate = count / 15.0
         bound = calls_bound(Terms(count, 0, rate, AGE))
-        for scene in ("start", "release", "outage"):
+        for scene in (starts, release, outage):
             crowd = Crowd(count, lambda n, c=count, r=rate: Terms(c, n, r, AGE), rate)  # type: ignore[misc]
-            crowd.start(range(count))
-            crowd.run(60.0)
-            if scene != "start":
-                crowd.calls.clear()
-            if scene == "release":
-                crowd.start(n for n in range(count) if n % 10 < 7)
-                crowd.news()
-            if scene == "outage":
-                crowd.down = True
-                crowd.lose()
-                crowd.run(30.0)
-                crowd.calls.clear()
-                crowd.down = False
-            crowd.run(60.0)
-            print(f"{count:8}  {scene:8} {busiest(crowd.calls):8} of {rate:.1f}"
+            scene(crowd)
+            print(f"{count:8}  {scene.__name__:8} {busiest(crowd.calls):8} of {rate:.1f}"
                   f" {turned_away(crowd.calls):10.3f} {bound:10.1f}")  # fmt: skip
 
 
--- a/lab/coldstart.py
+++ b/lab/coldstart.py
@@ -142,6 +142,31 @@
         self.now = end
 
 
+def starts(crowd: Crowd) -> None:
+    crowd.start(range(crowd.count))
+    crowd.run(60.0)
+
+
+def outage(crowd: Crowd) -> None:
+    starts(crowd)
+    crowd.down = True
+    crowd.lose()
+    crowd.run(30.0)
+    crowd.calls.clear()
+    crowd.down = False
+    crowd.run(60.0)
+
+
+def release(crowd: Crowd) -> None:
+    """Seven in ten die and come back while the list changes."""
+    starts(crowd)
+    crowd.calls.clear()
+    crowd.start(range(0, crowd.count, 10))
+    crowd.start(n for n in range(crowd.count) if n % 10 > 3)
+    crowd.news()
+    crowd.run(60.0)
+
+
 class ListService(DiscoveryService):
     """Discovery that takes calls up at a rate and turns those away that find a line before them.
 
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -21,7 +21,7 @@
 from glenchute.deciders.pacing import Doubt, Pacing, Terms, calls_bound
 from glenchute.deciders.quotabound import bound, start_bound
 from heathglade.interface import ListKind, ServerEntry, ServerList, ServerState
-from lab.coldstart import Crowd, Herd, busiest, turned_away
+from lab.coldstart import Crowd, Herd, busiest, outage, release, starts, turned_away
 from lab.fleet.processes import FleetSite
 from lab.load import Account, Kind, Load
 from lab.peers import play, row
@@ -31,11 +31,6 @@
 STATED = 30.0  # seconds that a list may be old, where the operators say so
 
 
-def starts(crowd: Crowd) -> None:
-    crowd.start(range(crowd.count))
-    crowd.run(60.0)
-
-
 def waves(crowd: Crowd) -> None:
     """A supervisor restarts in step: a third, each two seconds."""
     for third in range(3):
@@ -44,16 +39,6 @@
     crowd.run(60.0)
 
 
-def outage(crowd: Crowd) -> None:
-    starts(crowd)
-    crowd.down = True
-    crowd.lose()
-    crowd.run(30.0)
-    crowd.calls.clear()
-    crowd.down = False
-    crowd.run(60.0)
-
-
 def forgets(crowd: Crowd) -> None:
     starts(crowd)
     crowd.calls.clear()
@@ -68,16 +53,6 @@
     crowd.run(40.0)
 
 
-def release(crowd: Crowd) -> None:
-    """Seven in ten die and come back while the list changes."""
-    starts(crowd)
-    crowd.calls.clear()
-    crowd.start(range(0, crowd.count, 10))
-    crowd.start(n for n in range(crowd.count) if n % 10 > 3)
-    crowd.news()
-    crowd.run(60.0)
-
-
 def loops(crowd: Crowd) -> None:
     """A tenth crashes after five seconds, again and again."""
     crowd.start(range(crowd.count))
