--- a/benchmarks/replication.py
+++ b/benchmarks/replication.py
@@ -1,6 +1,7 @@
 """What members' words are worth and cost: five real processes with members and without, then simulated sizes.
 
-``python -m benchmarks.replication [quota] [heal] [detect] [cost] [sixty]`` prints these, or all.
+``python -m benchmarks.replication [quota] [heal] [detect] [cost] [large] [sixty]`` prints these, or all;
+`plot` draws the heals.
 """
 
 from __future__ import annotations
@@ -18,9 +19,11 @@
 from glenchute.deciders.fleet.members import State
 from glenchute.deciders.fleet.replica import Kind, Replica, Row
 from lab.fleet import checks
+from lab.fleet.crowd import Others
 from lab.fleet.processes import FleetSite
 from lab.fleet.simulated import Mesh, Net
 from lab.load import Account
+from lab.site import free_port
 
 from .machine import cpu_s, machine
 
@@ -72,19 +75,40 @@
             print(f"{trouble:6} {load:7} refused with room {'; '.join(row)}", flush=True)
 
 
+def healed(count: int) -> list[float]:
+    """Seconds from a heal to copies that agree, over seeds."""
+    took = []
+    for seed in range(5):
+        mesh = Mesh(count, seed)
+        mesh.run(30.0, mesh.whole)
+        half = set(mesh.names[: count // 2])
+        mesh.cut = lambda sender, to, half=half: (sender in half) != (to in half)  # type: ignore[misc]
+        mesh.writes(5)
+        mesh.run(3.0)
+        mesh.cut = lambda sender, to: False
+        took.append(mesh.run(60.0, mesh.same))
+    return took
+
+
+def plot() -> None:
+    """Heals by the number of copies, drawn into the design note's folder; needs glenchute[bench]."""
+    import pygal
+
+    counts = [3, 5, 10, 20, 40, 70, 100]
+    took = [healed(count) for count in counts]
+    chart = pygal.Line(title="Seconds from a heal to copies that agree (5 rows each)", range=(0, None))
+    chart.x_labels = [str(count) for count in counts]
+    chart.add("median of 5 seeds", [round(statistics.median(row), 2) for row in took])
+    chart.add("at most", [round(max(row), 2) for row in took])
+    chart.add("wanted at 40", [1.0] * len(counts))
+    chart.render_to_file("docs/design/replication.svg")
+    print("docs/design/replication.svg", [statistics.median(row) for row in took])
+
+
 def heals() -> None:
     """How long copies take to agree after a heal, each side having written 5 rows a member meanwhile."""
     for count in (5, 40, 100):
-        took = []
-        for seed in range(5):
-            mesh = Mesh(count, seed)
-            mesh.run(30.0, mesh.whole)
-            half = set(mesh.names[: count // 2])
-            mesh.cut = lambda sender, to, half=half: (sender in half) != (to in half)  # type: ignore[misc]
-            mesh.writes(5)
-            mesh.run(3.0)
-            mesh.cut = lambda sender, to: False
-            took.append(mesh.run(60.0, mesh.same))
+        took = healed(count)
         print(f"heal at {count:3} copies, {5 * count} rows: agreed after {statistics.median(took):.1f} s, "
               f"at most {max(took):.1f} s")  # fmt: skip
 
@@ -148,6 +172,45 @@
     return f"{count:2} processes: {idle_text}; {busy_text}; {sent / 1024.0:.0f} KiB of rows and hashes sent"
 
 
+def large() -> None:
+    """One process among 200 members, the others played by sockets, 10,000 accounts in use: CPU and bytes."""
+    for count, rows_s in ((20, 200.0), (200, 200.0), (200, 400.0)):
+        print(uvloop.run(one_of(count, 10_000, rows_s)), flush=True)
+
+
+async def one_of(count: int, accounts: int, rows_s: float) -> str:
+    """CPU of one process with 100 requests a second, and what it sends."""
+    figures = []
+    for on in (False, True):
+        with tempfile.TemporaryDirectory() as folder:
+            async with FleetSite(Path(folder), 1, fleet=False) as site:
+                gateway, port = site.gateways[0], free_port()
+                others = Others(count, accounts, port)
+                if on:
+                    head = f'[fleet]\nfleet = "lab"\nname = "g0"\nlisten = "127.0.0.1:{port}"\n'
+                    control = f'control = "{gateway.folder / "control"}"\n'
+                    gateway.operator.write_text(head + control + others.members())
+                    await others.start()
+                await site.start()
+                assert gateway.process is not None
+                pid = gateway.process.pid
+                talk = asyncio.create_task(others.talk(30.0, rows_s)) if on else None
+                await asyncio.sleep(20.0 if on else 1.0)  # copies are as full as they get
+                more = f",spread={count},first=0"
+                many = [Account(b"%016x" % i, "standard", 1.0, more) for i in range(400)]
+                was, sent = cpu_s(pid), others.received
+                await site.load(8.0, 100.0, many, [0])
+                figures.append((100.0 * (cpu_s(pid) - was) / 8.0, (others.received - sent) / 8.0 / 1024.0))
+                if talk is not None:
+                    await talk
+                    rows = (await site.asked(0, "state"))[0]["use"]
+                others.stop()
+    (off, _), (busy, sent_kib) = figures
+    what = f"1 of {count} members, {rows_s:.0f} rows a second heard, {rows} held"
+    cpu = f"at 100 requests a second {off:.1f} % of a core without, {busy:.1f} % with"
+    return f"{what}: {cpu}; {sent_kib:.1f} KiB a second sent"
+
+
 def sixty() -> None:
     """Sixty processes, a tenth of whose links are cut both ways and another tenth lose three in ten."""
     print(uvloop.run(among(60)), flush=True)
@@ -178,14 +241,15 @@
             return f"{what}: {start}; {buried} false burials; {load}"
 
 
-PARTS = {"quota": quotas, "heal": heals, "detect": detections, "cost": costs, "sixty": sixty}
+PARTS = {"quota": quotas, "heal": heals, "detect": detections, "cost": costs, "large": large, "sixty": sixty}
+MORE = {"plot": plot}
 
 
 def main() -> int:
     """The parts named, or all."""
     print(machine())
     for name in sys.argv[1:] or PARTS:
-        PARTS[name]()
+        (PARTS | MORE)[name]()
     return 0
 
 
--- a/glenchute/peers/fleet/wire.py
+++ b/glenchute/peers/fleet/wire.py
@@ -5,11 +5,14 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from glenchute.deciders.fleet import coldstart, gossip, leases, members
 from glenchute.deciders.fleet.gossip import Body
 from glenchute.deciders.fleet.replica import BUCKETS, Kind, Row
+from glenchute.peers.discovery import address
 
 VERSION = 1
 MOST_BYTES = 4096  # of a datagram; a longer one is not read
@@ -143,7 +146,13 @@
         since, version, at, of, raw = PART.decode(packet.body)
         if len(raw) > coldstart.MOST_ROWS or not 0 <= at < of <= coldstart.MOST_PARTS:
             raise ValueError
-        return coldstart.Part(since, version, at, of, tuple(coldstart.Server(*row) for row in raw))
+        servers = tuple(coldstart.Server(*row) for row in raw)
+        for one in servers:
+            if one.address:
+                address(one.address)  # a ValueError where it is none
+            if not (0.0 < one.size < math.inf and 0.0 <= one.started_ms < math.inf and 0 <= one.state <= 2):
+                raise ValueError
+        return coldstart.Part(since, version, at, of, servers)
     if packet.form == 7:
         return coldstart.Ask(*ASK.decode(packet.body))
     if packet.form == 8:
--- /dev/null
+++ b/lab/fleet/crowd.py
@@ -0,0 +1,104 @@
+"""Two hundred members of which one is a process: the others are sockets that say to it what that many would.
+
+In a fleet of n each member gets as much as it sends: pushes of rows, probes. So the others together say to
+the process what one member sends, each in its turn, and answer its probes; among themselves they are mute.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from typing import Any, cast
+
+from glenchute.deciders.fleet.gossip import MOST_ROWS, Rows
+from glenchute.deciders.fleet.members import Kind as Said
+from glenchute.deciders.fleet.members import Message, State, Update
+from glenchute.deciders.fleet.replica import Kind, Row
+from glenchute.peers.fleet.wire import Bad, decode, encode
+
+from ..site import free_port
+
+
+class Other(asyncio.DatagramProtocol):
+    """One of the others."""
+
+    def __init__(self, crowd: Others, number: int) -> None:
+        self.crowd, self.name, self.boot = crowd, f"g{number}", number + 1
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.crowd.received += len(data)
+        try:
+            _, _, body = decode("lab", data)
+        except Bad:
+            return
+        if isinstance(body, Message) and body.kind in (Said.PING, Said.PING_REQ):
+            self.say(Message(Said.ACK, body.serial, "", (self.alive(),)))
+
+    def alive(self) -> Update:
+        """This member is there, by its own word."""
+        return Update(self.name, State.ALIVE, 0, self.boot)
+
+    def say(self, body: Any) -> None:
+        """One datagram to the process."""
+        if self.transport is not None:
+            self.transport.sendto(encode("lab", self.name, self.boot, body), ("127.0.0.1", self.crowd.port))
+
+
+class Others:
+    """All but one of `count` members, with so many accounts in use."""
+
+    def __init__(self, count: int, accounts: int, port: int, seed: int = 1) -> None:
+        self.count, self.accounts, self.port = count, accounts, port
+        self.rng = random.Random(seed)
+        self.ports = {number: free_port() for number in range(1, count)}
+        self.others = [Other(self, number) for number in self.ports]
+        self.received = self.rows = 0
+        self.serials = itertools.count(1)
+        self.version = itertools.count(1)
+
+    async def start(self) -> None:
+        """Opens the sockets."""
+        loop = asyncio.get_running_loop()
+        for other, port in zip(self.others, self.ports.values(), strict=True):
+            await loop.create_datagram_endpoint(lambda other=other: other, ("127.0.0.1", port))  # type: ignore[misc]
+
+    def members(self) -> str:
+        """The rows of `[[fleet.members]]`."""
+        return "".join(
+            f'[[fleet.members]]\nname = "g{number}"\naddress = "127.0.0.1:{port}"\n'
+            for number, port in self.ports.items()
+        )
+
+    async def talk(self, seconds: float, rows_s: float, probes_s: float = 5.0) -> None:
+        """Says what so many members would say to one, for so long: use of the accounts, a few rows a message,
+        and probes."""
+        loop = asyncio.get_running_loop()
+        began, told, probed = loop.time(), 0.0, 0.0
+        while (passed := loop.time() - began) < seconds:
+            while told < rows_s * passed:
+                batch = []
+                for _ in range(min(MOST_ROWS, max(1, round(rows_s / 20.0)))):
+                    account = self.rng.randrange(self.accounts)
+                    other = self.rng.choice(self.others)
+                    key = f"{account:016x}/{1000 * int(passed)}"
+                    row = Row(Kind.USE, key, f"{other.name}#{other.boot:x}", next(self.version), 1.0)
+                    batch.append((row, 20))
+                told += len(batch)
+                self.rows += len(batch)
+                self.rng.choice(self.others).say(Rows(tuple(batch)))
+            while probed < probes_s * passed:
+                probed += 1.0
+                other = self.rng.choice(self.others)
+                other.say(Message(Said.PING, next(self.serials), "", (other.alive(),)))
+            await asyncio.sleep(0.02)
+
+    def stop(self) -> None:
+        """Closes all sockets."""
+        for other in self.others:
+            if other.transport is not None:
+                other.transport.close()
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import random
 
 import msgspec
@@ -10,12 +11,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from glenchute.deciders.fleet.gossip import Body, Digest, Done, Rows, Want
+from glenchute.deciders.fleet.coldstart import MOST_ROWS, Ask, Part, Server, Told
+from glenchute.deciders.fleet.gossip import FEW, Digest, Done, Marks, Rows, Want
+from glenchute.deciders.fleet.leases import Ballot, Lease
+from glenchute.deciders.fleet.leases import Kind as Asked
 from glenchute.deciders.fleet.members import Kind as Asks
 from glenchute.deciders.fleet.members import Message, State, Update
 from glenchute.deciders.fleet.replica import RULES, Kind, KindRules, Replica, Row
 from glenchute.deciders.fleet.use import Use, trusted_share
-from glenchute.peers.fleet.wire import MOST_BYTES, VERSION, Bad, Packet, decode, encode
+from glenchute.peers.fleet.wire import MOST_BYTES, VERSION, Bad, Packet, Said, decode, encode
 from lab.fleet.simulated import Mesh, rows_of
 
 ROWS = st.builds(
@@ -170,9 +174,12 @@
         Message(Asks.PING_REQ, 4, "g2", (Update("g1", State.SUSPECT, 3, 7),)),
         Rows(((Row(Kind.USE, "a", "b", 1, 2.0), 9),)),
         Digest(-1, (0, (1 << 64) - 1) * 32, True), Want(3, (1, 2)), Done((1, 5), False),
+        Marks(tuple(range(1 << 31, (1 << 31) + FEW)), True), Told(1, 2, 3), Ask(4, -1),
+        Part(1, 5, 0, 2, (Server(5, "s0", "127.0.0.1:80", "a", 1, 1.0, 0.0, 1),) * MOST_ROWS),
+        Lease(Asked.PROPOSE, "task", Ballot(7, "g1", 9), Ballot(6, "g2", 8), 3.5),
     ],
 )  # fmt: skip
-def test_datagrams_come_back_and_no_cut_or_flip_of_one_raises(body: Message | Body) -> None:
+def test_datagrams_come_back_and_no_cut_or_flip_of_one_raises(body: Said) -> None:
     data = encode("lab", "g1", 7, body)
     assert decode("lab", data) == ("g1", 7, body) and len(data) <= MOST_BYTES
     rng = random.Random(1)
@@ -194,6 +201,9 @@
         (msgspec.msgpack.encode(Packet(VERSION + 1, "lab", "g1", 1, 3, msgspec.Raw(b"\x90"))), "version"),
         (msgspec.msgpack.encode(Packet(VERSION, "lab", "g1", 1, 9, msgspec.Raw(b"\x90"))), "body"),
         (encode("lab", "g1", 1, Want(0, tuple(range(300)))), "body"),
+        (encode("lab", "g1", 1, Part(1, 5, 0, 1, (Server(5, "s", "x", "a", 1, 1.0, 0.0, 1),))), "body"),
+        (encode("lab", "g1", 1, Part(1, 5, 0, 1, (Server(5, "s", "", "a", 1, -1.0, 0.0, 1),))), "body"),
+        (encode("lab", "g1", 1, Lease(Asked.PROPOSE, "t", Ballot(7, "g", 9), span=math.nan)), "body"),
     ],
 )  # fmt: skip
 def test_datagrams_that_are_not_ours_are_named(data: bytes, why: str) -> None:
