A lame duck gives its leases back, and a replaced process before its address goes

Shown by the five processes' script: a lame duck's task is another's within the time that an effect takes, and it may hold again after off.

--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -187,10 +187,14 @@
 
         def on() -> tuple[int, str]:
             listener.lame_duck()
+            if self.fleet is not None:
+                self.fleet.rest(on=True)
             return (200 if listener.life.parting else 409), listener.life.phase.value
 
         def off() -> tuple[int, str]:
             listener.back()
+            if self.fleet is not None:
+                self.fleet.rest(on=False)
             return (200 if listener.life.ready else 409), listener.life.phase.value
 
         return OperationsServer(
--- a/glenchute/peers/fleet/node.py
+++ b/glenchute/peers/fleet/node.py
@@ -79,6 +79,7 @@
         self.bad: Counter[str] = Counter()
         self.received = 0
         self.heard_at = -1e9  # when the last datagram of a member came
+        self.parting = False
         self.audited: set[str] = set()  # members that the last audit told of
         self.shown = 0  # conflicts that the log has told of
 
@@ -139,12 +140,21 @@
 
     def leave(self, replaced: bool) -> None:
         """This process ends, and says so once; what that does not reach finds out. `replaced`: the next
-        process waits for the address and has it at once."""
-        if self.runner is not None:
-            self.runner.leave()
+        process waits for the address, and has it as soon as leases have gone back."""
+        self.rest(on=True)
         for out in self.members.leave(self.loop.time()):
             self.send(out.to, out.message)
-        if replaced:
+        self.parting = replaced
+        self.part()
+
+    def rest(self, on: bool) -> None:
+        """No task begins here while a lame duck; leases go back when what was begun is over."""
+        if self.runner is not None:
+            self.runner.leave() if on else self.runner.back()
+
+    def part(self) -> None:
+        """Closes the socket for the next process, once no effect of this one holds a lease."""
+        if self.parting and (self.runner is None or not self.runner.giving()):
             self.close()
 
     def close(self) -> None:
@@ -288,6 +298,7 @@
         if self.lists is not None:
             self.shared(self.lists.tick(now, self.there()), [])
         self.replica.expire(now)
+        self.part()
         for change in self.members.taken():
             if change.conflict:
                 tell("member.doubled", member=change.name)
--- a/glenchute/peers/fleet/tasks.py
+++ b/glenchute/peers/fleet/tasks.py
@@ -208,6 +208,14 @@
         for one in self.running.values():
             self.give_back(one)
 
+    def back(self) -> None:
+        """It does not end after all."""
+        self.leaving = False
+
+    def giving(self) -> bool:
+        """Whether a lease waits for an effect to be over before it goes back."""
+        return any(one.keeper.giving for one in self.running.values())
+
     def close(self) -> None:
         """The end."""
         for one in self.running.values():
--- a/lab/fleet/acting.py
+++ b/lab/fleet/acting.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
 import signal
 from pathlib import Path
 
+from ..site import free_port
 from .effects import EffectService
 from .holders import longest_gap, overlaps
 from .processes import FleetSite
@@ -44,6 +46,9 @@
             self.folder, self.count, seed=self.seed, more=MORE, tail=tasks(self.service.port, *self.names)
         )
         await self.site.__aenter__()
+        for gateway in self.site.gateways:
+            gateway.platform["operator"] = f"127.0.0.1:{free_port()}"  # its second address
+            gateway.config.write_text(json.dumps(gateway.platform))
         await self.site.start()
         return self
 
@@ -66,6 +71,14 @@
                 await asyncio.sleep(0.01)
         return self.holder
 
+    async def lame_duck(self, number: int, on: bool) -> None:
+        """Tells a gateway, by its second address, to take no more work, or to take it again."""
+        host, _, port = self.site.gateways[number].platform["operator"].rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(f"PUT /_lameduck/{'on' if on else 'off'} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        assert b" 200 " in await reader.readline()
+        writer.close()
+
     @property
     def holder(self) -> int:
         """The number of the gateway that acted last."""
--- a/tests/test_lease_processes.py
+++ b/tests/test_lease_processes.py
@@ -51,6 +51,13 @@
             for number in both:
                 site.send_signal(number, signal.SIGCONT)
             await one.acts(5)
+            # A lame duck gives back, and is there again.
+            duck = one.holder
+            await one.lame_duck(duck, True)
+            await one.another(duck)
+            await one.acts(5)
+            assert duck not in {int(act.by[1:].partition("#")[0]) for act in service.acts[-4:]}
+            await one.lame_duck(duck, False)
             # A planned end hands over.
             ended = one.holder
             site.send_signal(ended, signal.SIGTERM)
