A crowd long ago no longer puts off discovery calls after news: a drain was broken by it

Cause: a 503 after the mass restart left the pacing crowded, and each call after news was then put off by up to 20 s, changes in the meantime unheard. Calls after news, after a loss and after a move are now spread over no more than the age of lists that is stated, and not at all where none is; a call that was turned away waits as it did before pacing (N/3 s, 20 at most).

--- a/glenchute/deciders/pacing.py
+++ b/glenchute/deciders/pacing.py
@@ -47,7 +47,7 @@
 
     gateways: int
     number: int | None = None  # of this gateway among them, from 0; None: not known
-    rate: float = 12.0  # calls a second, of all together, that the service is taken to bear at first
+    rate: float = 15.0  # calls a second, of all together, that the service is taken to bear at first
     # What the service has to tell counts as told after this, for a gateway that starts too. None: nobody says
     # so, a saved list may be of long ago, and no call is put off but those that the service turns away.
     list_age_s: float | None = None
@@ -82,9 +82,15 @@
     @property
     def most(self) -> float:
         """The longest spread."""
-        age = self.terms.list_age_s
         if self.crowded:
-            return UNSTATED_SPREAD_S if age is None else MOST_SPREAD_S
+            return UNSTATED_SPREAD_S if self.terms.list_age_s is None else MOST_SPREAD_S
+        return self.calm
+
+    @property
+    def calm(self) -> float:
+        """The longest spread of calls that the service has not turned away: a change in the meantime is heard
+        of no later than a list may be old. Where nobody says how old that is, nothing is put off."""
+        age = self.terms.list_age_s
         return 0.0 if age is None else max(0.0, age - ANSWER_S)
 
     def first(self, listed: bool) -> float:
@@ -102,7 +108,7 @@
     def in_step(self) -> float:
         """The pause before a call that all gateways would make now: their watches have told the same news,
         or they were moved."""
-        return self.rng.random() * self.spread if self.gateways > 1 else 0.0
+        return self.rng.random() * min(self.spread, self.calm) if self.gateways > 1 else 0.0
 
     def moved(self) -> float:
         """Another service from now on, of which nothing is known: the pause before its first call."""
@@ -119,10 +125,14 @@
         """A call was turned away: the pause before the next. Who has a list leaves the first part of the
         spread to those that have none."""
         self.crowded = True
-        self.rate = max(self.gateways / (LOAD * self.most), self.rate / DECREASE)
+        stated = self.terms.list_age_s is not None
+        least = self.gateways / (LOAD * self.most) if stated else self.terms.rate / DECREASE
+        self.rate = max(least, self.rate / DECREASE)
         self.step = INCREASE * self.rate
         least = max(BACKOFF_S[0], min(MOST_RETRY_AFTER_S, retry_after_s or 0.0))
-        part = self.rng.uniform(URGENT, 1.0) if listed else URGENT * self.rng.uniform(0.1, 1.0)
+        part = self.rng.uniform(URGENT if stated else 0.1, 1.0)
+        if not listed and stated:
+            part = URGENT * self.rng.uniform(0.1, 1.0)
         return least + part * max(self.spread, BACKOFF_S[0])
 
     def failed(self) -> float:
@@ -130,7 +140,7 @@
         this moment, and all wait for its return, so that they must not come in the same second."""
         lost = self.backoff == BACKOFF_S[0]
         share = self.rng.random() if lost else self.rng.uniform(0.5, 1.5)
-        pause = max(share * self.spread, self.backoff * self.rng.uniform(0.5, 1.0))
+        pause = max(share * min(self.spread, self.calm), self.backoff * self.rng.uniform(0.5, 1.0))
         self.backoff = min(BACKOFF_S[1], 2.0 * self.backoff)
         return pause
 
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -107,6 +107,17 @@
         assert most <= calls_bound(terms[0], listed) and times[-1] <= age - pacing.ANSWER_S
 
 
+def test_where_no_age_is_stated_only_a_call_that_was_turned_away_is_put_off() -> None:
+    """A crowd long ago must not put off what comes after news: seen as a broken drain on a bench's day."""
+    pacing_ = Pacing(Terms(200, 7), random.Random(1))
+    assert pacing_.first(True) == pacing_.in_step() == 0.0
+    pauses = [pacing_.busy(None, True) for _ in range(5)]
+    assert max(pauses) <= pacing.UNSTATED_SPREAD_S + 0.1 and len(set(pauses)) == 5
+    assert pacing_.in_step() == pacing_.moved() == 0.0
+    assert all(pacing_.failed() <= pacing.BACKOFF_S[1] for _ in range(9))
+    assert pacing_.patience() <= pacing.WAIT_S[1]
+
+
 def test_one_without_a_list_goes_before_those_that_have_one() -> None:
     crowd = Crowd(300, lambda n: Terms(300, n, 20.0, STATED), 20.0, listed=lambda n: n % 100 != 7)
     starts(crowd)
