Candidates are chosen when members change, and one rank serves askers and tasks

Written twice, now once: the rank of askers (it was tasks' with a fixed name), who is missing from a whole list, a server's state as a number, a cut between some and all others in the simulations. discovery.others told a constant beside a time; gossip kept two tables for one thing; a spread took a maximum that could not differ.

--- a/benchmarks/replication.py
+++ b/benchmarks/replication.py
@@ -21,7 +21,7 @@
 from lab.fleet import checks
 from lab.fleet.crowd import Others
 from lab.fleet.processes import FleetSite
-from lab.fleet.simulated import Mesh, Net
+from lab.fleet.simulated import Mesh, Net, apart
 from lab.load import Account
 from lab.site import free_port
 
@@ -82,7 +82,7 @@
         mesh = Mesh(count, seed)
         mesh.run(30.0, mesh.whole)
         half = set(mesh.names[: count // 2])
-        mesh.cut = lambda sender, to, half=half: (sender in half) != (to in half)  # type: ignore[misc]
+        mesh.cut = apart(half)
         mesh.writes(5)
         mesh.run(3.0)
         mesh.cut = lambda sender, to: False
--- a/glenchute/deciders/fleet/coldstart.py
+++ b/glenchute/deciders/fleet/coldstart.py
@@ -23,12 +23,13 @@
 
 import random
 from collections.abc import Iterable, Sequence
-from hashlib import blake2b
 from typing import NamedTuple
 
 from heathglade.interface import ServerState
 
-ASKERS = 3
+from .tasks import CANDIDATES, rank
+
+ASKERS = CANDIDATES  # the same members, whether they ask by rank or by lease
 TASK = "ask"  # the lease by which one of the askers asks, where there are leases
 FRESH_S = 3.0  # a list confirmed so long ago needs no call
 ASK_S = 1.0  # an asker is asked this often
@@ -94,11 +95,6 @@
 STATES = {ServerState.ACTIVE: 0, ServerState.DRAINING: 1, ServerState.GONE: 2}
 
 
-def rank(name: str) -> bytes:
-    """Where a member stands in the order of askers: the same everywhere, and as good as drawn."""
-    return blake2b(f"{TASK}|{name}".encode(), digest_size=8).digest()
-
-
 class ListShare:
     """The list as this gateway holds it, and who asks for it."""
 
@@ -122,8 +118,8 @@
         """Whether this gateway asks discovery for all. `others`: members that are not known to be dead."""
         if self.leased is not None:
             return self.leased
-        mine = rank(self.name)
-        return sum(rank(other) < mine for other in others) < ASKERS
+        mine = rank(TASK, self.name)
+        return sum(rank(TASK, other) < mine for other in others) < ASKERS
 
     def waits(self, now: float, others: Sequence[str]) -> float:
         """How long this gateway leaves discovery alone from now on; 0: it is to ask."""
@@ -139,9 +135,7 @@
         """An answer of discovery, and what is told on of it. A count of versions that began anew makes this
         list the only one: members with a higher version go on with theirs until they ask themselves."""
         if full:
-            listed = {row.server for row in rows}
-            gone = [row for name, row in self.rows.items() if name not in listed and row.state != 2]
-            rows = [*rows, *(row._replace(version=version, state=2) for row in gone)]
+            rows = [*rows, *self.missing(rows, version)]
         changed = [row for row in rows if self.differs(row)]
         for row in changed:
             self.keep(row._replace(version=version))
@@ -153,6 +147,12 @@
         parts = self.parts(before)
         return [Sent(other, part) for other in others for part in parts]
 
+    def missing(self, listed: Sequence[Server], version: int) -> list[Server]:
+        """Those held that a whole list does not name: as of its version they have gone."""
+        named = {row.server for row in listed}
+        held = (row for name, row in self.rows.items() if name not in named and row.state != 2)
+        return [row._replace(version=version, state=2) for row in held]
+
     def differs(self, row: Server) -> bool:
         """Whether it says something new."""
         held = self.rows.get(row.server)
@@ -173,7 +173,7 @@
         self.ask_at = now + ASK_S * self.rng.uniform(0.8, 1.2)
         self.serial += 1
         self.asked = {self.serial: now, **dict(list(self.asked.items())[: MOST_ASKED - 1])}
-        askers = sorted(others, key=rank)[:ASKERS]
+        askers = sorted(others, key=lambda other: rank(TASK, other))[:ASKERS]
         # One whose word was fresh has it from discovery; one that does not answer counts as older each time.
         self.ages = {name: self.ages.get(name, 0.0) for name in askers}
         best = min(askers, key=lambda name: self.ages[name] * self.rng.uniform(0.5, 1.5))
@@ -213,9 +213,7 @@
         del self.pending[sender]
         listed = [row for rows in collected.values() for row in rows]
         if body.since < 0:
-            named = {row.server for row in listed}
-            gone = [row for name, row in self.rows.items() if name not in named and row.state != 2]
-            listed += [row._replace(version=body.version, state=2) for row in gone]
+            listed += self.missing(listed, body.version)
             if self.version < 0:
                 self.base = body.version
         taken = []
--- a/glenchute/deciders/fleet/gossip.py
+++ b/glenchute/deciders/fleet/gossip.py
@@ -105,8 +105,7 @@
         self.sent_bytes = self.rows_sent = self.rows_taken = 0
         self.longest = max(rules.life_s for rules in replica.rules.values() if rules.whole)
         # Members whose copy differed at the last comparison: since when, and in how many buckets.
-        self.apart: dict[str, float] = {}
-        self.apart_in: dict[str, int] = {}
+        self.apart: dict[str, tuple[float, int]] = {}
         self.changed: list[Row] = []
 
     def tell(self, now: float, row: Row, size: int) -> None:
@@ -223,8 +222,7 @@
             if not differing:
                 self.apart.pop(sender, None)
             elif len(self.apart) < MOST_APART:
-                self.apart.setdefault(sender, now)
-                self.apart_in[sender] = len(differing)
+                self.apart[sender] = self.apart.get(sender, (now, 0))[0], len(differing)
             self.finished(sender, same, body.known)
             if not body.known:
                 self.give(out, Sent(sender, Done(same, self.known)))
--- a/glenchute/deciders/fleet/tasks.py
+++ b/glenchute/deciders/fleet/tasks.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from collections.abc import Iterable
 from hashlib import blake2b
@@ -27,6 +28,7 @@
 MOST_FAILURES = 1_000_000
 
 
+@functools.lru_cache(maxsize=65_536)
 def rank(task: str, name: str) -> bytes:
     """Where a member stands among a task's candidates."""
     return blake2b(f"{task}|{name}".encode(), digest_size=8).digest()
@@ -40,21 +42,23 @@
         self.try_at = now
         self.backoff = TRY_S[0]
         self.others: list[str] = []  # the other candidates
-        self.candidate = False
-        self.position = 0
-        self.held_from = -1e9
+        self.position = CANDIDATES  # among the members by rank; not one of the first before it is placed
+        self.paused = False  # it is not to seek, for a reason of this process or of the task
         self.acting_until = -1e9  # an effect that has begun is over by then
         self.again_at = -1e9
         self.again_left = 0
         self.giving = False  # the lease goes back as soon as that is so
-        self.lost = 0  # holdings that ended before they were given back
+
+    @property
+    def candidate(self) -> bool:
+        """Whether this process seeks the lease."""
+        return self.position < CANDIDATES and not self.paused
 
     def place(self, there: Iterable[str]) -> None:
         """Which members there are, this one left out."""
         task, name = self.seeker.task, self.seeker.name
         order = sorted([*there, name], key=lambda one: rank(task, one))
         self.position = order.index(name)
-        self.candidate = self.position < CANDIDATES
         self.others = [one for one in order[:CANDIDATES] if one != name]
 
     def tick(self, now: float) -> list[Out]:
@@ -62,7 +66,6 @@
         seeker = self.seeker
         if seeker.holding is not None and not seeker.holds(now):
             seeker.holding = None
-            self.lost += 1
             self.try_at = now + self.pause()
         if self.giving:
             return self.give(now)
@@ -106,7 +109,7 @@
         trying = seeker.trying
         outs = seeker.heard(now, sender, message)
         if before is None and seeker.holding is not None:
-            self.held_from, self.backoff = now, TRY_S[0]
+            self.backoff = TRY_S[0]
         elif before is None and trying is not None and seeker.trying is None:
             if seeker.other_until > now:  # held by another: it is left alone until it would end
                 self.try_at = seeker.other_until + self.rng.random() * TRY_S[0] + BEHIND_S * self.position
--- a/glenchute/deciders/pacing.py
+++ b/glenchute/deciders/pacing.py
@@ -102,7 +102,7 @@
         if self.gateways == 1:
             return 0.0
         # The first part is left free, and the others' calls are no denser for that where time allows.
-        spread = min(self.spread / (1.0 - URGENT), max(self.spread, self.most))
+        spread = min(self.spread / (1.0 - URGENT), self.most)
         return spread * (URGENT + (1.0 - URGENT) * at if listed else URGENT * at)
 
     def in_step(self) -> float:
@@ -126,14 +126,14 @@
         spread to those that have none."""
         self.crowded = True
         stated = self.terms.list_age_s is not None
-        least = self.gateways / (LOAD * self.most) if stated else self.terms.rate / DECREASE
-        self.rate = max(least, self.rate / DECREASE)
+        least_rate = self.gateways / (LOAD * self.most) if stated else self.terms.rate / DECREASE
+        self.rate = max(least_rate, self.rate / DECREASE)
         self.step = INCREASE * self.rate
-        least = max(BACKOFF_S[0], min(MOST_RETRY_AFTER_S, retry_after_s or 0.0))
-        part = self.rng.uniform(URGENT if stated else 0.1, 1.0)
-        if not listed and stated:
-            part = URGENT * self.rng.uniform(0.1, 1.0)
-        return least + part * max(self.spread, BACKOFF_S[0])
+        first = max(BACKOFF_S[0], min(MOST_RETRY_AFTER_S, retry_after_s or 0.0))
+        part = self.rng.uniform(URGENT if stated and listed else 0.1, 1.0)
+        if stated and not listed:
+            part *= URGENT
+        return first + part * max(self.spread, BACKOFF_S[0])
 
     def failed(self) -> float:
         """No connection, or no sound answer: the pause before the next try. All may have lost the service in
--- a/glenchute/peers/discovery.py
+++ b/glenchute/peers/discovery.py
@@ -200,9 +200,9 @@
         self.asked = 0.0
         self.first = asyncio.Event()  # set with the first answer
         self.awaited = True  # a start waits for it
-        # Members may ask for this gateway: how long it is to leave the service alone, and the longest wait of
-        # its watch where it asks for them.
-        self.others: Callable[[], tuple[float, float]] = lambda: (0.0, float("inf"))
+        # Members may ask for this gateway: how long it is to leave the service alone.
+        self.others: Callable[[], float] = lambda: 0.0
+        self.longest_s = float("inf")  # of a watch's waits
         self.resting: Callable[[], None] | None = None  # what comes after that
         self.confirmed: Callable[[int], None] = lambda version: None  # told of each sound answer
         self.closed = False
@@ -266,7 +266,7 @@
         if self.since is not None:
             # The first answer is what a start waits for, and there may be no news.
             waited = self.awaited and not self.first.is_set()
-            patience = AT_ONCE_S if waited else min(self.others()[1], self.turns.patience())
+            patience = AT_ONCE_S if waited else min(self.longest_s, self.turns.patience())
             target += f"?since={self.since}&timeout_ms={patience * 1000.0:.0f}"
             wait += patience
         self.expect(wait, self.exchange.abort)
@@ -274,7 +274,7 @@
 
     def left_alone(self, then: Callable[[], None]) -> bool:
         """Whether members ask for this gateway; then it looks again later, and not in step with others."""
-        seconds = self.others()[0]
+        seconds = self.others()
         self.resting = then if seconds > 0.0 else None
         if seconds > 0.0:
             self.expect(seconds + self.turns.in_step(), then)
--- a/glenchute/peers/fleet/node.py
+++ b/glenchute/peers/fleet/node.py
@@ -40,7 +40,6 @@
 AUDIT_S = 10.0  # copies that differ for so long are told of
 TICK_S = 0.025
 RETRY_S = 0.1
-RANK = {api.ServerState.ACTIVE: 0.0, api.ServerState.DRAINING: 1.0, api.ServerState.GONE: 2.0}
 
 
 
@@ -104,11 +103,10 @@
         """Tells once of each member whose copy has differed from this one's for longer than copies take to
         agree. It only reads and writes a line, so that it needs no token."""
         now = self.loop.time()
-        apart = {name for name, since in self.gossip.apart.items() if now - since > AUDIT_S}
-        for name in sorted(apart - self.audited):
-            buckets = self.gossip.apart_in.get(name, 0)
-            tell("audit.apart", member=name, parts=buckets)
-        self.audited = apart
+        apart = {name: parts for name, (since, parts) in self.gossip.apart.items() if now - since > AUDIT_S}
+        for name in sorted(apart.keys() - self.audited):
+            tell("audit.apart", member=name, parts=apart[name])
+        self.audited = set(apart)
 
     async def start(self) -> None:
         """Opens the socket; the first probes go out. Where the address is taken, as by the process before
@@ -191,6 +189,7 @@
             self.lists.discovery(self.loop.time(), known.version, True, servers_of(known), ())
             self.lists.confirmed = -1e9  # by nobody of late
         discovery.others, discovery.confirmed = self.leave_alone, self.confirmed
+        discovery.longest_s = ASKER_WAIT_S
         return self.lists.asks(self.there())
 
     def confirmed(self, version: int) -> None:
@@ -203,10 +202,10 @@
         gone = (State.DEAD, State.LEFT)
         return [m.name for m in self.members.members.values() if m.state not in gone]
 
-    def leave_alone(self) -> tuple[float, float]:
-        """How long discovery is left alone, and the longest wait of a watch."""
+    def leave_alone(self) -> float:
+        """How long discovery is left alone."""
         assert self.lists is not None
-        return self.lists.waits(self.loop.time(), self.there()), ASKER_WAIT_S
+        return self.lists.waits(self.loop.time(), self.there())
 
     def shared(self, sents: list[coldstart.Sent], rows: list[coldstart.Server]) -> None:
         """Sends what is to be sent of the list, and follows what members told of it."""
@@ -232,7 +231,8 @@
             self.shared(self.lists.discovery(self.loop.time(), news.version, full, rows, self.there()), [])
         for entry in news.event.entries:
             if entry.state is not api.ServerState.ACTIVE and news.event.kind is api.ListKind.CHANGES:
-                self.told(Row(Kind.SERVER, entry.server, "", news.version, RANK[entry.state]))
+                rank = float(coldstart.STATES[entry.state])
+                self.told(Row(Kind.SERVER, entry.server, "", news.version, rank))
 
     def heed(self, rows: list[Row]) -> None:
         """Servers that drain or are gone by the word of others, where discovery has not told as much here. A
--- a/glenchute/peers/fleet/tasks.py
+++ b/glenchute/peers/fleet/tasks.py
@@ -96,6 +96,7 @@
         for task in tasks:
             seeker = Seeker(name, boot, task.name, terms, terms.longest)
             self.running[task.name] = Running(task, Keeper(seeker, random.Random(rng.random()), now))
+        self.placed: tuple[str, ...] | None = None  # the members by which candidates were last chosen
         self.leaving = False
         self.own: list[Out] = []  # messages of this process to itself
 
@@ -128,11 +129,14 @@
         now = clock()
         if self.voter is not None:
             self.post(self.voter.tick(now))
-        there = self.there()
+        there = tuple(self.there())
+        if there != self.placed:
+            self.placed = there
+            for one in self.running.values():
+                one.keeper.place(there)
         for one in self.running.values():
             self.follow(one)
-            one.keeper.place(there)
-            one.keeper.candidate = one.keeper.candidate and not one.record.parked and not self.leaving
+            one.keeper.paused = one.record.parked or self.leaving
             self.post(one.keeper.tick(now))
             holds = one.keeper.seeker.holds(now)
             if not holds and one.job is not None:
--- a/lab/fleet/holders.py
+++ b/lab/fleet/holders.py
@@ -15,6 +15,8 @@
 from glenchute.deciders.fleet.leases import Lease, Out, Seeker, Terms, Voter
 from glenchute.deciders.fleet.tasks import Keeper
 
+from .simulated import apart
+
 TICK_S = 0.05
 ACT_S = 0.2  # the longest an effect takes, by its own word
 VOTER_KINDS = ("PREPARE", "PROPOSE", "RELEASE", "RECALL", "RECALLED")
@@ -221,7 +223,7 @@
             cuts: dict[str, Callable[[str, str], bool]] = {
                 "cut": lambda a, b, n=name: n in (a, b),  # type: ignore[misc]
                 "one way": lambda a, b, n=name: a == n,  # type: ignore[misc]
-                "halves": lambda a, b, h=half: (a in h) != (b in h),  # type: ignore[misc]
+                "halves": apart(half),
             }
             swarm.cut = cuts[kind]
             undo.append((back, setattr, (swarm, "cut", lambda a, b: False)))
@@ -247,7 +249,7 @@
             stopped = rng.choice(swarm.names) if rng.random() < 0.4 else None
             half = set(rng.sample(swarm.names, 4))
             if rng.random() < 0.5:
-                swarm.cut = lambda a, b, h=half: (a in h) != (b in h)  # type: ignore[misc]
+                swarm.cut = apart(half)
             if stopped is not None:
                 swarm.stop(stopped)
             swarm.run(rng.uniform(0.1, 1.5))
--- a/lab/fleet/simulated.py
+++ b/lab/fleet/simulated.py
@@ -8,7 +8,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from glenchute.deciders.fleet.gossip import Body, Gossip, Pace, Sent
 from glenchute.deciders.fleet.members import Members, Message, Out, Rules, State
@@ -17,6 +17,11 @@
 TICK = 0.05
 
 
+def apart(some: Container[str]) -> Callable[[str, str], bool]:
+    """A cut between these and all others, both ways."""
+    return lambda sender, to: (sender in some) != (to in some)
+
+
 class Net:
     """So many members, and what happens to their messages."""
 
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -8,7 +8,7 @@
 
 from glenchute.deciders.fleet import members as membership
 from glenchute.deciders.fleet.members import PIGGYBACK, Kind, Members, Message, Rules, State, Update
-from lab.fleet.simulated import TICK, Net
+from lab.fleet.simulated import TICK, Net, apart
 
 
 @pytest.mark.parametrize(("count", "lose", "within"), [(2, 0, 1), (5, 0.2, 4), (40, 0, 5), (100, 0.1, 12)])
@@ -69,7 +69,7 @@
     net = Net(11, 6)
     net.run(4.0)
     half = set(net.names[:5])
-    net.cut = lambda sender, to: (sender in half) != (to in half)
+    net.cut = apart(half)
     net.run(25.0)
     assert net.seen("g9", "g0") is State.DEAD and net.seen("g0", "g9") is State.DEAD
     net.cut = lambda sender, to: False
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -20,7 +20,7 @@
 from glenchute.deciders.fleet.replica import RULES, Kind, KindRules, Replica, Row
 from glenchute.deciders.fleet.use import Use, trusted_share
 from glenchute.peers.fleet.wire import MOST_BYTES, VERSION, Bad, Packet, Said, decode, encode
-from lab.fleet.simulated import Mesh, rows_of
+from lab.fleet.simulated import Mesh, apart, rows_of
 
 ROWS = st.builds(
     lambda kind, key, writer, *rest: Row(kind, key, writer if kind is Kind.USE else "", *rest),
@@ -98,7 +98,7 @@
     mesh = Mesh(10, 4)
     mesh.run(3.0)
     half = set(mesh.names[:4])
-    mesh.cut = lambda sender, to: (sender in half) != (to in half)
+    mesh.cut = apart(half)
     mesh.writes(20)
     mesh.run(4.0)
     assert not mesh.same()
