--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -156,7 +156,7 @@
 
 def test_a_quiet_night_with_slow_answers_does_not_end_service(tmp_path: Path) -> None:
     """A quarter is left to stalls of the machine: 0.4 s without an answer just after a silence look like a
-    queue at the servers, and the queue guard refuses two of 37; 0.6 s, six. With the old line 15 are refused."""
+    queue at the servers, and the queue guard refuses two of 37; 0.6 s, six. The old line: 15 refused."""
 
     async def scenario() -> None:
         for row in await measure("quiet", tmp_path, 2.0):
