One false word took all servers from a whole fleet for good; such words are on trial now

Need: a probe among three processes sent one datagram a server, "gone in version 10^9", to one gateway. Seen: no request served at any of the three (0 of 47, 64, 41), and none 16 s later (0 of 42, 36, 41): the rows were passed on, discovery tells changes only, and nothing ever took the words back. Change: deciders/fleet/restraint.py holds members' words on trial: half of the servers at most, denied by discovery's next answer 6 s after the word was made, distrusted for a minute then; word.denied is logged. Beside it members tell each other of servers that they could not reach (deciders/fleet/health.py, the event Avoid): own evidence first, a lone writer for a third at most. Rows have an urgency by kind: those of tasks and looks had waited behind use whenever the budget was full (found as no look ever arrived).

--- a/benchmarks/replication.py
+++ b/benchmarks/replication.py
@@ -1,7 +1,7 @@
 """What members' words are worth and cost: five real processes with members and without, then simulated sizes.
 
-``python -m benchmarks.replication [quota] [heal] [detect] [cost] [large] [sixty]`` prints these, or all;
-`plot` draws the heals.
+``python -m benchmarks.replication [quota] [heal] [detect] [cost] [gone] [large] [sixty]`` prints these, or
+all; `plot` draws the heals.
 """
 
 from __future__ import annotations
@@ -23,6 +23,7 @@
 from lab.fleet.processes import FleetSite
 from lab.fleet.simulated import Mesh, Net, apart
 from lab.load import Account
+from lab.sim.members import gone_run
 from lab.site import free_port
 
 from .machine import cpu_s, machine
@@ -133,6 +134,18 @@
               flush=True)  # fmt: skip
 
 
+def gone() -> None:
+    """Tries that found nobody while a third of twenty servers was gone, and how long until all were used."""
+    for count, rate in ((10, 200.0), (40, 200.0), (40, 800.0), (100, 400.0)):
+        runs = [[gone_run(seed, count, on, rate) for seed in (1, 2, 3)] for on in (False, True)]
+        cells = (
+            f"{sum(run.lost for run in row)} ({sum(run.late for run in row)} in the last quarter), all used "
+            f"after {statistics.median(run.back_ms for run in row) / 1000.0:.1f} s"
+            for row in runs
+        )
+        print(f"{count:3} gateways, {rate:.0f} a second: without, with members {'; '.join(cells)}")
+
+
 def costs() -> None:
     """A comparison of copies at 10,000 rows, and two processes' CPU and bytes beside ones without members."""
     replica, rng = Replica(), random.Random(1)
@@ -241,7 +254,10 @@
             return f"{what}: {start}; {buried} false burials; {load}"
 
 
-PARTS = {"quota": quotas, "heal": heals, "detect": detections, "cost": costs, "large": large, "sixty": sixty}
+PARTS = {
+    "quota": quotas, "heal": heals, "detect": detections, "cost": costs, "gone": gone, "large": large,
+    "sixty": sixty,
+}  # fmt: skip
 MORE = {"plot": plot}
 
 
--- a/glenchute/capture/codec.py
+++ b/glenchute/capture/codec.py
@@ -47,6 +47,7 @@
     api.TakeOver,
     api.Alone,
     api.Used,
+    api.Avoid,
 )
 ACTIONS: tuple[type[Any], ...] = (
     api.Send,
--- a/glenchute/deciders/fleet/gossip.py
+++ b/glenchute/deciders/fleet/gossip.py
@@ -78,6 +78,14 @@
     body: Body
 
 
+class Taken(NamedTuple):
+    """A row that came from others, how old it was then, and who passed it on."""
+
+    row: Row
+    age_s: float
+    sender: str
+
+
 @dataclass(frozen=True, slots=True)
 class Pace:
     """Seconds, and bytes a second."""
@@ -106,7 +114,7 @@
         self.longest = max(rules.life_s for rules in replica.rules.values() if rules.whole)
         # Members whose copy differed at the last comparison: since when, and in how many buckets.
         self.apart: dict[str, tuple[float, int]] = {}
-        self.changed: list[Row] = []
+        self.changed: list[Taken] = []
 
     def tell(self, now: float, row: Row, size: int) -> None:
         """A word of this process' own."""
@@ -119,7 +127,7 @@
             passes = min(MOST_PASSES, 1 + math.ceil(math.log2(size + 1)))
             self.news[row.kind, row.key, row.writer] = passes
 
-    def taken(self) -> list[Row]:
+    def taken(self) -> list[Taken]:
         """The rows that came from others since the last call."""
         changed, self.changed = self.changed, []
         return changed
@@ -154,7 +162,7 @@
     def push(self, now: float, out: list[Sent], alive: Sequence[str]) -> None:
         """Passes news on to one member. What restrains is passed on even if nothing seems new, a few rows at
         a time, as a digest that agrees by chance must not hide it."""
-        waiting = sorted(self.news, key=lambda at: at[0])
+        waiting = sorted(self.news, key=lambda at: self.replica.rules[at[0]].urgency)
         if not waiting and (drains := list(self.replica.order[Kind.SERVER])):
             waiting = self.rng.sample(drains, min(2, len(drains)))
         to = self.rng.choice(alive)
@@ -207,7 +215,7 @@
             for row, age_ms in body.rows[:MOST_ROWS]:
                 if self.replica.put(now, row, age_ms / 1000.0, sender):
                     self.rows_taken += 1
-                    self.changed.append(row)
+                    self.changed.append(Taken(row, age_ms / 1000.0, sender))
                     self.spread(row, size)
         elif isinstance(body, Want):
             if 0 <= body.bucket < BUCKETS:
--- /dev/null
+++ b/glenchute/deciders/fleet/health.py
@@ -0,0 +1,159 @@
+"""Servers that could not be reached, told among members: one gateway's look is all gateways' look. No I/O;
+seconds by one clock of this process.
+
+Without it N gateways each find each of M servers that are gone, and each looks again by itself. Here whoever
+could not connect tells for how long it stays away, and the others stay away up to `STRETCH` times as long,
+each a drawn part of it: so the first look after a pause is the teller's, or one other's, and its word, "still
+gone" with a longer pause, or "back", reaches all before most have looked. It is soft state: a row lives a
+short time, has one writer, and a copy that lacks some is whole all the same.
+
+What holds, whatever is said:
+
+- A server that answered this process within `FRESH_S` is in no pause here: own evidence goes before words.
+- A pause leaves a server as the last choice, never out: with all servers in pause the choice is as without.
+- What one writer alone says counts for `ALONE` of the servers at most; beyond that a second one has to say
+  it too. A member that is cut off from a zone, or lies, does not empty the others' choice.
+- A word lasts `MOST_S` times `STRETCH` at most after it was made, however often it is passed on.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+from heathglade.interface import Avoid, Ending
+
+from .replica import Kind, Row
+
+FIRST_S, MOST_S = 1.0, 2.0  # pauses that are told, doubled at each look that fails
+STRETCH = 2.0
+FRESH_S = 1.0
+ALONE = 1.0 / 3.0
+MOST_SERVERS = 2_000
+
+
+class Heard(NamedTuple):
+    """A writer's last word on a server, by this process' clock."""
+
+    version: int
+    until: float  # when its pause ends; this process' own pause reaches a drawn part beyond that
+    stays: float  # ... which is then
+
+
+class Own(NamedTuple):
+    """What this process told last of a server."""
+
+    pause: float
+    until: float
+
+
+class Health:
+    """The words of this process and of the others."""
+
+    def __init__(self, writer: str, rng: random.Random) -> None:
+        self.writer, self.rng = writer, rng
+        self.serial = 0
+        self.own: dict[str, Own] = {}
+        self.answered: dict[str, float] = {}  # when each server last answered here
+        self.words: dict[str, dict[str, Heard]] = {}  # by server, by writer
+        self.by: dict[str, set[str]] = {}  # by writer, the servers that it has in pause
+        self.due: dict[str, None] = {}  # servers of which the module is to be told
+        self.ignored = 0  # words that own evidence or a lone writer's bound kept out
+
+    # --- this process' own tries -------------------------------------------------------------------------
+
+    def ended(self, now: float, server: str, ending: Ending) -> Row | None:
+        """An attempt's ending here; the row to be told on, if it is news to the others."""
+        if ending is Ending.UNREACHABLE:
+            own = self.own.get(server)
+            if own is not None and now < own.until:
+                return None  # of the same look
+            pause = FIRST_S if own is None else min(MOST_S, 2.0 * own.pause)
+            if own is None and len(self.own) >= MOST_SERVERS:
+                del self.own[next(iter(self.own))]
+            self.own[server] = Own(pause, now + pause)
+            self.answered.pop(server, None)
+            return self.row(server, pause)
+        if ending in (Ending.TIMEOUT, Ending.UNSENT, Ending.CANCELLED):
+            return None  # tells nothing of whether it can be reached
+        self.answered.pop(server, None)
+        self.answered[server] = now
+        if len(self.answered) > MOST_SERVERS:
+            del self.answered[next(iter(self.answered))]
+        told = self.own.pop(server, None) is not None
+        others = server in self.words
+        if others:
+            self.forget(server)
+            self.due[server] = None
+        return self.row(server, 0.0) if told or others else None
+
+    def row(self, server: str, pause: float) -> Row:
+        """This process' next word."""
+        self.serial += 1
+        return Row(Kind.HEALTH, server, self.writer, self.serial, round(1000.0 * pause))
+
+    # --- the others' -------------------------------------------------------------------------------------
+
+    def heard(self, now: float, row: Row, age_s: float) -> None:
+        """A member's word. "Back" ends all older words on that server, whoever said them."""
+        if row.writer == self.writer:
+            return
+        known = self.words.get(row.key, {}).get(row.writer)
+        if known is not None and row.version <= known.version:
+            return
+        if row.value <= 0.0:
+            if row.key in self.words:
+                self.forget(row.key)
+                self.due[row.key] = None
+            return
+        pause = min(MOST_S, row.value / 1000.0)
+        made = now - age_s
+        until = made + pause * STRETCH
+        if until <= now:
+            return
+        if row.key not in self.words and len(self.words) >= MOST_SERVERS:
+            self.forget(next(iter(self.words)))
+        stays = made + pause * self.rng.uniform(1.0, STRETCH)
+        self.words.setdefault(row.key, {})[row.writer] = Heard(row.version, until, stays)
+        self.by.setdefault(row.writer, set()).add(row.key)
+        self.due[row.key] = None
+
+    def forget(self, server: str) -> None:
+        """All words on a server."""
+        for writer in self.words.pop(server, {}):
+            self.lift(writer, server)
+
+    def lift(self, writer: str, server: str) -> None:
+        """One writer no longer has this server in pause."""
+        told = self.by.get(writer)
+        if told is not None:
+            told.discard(server)
+            if not told:
+                del self.by[writer]
+
+    def expire(self, now: float) -> None:
+        """Forgets words that are over; call it now and then."""
+        for server in list(self.words):
+            words = self.words[server]
+            for writer in [writer for writer, word in words.items() if word.until <= now]:
+                del words[writer]
+                self.lift(writer, server)
+            if not words:
+                del self.words[server]
+
+    def pause(self, now: float, server: str, servers: int) -> float:
+        """For how long a server is left for last by the others' words. `servers`: how many are listed."""
+        if now - self.answered.get(server, -1e9) <= FRESH_S:
+            self.ignored += server in self.words
+            return 0.0
+        words = {w: word for w, word in self.words.get(server, {}).items() if word.stays > now}
+        loud = [writer for writer in words if len(self.by.get(writer, ())) > ALONE * servers]
+        if not words or (len(words) == 1 and loud):
+            self.ignored += bool(words)
+            return 0.0
+        return max(word.stays for word in words.values()) - now
+
+    def taken(self, now: float, servers: int) -> list[Avoid]:
+        """What the module is to be told since the last call."""
+        due, self.due = self.due, {}
+        return [Avoid(server, 1000.0 * self.pause(now, server, servers)) for server in due]
--- a/glenchute/deciders/fleet/replica.py
+++ b/glenchute/deciders/fleet/replica.py
@@ -27,11 +27,15 @@
 
 
 class Kind(IntEnum):
-    """What a row tells; the most urgent first."""
+    """What a row tells; the numbers stand in datagrams."""
 
     SERVER = 0  # a server drains or is gone; version: discovery's. Safe: what asks for more restraint
     USE = 1  # units let in for an account in a window, by one process. Safe: the larger
     TASK = 2  # what a task's holders did; version: token and serial. Safe: more failures
+    HEALTH = 3  # milliseconds for which a process leaves a server that it could not reach. Safe: the longer
+
+
+OF_PROCESS = (Kind.USE, Kind.HEALTH)  # kinds whose rows have one process for a writer
 
 
 class Row(NamedTuple):
@@ -51,12 +55,14 @@
     life_s: float
     most: int
     whole: bool = True  # a copy that lacks some is not whole
+    urgency: int = 0  # the lowest is passed on first. Use is of every request, and all else of few moments
 
 
 RULES = {
     Kind.SERVER: KindRules(60.0, 5_000),
-    Kind.USE: KindRules(20.0, 40_000),
-    Kind.TASK: KindRules(3600.0, 200, whole=False),
+    Kind.USE: KindRules(20.0, 40_000, urgency=2),
+    Kind.TASK: KindRules(3600.0, 200, whole=False, urgency=1),
+    Kind.HEALTH: KindRules(20.0, 4_000, whole=False, urgency=1),
 }
 
 
@@ -91,7 +97,8 @@
 def sound(row: Row) -> bool:
     """Whether a row from outside may be taken in: bounded, finite, of a kind's form."""
     words = 0 < len(row.key) <= MOST_KEY and len(row.writer) <= MOST_KEY
-    return words and bool(row.writer) == (row.kind is Kind.USE) and row.version >= 0 and 0 <= row.value < 1e12
+    by = bool(row.writer) == (row.kind in OF_PROCESS)
+    return words and by and row.version >= 0 and 0 <= row.value < 1e12
 
 
 class Replica:
--- /dev/null
+++ b/glenchute/deciders/fleet/restraint.py
@@ -0,0 +1,107 @@
+"""Servers that drain or are gone by members' words, until discovery has had its say. No I/O; seconds by one
+clock of this process.
+
+Members hear of a drain at moments that differ, and a word of one is a reason for all to hold back at once. It
+may be untrue, of a copy from before a restart of discovery, or a flipped bit; and nobody would ever take it
+back, as discovery tells changes only. So a word binds on trial:
+
+- Discovery's own word for a version settles all words of that version and older ones.
+- A word that is newer than what discovery says `SETTLE_S` or more after the word was made is denied: the
+  server is given back as discovery had it, and no word of members on it counts for `DISTRUST_S`.
+- Words on trial take away `MOST_SHARE` of the servers at most; those beyond it are counted and left to
+  discovery. A true release of more than that is heard of as without members.
+
+So a lying, flipped or stale word costs at most that share of the servers until the next sound answer of
+discovery that comes `SETTLE_S` after it, and no rule: a server that is held back gets nothing. While
+discovery says nothing at all a word stands, and the share still bounds what it costs.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from heathglade.interface import ServerEntry, ServerState
+
+SETTLE_S = 6.0  # a change counts as told to everybody after this
+DISTRUST_S = 60.0
+MOST_SHARE = 0.5
+MOST_WORDS = 5_000
+STATES = (ServerState.DRAINING, ServerState.GONE)
+
+
+class Word(NamedTuple):
+    """One server's word on trial: who passed it on here, and when it was made."""
+
+    version: int
+    state: ServerState
+    sender: str
+    made: float
+
+
+class Denied(NamedTuple):
+    """A word that discovery did not bear out."""
+
+    server: str
+    word: Word
+
+
+class Restraint:
+    """The list as discovery told it here, and the words that stand against it."""
+
+    def __init__(self) -> None:
+        self.version = -1  # of discovery's last answer
+        self.entries: dict[str, ServerEntry] = {}  # servers that take work, by discovery
+        self.words: dict[str, Word] = {}  # on trial, and in force
+        self.distrusted: dict[str, float] = {}  # servers of which no member's word counts, until then
+        self.denied = self.beyond = 0
+
+    def listed(self, version: int, full: bool, entries: Iterable[ServerEntry]) -> None:
+        """A list or changes of discovery, before they come into force; they settle what they tell of."""
+        entries = tuple(entries)
+        if full:
+            self.entries.clear()
+            self.words.clear()  # a whole list says of each server what is so
+        for entry in entries:
+            self.words.pop(entry.server, None)
+            if entry.state is ServerState.ACTIVE:
+                self.entries[entry.server] = entry
+            else:
+                self.entries.pop(entry.server, None)
+        self.version = version
+
+    def heard(self, now: float, server: str, version: int, rank: float, age_s: float, sender: str) -> bool:
+        """A member's word; `rank` 1: it drains, 2: it is gone. Whether it comes into force now."""
+        known = self.words.get(server)
+        if version <= self.version or server not in self.entries or not 1.0 <= rank <= 2.0:
+            return False
+        if now < self.distrusted.get(server, -1e9):
+            return False
+        state = STATES[rank >= 2.0]
+        if known is not None:
+            stronger = state is ServerState.GONE and known.state is not ServerState.GONE
+            if not stronger:
+                return False
+        elif len(self.words) >= min(MOST_WORDS, MOST_SHARE * len(self.entries)):
+            self.beyond += 1
+            return False
+        self.words[server] = Word(version, state, sender, now - age_s)
+        return True
+
+    def confirmed(self, now: float, version: int) -> tuple[list[ServerEntry], list[Denied]]:
+        """Discovery has just said that `version` is its newest. Servers that are given back, and why."""
+        self.version = version
+        back: list[ServerEntry] = []
+        denied: list[Denied] = []
+        for server, word in list(self.words.items()):
+            # Where discovery is past it, it has told this process all changes on the way: had the word been
+            # true, `listed` would have settled it.
+            if word.version <= version or now - word.made >= SETTLE_S:
+                del self.words[server]
+                back.append(self.entries[server])
+                denied.append(Denied(server, word))
+        for row in denied:
+            self.distrusted[row.server] = now + DISTRUST_S
+        self.denied += len(denied)
+        self.distrusted = {name: until for name, until in self.distrusted.items() if until > now}
+        return back, denied
--- a/glenchute/peers/fleet/events.py
+++ b/glenchute/peers/fleet/events.py
@@ -33,6 +33,11 @@
         ("kind", "key", "writer", "version", "kept", "other", "sender"),
         "two copies of one version differ; the safe one is kept and passed on",
     ),
+    "word.denied": Event(
+        logging.WARNING,
+        ("server", "state", "version", "sender"),
+        "discovery does not bear out what members said of a server; it is given back",
+    ),
     "audit.apart": Event(
         logging.WARNING, ("member", "parts"), "a member's copy has differed from the auditor's for over 10 s"
     ),
--- a/glenchute/peers/fleet/node.py
+++ b/glenchute/peers/fleet/node.py
@@ -22,10 +22,12 @@
 from glenchute.deciders.fleet import coldstart
 from glenchute.deciders.fleet import members as membership
 from glenchute.deciders.fleet.coldstart import ASKER_WAIT_S, ListShare
-from glenchute.deciders.fleet.gossip import Gossip, Pace, Rows
+from glenchute.deciders.fleet.gossip import Gossip, Pace, Rows, Taken
+from glenchute.deciders.fleet.health import Health
 from glenchute.deciders.fleet.leases import Lease, Terms
 from glenchute.deciders.fleet.members import Members, Rules, State
 from glenchute.deciders.fleet.replica import Kind, Replica, Row
+from glenchute.deciders.fleet.restraint import Restraint
 from glenchute.deciders.fleet.use import Use, trusted_share
 from heathglade import interface as api
 
@@ -65,13 +67,15 @@
                     raw.get("budget_kib_s", 32.0) * 1024.0)  # fmt: skip
         self.replica = Replica()
         self.gossip = Gossip(self.replica, pace, rng, now)
-        self.use = Use(f"{self.name}#{self.boot:x}")
-        self.telling = Telling(module, made, self.use, self.told, self.share)
+        writer = f"{self.name}#{self.boot:x}"
+        self.use, self.restraint = Use(writer), Restraint()
+        health = Health(writer, random.Random(rng.getrandbits(60)))
+        self.telling = Telling(module, made, self.use, health, self.told, self.share, loop.time)
         self.lists = ListShare(self.name, now, rng) if raw.get("share_list") else None
         self.runner = self.running(raw["leases"], rng) if "leases" in raw else None
         self.discovery: Discovery | None = None
         self.follow: Callable[[News], None] | None = None  # takes what others heard of servers
-        self.version = 0  # of the list that this process has from discovery
+        self.places: dict[str, Address] = {}  # servers' addresses, as discovery told them here
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.opening: asyncio.TimerHandle | None = None  # the next try to open the socket
@@ -182,13 +186,16 @@
     def begin(self, known: News | None, discovery: Discovery) -> bool:
         """Before discovery is asked, with the saved list. Whether this gateway asks for all, and does so at
         once."""
+        discovery.confirmed = self.confirmed
+        if known is not None:
+            self.learn(known)
         if self.lists is None:
             return False
         self.discovery = discovery
         if known is not None:
             self.lists.discovery(self.loop.time(), known.version, True, servers_of(known), ())
             self.lists.confirmed = -1e9  # by nobody of late
-        discovery.others, discovery.confirmed = self.leave_alone, self.confirmed
+        discovery.others = self.leave_alone
         discovery.longest_s = ASKER_WAIT_S
         return self.lists.asks(self.there())
 
@@ -196,6 +203,7 @@
         """Discovery has answered: it has nothing newer than this."""
         if self.lists is not None and version == self.lists.version:
             self.lists.confirmed = self.loop.time()
+        self.settle(version)
 
     def there(self) -> list[str]:
         """Members that are not known to be gone."""
@@ -218,13 +226,14 @@
             api.ServerEntry(r.server, r.zone, r.cell, r.size, r.started_ms, states[r.state]) for r in rows
         )
         addresses = {row.server: address_of(row.address) for row in rows if row.address and row.state == 0}
-        self.version = max(self.version, self.lists.version)
         self.discovery.since = self.lists.version
+        self.restraint.listed(self.lists.version, False, entries)
+        self.places |= addresses
         self.follow(News(self.lists.version, api.ServerList(api.ListKind.CHANGES, entries), addresses))
 
     def news(self, news: News) -> None:
         """Discovery's word, before the core has it: restraint that it asks for is told on."""
-        self.version = max(self.version, news.version)
+        self.learn(news)
         if self.lists is not None:
             full = news.event.kind is api.ListKind.FULL
             rows = servers_of(news)
@@ -234,18 +243,37 @@
                 rank = float(coldstart.STATES[entry.state])
                 self.told(Row(Kind.SERVER, entry.server, "", news.version, rank))
 
-    def heed(self, rows: list[Row]) -> None:
-        """Servers that drain or are gone by the word of others, where discovery has not told as much here. A
-        word of others never brings a server back: that is discovery's to say."""
-        entries = []
-        for row in rows:
-            if row.kind is Kind.USE:
-                self.use.heard(row)
-            elif row.version > self.version:
-                state = api.ServerState.GONE if row.value >= 2.0 else api.ServerState.DRAINING
+    def learn(self, news: News) -> None:
+        """What discovery has told here."""
+        full = news.event.kind is not api.ListKind.CHANGES
+        self.restraint.listed(news.version, full, news.event.entries)
+        self.places = news.addresses if full else self.places | news.addresses
+
+    def heed(self, rows: list[Taken]) -> None:
+        """What others said. Servers that drain or are gone by their word get nothing new, on trial."""
+        now, entries = self.loop.time(), []
+        for taken in rows:
+            row = taken.row
+            if row.kind is not Kind.SERVER:
+                self.telling.heard(taken)
+            elif self.restraint.heard(now, row.key, row.version, row.value, taken.age_s, taken.sender):
+                state = self.restraint.words[row.key].state
                 entries.append(api.ServerEntry(row.key, "", state=state))
+        self.change(entries)
+
+    def settle(self, version: int) -> None:
+        """Discovery's newest version: words that it does not bear out are taken back, and told of."""
+        back, denied = self.restraint.confirmed(self.loop.time(), version)
+        for server, word in denied:
+            tell("word.denied", server=server, state=word.state.value, version=word.version,
+                 sender=word.sender)  # fmt: skip
+        self.change([entry for entry in back if entry.server in self.places])
+
+    def change(self, entries: list[api.ServerEntry]) -> None:
+        """Changes of the list that are not discovery's news."""
         if entries and self.follow is not None:
-            self.follow(News(self.version, api.ServerList(api.ListKind.CHANGES, tuple(entries))))
+            news = api.ServerList(api.ListKind.CHANGES, tuple(entries))
+            self.follow(News(self.restraint.version, news, self.places))
 
     # --- socket and clock --------------------------------------------------------------------------------
 
@@ -298,6 +326,7 @@
         if self.lists is not None:
             self.shared(self.lists.tick(now, self.there()), [])
         self.replica.expire(now)
+        self.telling.health.expire(now)
         self.part()
         for change in self.members.taken():
             if change.conflict:
@@ -358,6 +387,8 @@
         """A row for what is held and exchanged."""
         held = {kind.name.lower(): len(self.replica.order[kind]) for kind in Kind}
         evicted = {f"evicted_{kind.name.lower()}": self.replica.evicted[kind] for kind in Kind}
+        held |= {"denied": self.restraint.denied, "on_trial": len(self.restraint.words),
+                 "avoided": len(self.telling.health.words)}  # fmt: skip
         return [{**held, **evicted, "known": self.gossip.known, "share": round(self.share(), 3),
                  "health": self.members.health, "sent_bytes": self.gossip.sent_bytes,
                  "rows_sent": self.gossip.rows_sent, "rows_taken": self.gossip.rows_taken,
--- a/glenchute/peers/fleet/telling.py
+++ b/glenchute/peers/fleet/telling.py
@@ -1,12 +1,14 @@
-"""The decision module behind the fleet's words: what goes on is written down for the others, and before each
-request the module is told what the others let in. No socket and no clock of its own."""
+"""The decision module behind the fleet's words: what goes on, and which servers could not be reached, is
+written down for the others; before each request the module is told what they said. No socket of its own."""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
 from glenchute.core.types import Decisions
-from glenchute.deciders.fleet.replica import Row
+from glenchute.deciders.fleet.gossip import Taken
+from glenchute.deciders.fleet.health import Health
+from glenchute.deciders.fleet.replica import Kind, Row
 from glenchute.deciders.fleet.use import Use
 from heathglade import interface as api
 from heathglade.windows import window_start
@@ -18,16 +20,21 @@
     """The decision module, with the fleet's ears before it."""
 
     def __init__(
-        self, module: Decisions, made: api.Settings, use: Use, tell: Callable[[Row], None],
-        share: Callable[[], float],
+        self, module: Decisions, made: api.Settings, use: Use, health: Health, tell: Callable[[Row], None],
+        share: Callable[[], float], clock: Callable[[], float],
     ) -> None:  # fmt: skip
-        self.module, self.use, self.tell, self.share = module, use, tell, share
+        """`clock`: seconds, as the rows' ages are counted."""
+        self.module, self.use, self.health, self.clock = module, use, health, clock
+        self.tell, self.share = tell, share
+        self.servers: set[str] = set()  # on the list
         self.plans = {plan.name: plan for plan in made.plans}
         self.open: dict[str, tuple[str, api.Plan, float]] = {}  # requests that have not gone on; units
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         """One event for the module."""
         if isinstance(event, api.Request):
+            for avoid in self.health.taken(self.clock(), len(self.servers)):
+                self.module.handle(now_ms, avoid)
             plan = self.plans.get(event.plan)
             if plan is not None and plan.rate and len(self.open) < MOST_OPEN:
                 window, share = window_start(now_ms, event.customer, plan), self.share()
@@ -38,6 +45,12 @@
                 self.open[event.request_id] = event.customer, plan, event.units
         elif isinstance(event, api.RequestGone):
             self.open.pop(event.request_id, None)
+        elif isinstance(event, api.AttemptEnded):
+            row = self.health.ended(self.clock(), event.server, event.ending)
+            if row is not None:
+                self.tell(row)
+        elif isinstance(event, api.ServerList):
+            self.listed(event)
         actions = self.module.handle(now_ms, event)
         for action in actions:
             if isinstance(action, api.Send | api.Refuse | api.Fail):
@@ -45,3 +58,18 @@
                 if found is not None and isinstance(action, api.Send):
                     self.tell(self.use.let_in(found[0], window_start(now_ms, *found[:2]), found[2]))
         return actions
+
+    def listed(self, event: api.ServerList) -> None:
+        """Which servers there are."""
+        if event.kind in (api.ListKind.FULL, api.ListKind.SAVED):
+            self.servers.clear()
+        for entry in event.entries:
+            active = entry.state is api.ServerState.ACTIVE
+            (self.servers.add if active else self.servers.discard)(entry.server)
+
+    def heard(self, taken: Taken) -> None:
+        """A row of another process that the module is to know of."""
+        if taken.row.kind is Kind.USE:
+            self.use.heard(taken.row)
+        elif taken.row.kind is Kind.HEALTH:
+            self.health.heard(self.clock(), taken.row, taken.age_s)
--- a/heathglade/interface.py
+++ b/heathglade/interface.py
@@ -283,9 +283,18 @@
     share: float
 
 
+@record(frozen=True, slots=True)
+class Avoid:
+    """Others could not reach a server: it is left for last for so long, as if this gateway had found that
+    itself. 0: they have reached it, and what they said before is over; what was found here stands."""
+
+    server: str
+    for_ms: float
+
+
 Event = (
     ServerList | Request | AnswerBegan | AttemptEnded | RequestGone | TimerFired | CountReply | AttemptHeld
-    | AttemptPlaced | Beside | TakeOver | Alone | Used
+    | AttemptPlaced | Beside | TakeOver | Alone | Used | Avoid
 )  # fmt: skip
 
 
--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -13,8 +13,8 @@
 from dataclasses import replace
 
 from .interface import (
-    Action, Alone, AnswerBegan, AttemptEnded, AttemptHeld, Beside, Cancel, Count, CountReply, Ending, Event,
-    Fail, HandOver, ListKind, Log, Refuse, Repeat, Request, RequestClass, RequestGone, Scope, Send,
+    Action, Alone, AnswerBegan, AttemptEnded, AttemptHeld, Avoid, Beside, Cancel, Count, CountReply, Ending,
+    Event, Fail, HandOver, ListKind, Log, Refuse, Repeat, Request, RequestClass, RequestGone, Scope, Send,
     ServerList, ServerState, SetTimer, Settings, Stock, Subscribe, TakeOver, TimerFired, Used,
 )  # fmt: skip
 from .marks import Health, Name, Watch, mark_of
@@ -510,7 +510,7 @@
             cost = self.delay(server, now, mean, warmth) / warmth
             if entry.server in opened.tried:
                 cost += 10.0
-            if now < server.look_at:
+            if now < max(server.look_at, server.avoid_to):
                 cost += 1000.0  # any other is better, and if there is none, this one is tried
             if entry.zone != self.settings.zone:
                 cost *= 1.0 + 10.0 * self.settings.cross_zone_price
@@ -583,7 +583,7 @@
             server.look_at = now + 1000.0 * most * share * self.rng.uniform(0.75, 1.25)
             server.refused = min(server.refused + 1, 10)
         elif event.ending is not Ending.TIMEOUT:
-            server.refused, server.look_at = 0, 0.0
+            server.refused, server.look_at, server.avoid_to = 0, 0.0, 0.0
         if event.ending is not Ending.TIMEOUT or not server.out:
             server.silent_since = now if server.out else None
         faded = server.fails * math.exp((server.fails_at - now) / 5000.0)
@@ -788,6 +788,10 @@
                 self.quota.alone(now_ms)
             case Used():
                 self.quota.used(now_ms, event)
+            case Avoid(name, for_ms):
+                if known := self.fleet.servers.get(name):
+                    known.avoid_to = now_ms + for_ms
+                    known.look_at *= for_ms > 0
         return self.actions
 
     def tick(self, now: float) -> None:
--- a/heathglade/records.py
+++ b/heathglade/records.py
@@ -64,6 +64,7 @@
     fails_at: float = 0.0
     refused: int = 0  # attempts in a row that did not connect
     look_at: float = 0.0  # until then nothing more is sent to one that did not connect
+    avoid_to: float = 0.0  # the same by the words of others
     silent_since: float | None = None  # first sending since the last answer
     held: float = 0.0  # requests of other gateways there, by its last report
     held_at: float = -1e9
--- a/lab/sim/members.py
+++ b/lab/sim/members.py
@@ -7,11 +7,12 @@
 
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 from glenchute.deciders.fleet.gossip import Gossip, Pace, Rows
+from glenchute.deciders.fleet.health import Health
 from glenchute.deciders.fleet.members import Members, Message, Rules, State
-from glenchute.deciders.fleet.replica import Kind, Replica
+from glenchute.deciders.fleet.replica import Replica
 from glenchute.deciders.fleet.use import Use, trusted_share
 from glenchute.peers.fleet.telling import Telling
 from heathglade import Gateway
@@ -36,9 +37,13 @@
         now = world.now / 1000.0
         self.members = Members(names[number], rng.getrandbits(60), names, Rules(), rng, now)
         self.gossip = Gossip(Replica(), Pace(), rng, now)
-        self.use = Use(f"{names[number]}#{self.members.boot:x}")
+        writer = f"{names[number]}#{self.members.boot:x}"
+        self.use = Use(writer)
         self.heard_at = -1e9
-        self.telling = Telling(module, world.settings, self.use, self.told, self.share)
+        health = Health(writer, random.Random(seed + 1))
+        self.telling = Telling(
+            module, world.settings, self.use, health, self.told, self.share, lambda: world.now / 1000.0
+        )
 
     def told(self, row: Any) -> None:
         self.gossip.tell(self.world.now / 1000.0, row, len(self.members.members))
@@ -62,6 +67,7 @@
         for sent in self.gossip.tick(now, self.members.alive()):
             world.carry(self, sent.to, sent.body)
         self.gossip.replica.expire(now)
+        self.telling.health.expire(now)
 
     def take(self, sender: str, boot: int, body: Any) -> None:
         """A message of another."""
@@ -76,9 +82,8 @@
         for sent in self.gossip.heard(now, sender, body, len(self.members.members)):
             world.carry(self, sent.to, sent.body)
         if isinstance(body, Rows):
-            for row in self.gossip.taken():
-                if row.kind is Kind.USE:
-                    self.use.heard(row)
+            for taken in self.gossip.taken():
+                self.telling.heard(taken)
 
 
 class Module:
@@ -187,3 +192,37 @@
     world.run(16_000.0)
     served = sum(units for _, _, name, units in world.sent if name == plan.name)
     return overshoot(world.sent, plan), served / (plan.burst + 12.0 * plan.rate)
+
+
+class Gone(NamedTuple):
+    """Servers that went while the list still had them, and came back."""
+
+    lost: int  # attempts that found nobody there, while they were gone
+    late: int  # ... in the last quarter of that time
+    back_ms: float  # until each of them had run a request again
+
+
+def gone_run(
+    seed: int, gateways: int, members: bool, rate: float = 200.0, gone_ms: float = 8000.0,
+    back_ms: float = 20_000.0,
+) -> Gone:  # fmt: skip
+    """A third of twenty servers is gone for a while under a steady load; by the site's books."""
+    world = (MembersWorld if members else World)(seed, gateways, 20)
+    world.run(3000.0)
+    world.load(gone_ms + back_ms + 5000.0, rate, ("wide",))
+    world.run(4000.0)
+    some = list(world.nodes.values())[:7]
+    for node in some:
+        node.alive = False
+    world.unreached.clear()
+    began = world.now
+    world.run(gone_ms)
+    lost = [at for at, _ in world.unreached]
+    for node in some:
+        node.alive, node.busy, node.queue = True, 0, []
+    back = world.now
+    waiting = {node.name for node in some}
+    while waiting and world.now < back + back_ms:
+        world.run(10.0)
+        waiting -= {node.name for node in some if node.busy}
+    return Gone(len(lost), sum(at >= began + 0.75 * gone_ms for at in lost), world.now - back)
--- a/lab/sim/world.py
+++ b/lab/sim/world.py
@@ -135,6 +135,7 @@
         self.serial = itertools.count(1)
         self.sent: list[tuple[float, str, str, float]] = []  # time, customer, plan, units
         self.keys: dict[tuple[str, str], float] = {}  # (group, key): when it last ran as new
+        self.unreached: list[tuple[float, str]] = []  # when an attempt found no server, and which
         self.steps = self.checks = self.restarts = 0
         for number in range(gateways):
             self.start(number)
@@ -308,6 +309,7 @@
     def dispatch(self, node: Node | None, back: tuple[Any, ...], timeout: float, action: api.Send) -> None:
         """An attempt that may start goes out, on a connection of its own."""
         if node is None or not node.alive:
+            self.unreached.append((self.now, action.server))
             self.at(NET_MS, self.ended, *back, api.Ending.UNREACHABLE)
             return
         self.at(timeout, self.ended, *back, api.Ending.TIMEOUT)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -17,13 +17,13 @@
 from glenchute.deciders.fleet.leases import Kind as Asked
 from glenchute.deciders.fleet.members import Kind as Asks
 from glenchute.deciders.fleet.members import Message, State, Update
-from glenchute.deciders.fleet.replica import RULES, Kind, KindRules, Replica, Row
+from glenchute.deciders.fleet.replica import OF_PROCESS, RULES, Kind, KindRules, Replica, Row
 from glenchute.deciders.fleet.use import Use, trusted_share
 from glenchute.peers.fleet.wire import MOST_BYTES, VERSION, Bad, Packet, Said, decode, encode
 from lab.fleet.simulated import Mesh, apart, rows_of
 
 ROWS = st.builds(
-    lambda kind, key, writer, *rest: Row(kind, key, writer if kind is Kind.USE else "", *rest),
+    lambda kind, key, writer, *rest: Row(kind, key, writer if kind in OF_PROCESS else "", *rest),
     st.sampled_from(Kind), st.sampled_from("ab"), st.sampled_from("xy"), st.integers(0, 3),
     st.sampled_from((0.0, 1.0, 2.0, 7.5)),
 )  # fmt: skip
