A gateway may use some of the servers: a ring without talk, kept through changes, wider by load

Change: deciders/subset.py stands before the module as a filter of the list ([subset], off unless named, nothing imported); the list tells the module how many servers there are, so that V's floor stays.

--- /dev/null
+++ b/benchmarks/subsets.py
@@ -0,0 +1,169 @@
+"""Subsets of servers by gateway: how evenly servers are met, what a change moves, handshakes of a start.
+
+``python -m benchmarks.subsets [table|start]``. Schemes: the ring with what is held kept (as built), the ring
+alone (deterministic aperture), rendezvous hashing, a drawn subset of each gateway.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Callable
+from hashlib import blake2b
+from pathlib import Path
+
+from glenchute.deciders.subset import DRIFT_MS, Subset, Terms, ring
+from heathglade.interface import Safety, ServerEntry
+from lab.coldstart import Herd
+from lab.load import Account, Kind, Load
+
+from .machine import machine
+
+Chosen = list[set[str]]
+# gateways, servers, places, the choice before a change of the list (None: none): what each gateway uses
+Scheme = Callable[[int, list[str], int, Chosen | None], Chosen]
+
+
+def kept(gateways: int, servers: list[str], used: int, before: Chosen | None) -> Chosen:
+    chosen = []
+    for number in range(gateways):
+        subset = Subset(Terms(gateways, number, used), Safety())
+        subset.listed = {server: ServerEntry(server, "a") for server in servers}
+        subset.held = dict.fromkeys(sorted(before[number]) if before is not None else ())
+        subset.settle(0.0)
+        chosen.append(set(subset.held))
+    return chosen
+
+
+def alone(gateways: int, servers: list[str], used: int, before: Chosen | None) -> Chosen:
+    return [set(ring(Terms(gateways, number, used), servers)[:used]) for number in range(gateways)]
+
+
+def rendezvous(gateways: int, servers: list[str], used: int, before: Chosen | None) -> Chosen:
+    def score(number: int, server: str) -> bytes:
+        return blake2b(f"{number}|{server}".encode(), digest_size=8).digest()
+
+    return [
+        set(sorted(servers, key=lambda server: score(number, server))[:used])
+        for number in range(gateways)
+    ]
+
+
+def drawn(gateways: int, servers: list[str], used: int, before: Chosen | None) -> Chosen:
+    chosen = []
+    for number in range(gateways):
+        rng = random.Random(number)
+        held = {server for server in before[number] if server in servers} if before is not None else set()
+        left = [server for server in servers if server not in held]
+        chosen.append(held | set(rng.sample(left, max(0, used - len(held)))))
+    return chosen
+
+
+SCHEMES: dict[str, Scheme] = {"kept ring": kept, "ring": alone, "rendezvous": rendezvous, "drawn": drawn}
+
+
+def names(count: int) -> list[str]:
+    return [f"10.0.{n // 250}.{n % 250}:80" for n in range(count)]
+
+
+def balance(scheme: Scheme, gateways: int, servers: int, used: int) -> float:
+    """The gateways at the server that is met by most, against the mean."""
+    met = Counter(server for held in scheme(gateways, names(servers), used, None) for server in held)
+    return max(met.values()) * servers / sum(met.values())
+
+
+def churn(scheme: Scheme, gateways: int, servers: int, used: int) -> float:
+    """Places a gateway fills anew by one server that goes and one that comes, on average, over ten changes."""  # noqa: E501
+    rng, row = random.Random(5), names(servers + 10)
+    now, spare = row[:servers], row[servers:]
+    before, moved = scheme(gateways, now, used, None), 0
+    for new in spare:
+        now[rng.randrange(len(now))] = new
+        after = scheme(gateways, now, used, before)
+        moved += sum(len(held - was) for held, was in zip(after, before, strict=True))
+        before = after
+    return moved / gateways / len(spare)
+
+
+def after_release(gateways: int, servers: int, used: int) -> tuple[float, float]:
+    """Balance of the kept ring after six in ten servers were replaced, at once and an hour later."""
+    row = names(2 * servers)
+    now = row[:servers]
+    subsets = []
+    for number in range(gateways):
+        subset = Subset(Terms(gateways, number, used), Safety())
+        subset.listed = {server: ServerEntry(server, "a") for server in now}
+        subset.settle(0.0)
+        subsets.append(subset)
+    for at in range(servers * 6 // 10):
+        gone, new = row[at], row[servers + at]
+        for subset in subsets:
+            del subset.listed[gone]
+            subset.listed[new] = ServerEntry(new, "a")
+            subset.settle(0.0)
+    found = []
+    for hour in (0, 1):
+        for tick in range(360 * hour):
+            for subset in subsets:
+                subset.drift((tick + 1.0) * DRIFT_MS)
+        met = Counter(server for subset in subsets for server in subset.held)
+        found.append(max(met.values()) * servers / sum(met.values()))
+    return found[0], found[1]
+
+
+def table() -> None:
+    """Balance and movement."""
+    print("gateways servers used: most met against the mean, places moved a change")
+    for gateways, servers in ((3, 10), (40, 60), (200, 200), (300, 1000), (500, 5000)):
+        used = min(20, servers // 2)
+        cells = [
+            f"{name} {balance(scheme, gateways, servers, used):.2f}, "
+            f"{churn(scheme, gateways, servers, used):.3f}"
+            for name, scheme in SCHEMES.items()
+        ]
+        print(f"{gateways:4} {servers:5} {used:3}: {'; '.join(cells)}", flush=True)
+    for gateways, servers in ((40, 60), (200, 200)):
+        now, later = after_release(gateways, servers, 20)
+        print(f"{gateways:4} {servers:5}  20: six in ten replaced {now:.2f}, an hour later {later:.2f}")
+
+
+async def start(count: int, servers: int, rate: float) -> None:
+    """Real processes under an even load: connections at the servers, and what was served."""
+    for operator in (None, "[subset]\nservers = 4\n"):
+        with tempfile.TemporaryDirectory() as folder:
+            async with Herd(Path(folder), count, 500.0, 500, operator, servers=servers) as herd:
+                await herd.start(range(count), 120.0)
+                reads = (Kind("report-read", 1.0, 2000),)
+                loads = []
+                for at, one in enumerate(herd.gateways):
+                    mine = [Account(b"%016x" % (1000 * at + n), "korporativni") for n in range(40)]
+                    loads.append(Load(lambda port=one.port: port, reads, mine, rate, at))  # type: ignore[misc]
+                await asyncio.gather(*(load.run(10.0) for load in loads))
+                told = [outcome for load in loads for outcome in load.outcomes]
+                took = sorted(outcome.took_ms for outcome in told if outcome.answer == "served")
+                nodes = herd.site.nodes  # each gateway's accounts are its own
+                met = [len({int(run.customer, 16) // 1000 for run in node.ran}) for node in nodes]
+                made, most = sum(node.made for node in nodes), max(node.most_links for node in nodes)
+                which = "4 each" if operator else "all"
+                print(f"{count} processes of {rate:.0f} a second, {servers} servers, {which}: {made} "
+                      f"connections made, {most} at most at once at a server, met by {max(met)} gateways; "
+                      f"served {len(took)} of {len(told)}, median {took[len(took) // 2]:.1f} ms, p99 "
+                      f"{took[len(took) * 99 // 100]:.1f} ms", flush=True)  # fmt: skip
+
+
+def main() -> int:
+    """The part that is named, or both."""
+    print(machine())
+    if "start" not in sys.argv[1:]:
+        table()
+    if "table" not in sys.argv[1:]:
+        for rate in (5.0, 25.0):
+            asyncio.run(start(60, 24, rate))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/glenchute/capture/codec.py
+++ b/glenchute/capture/codec.py
@@ -111,7 +111,8 @@
         return api.Used(api.Request(**values[0]), *values[1:])
     if kind is api.ServerList:
         rows = [{**row, "state": api.ServerState(row["state"])} for row in values[1]]
-        return api.ServerList(api.ListKind(values[0]), tuple(api.ServerEntry(**row) for row in rows))
+        entries = tuple(api.ServerEntry(**row) for row in rows)
+        return api.ServerList(api.ListKind(values[0]), entries, *values[2:])
     if kind is api.TakeOver:
         return api.TakeOver(tuple(api.Stock(**row) for row in values[0]))
     at = ENDING_AT.get(kind)
--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -84,6 +84,8 @@
         self.recorder: Recorder | None = None
         if operator is not None and operator.capture is not None:
             decisions = self.recorder = self.recording(decisions, operator.capture)
+        if operator is not None and operator.subset is not None:
+            decisions = self.narrowed(decisions, operator.subset)
         self.fleet: Fleet | None = None
         self.control: ControlServer | None = None
         if operator is not None and operator.fleet is not None:
@@ -131,6 +133,15 @@
 
         return backend(shared, self.config, self.loop)
 
+    def narrowed(self, decisions: Decisions, raw: dict[str, Any]) -> Decisions:
+        """The module that is told of some of the servers only; imported only where the operator's file says
+        so. A gateway that does not know its number takes one by its seed: balanced by chance alone."""
+        from glenchute.deciders.subset import Aperture, Terms
+
+        made, number = self.config.settings, self.config.number
+        number = number if number is not None else self.config.seed % max(1, made.gateways)
+        return Aperture(decisions, made, Terms(gateways=made.gateways, number=number, **raw))
+
     def recording(self, decisions: Decisions, raw: dict[str, Any]) -> Recorder:
         """The module behind a recorder; imported only where the operator's file asks for one."""
         from glenchute.capture.recorder import Recorder, Rule
@@ -287,7 +298,7 @@
             self.bind(operator)
             log.info("the operator's file was read again")
             if self.begun is not None and started(operator) != self.begun:
-                tables = "[capture], [discovery], [fleet], [fronts] and [pipeline]"
+                tables = "[capture], [discovery], [fleet], [fronts], [pipeline] and [subset]"
                 log.warning("what changed in %s waits for a restart", tables)
 
     async def leave(self) -> None:
@@ -335,7 +346,8 @@
 
 def started(operator: Operator) -> tuple[Any, ...]:
     """What of an operator's file is followed only from a start on."""
-    return operator.capture, operator.fronts, operator.pipeline, operator.fleet, operator.discovery
+    return (operator.capture, operator.fronts, operator.pipeline, operator.fleet, operator.discovery,
+            operator.subset)  # fmt: skip
 
 
 async def wait(event: asyncio.Event, seconds: float) -> None:
--- a/glenchute/config/operator.py
+++ b/glenchute/config/operator.py
@@ -68,6 +68,14 @@
         "doubt": Switch(),  # odd lists wait for a second word
     }
 )
+SUBSET = Table(
+    {
+        "servers": Number(1, 5_000, whole=True),  # in use by each gateway, at least
+        "busy": Number(0.1, 100),  # attempts out at a server, on average, from which on more are used
+        "calm": Number(0, 100),  # and below which fewer are
+    },
+    ("servers",),
+)
 SHAPE = Table(
     {
         "defaults": Table(BOUNDS),
@@ -76,6 +84,7 @@
         "fleet": FLEET,
         "fronts": FRONTS,
         "pipeline": PIPELINE,
+        "subset": SUBSET,
         "route": Rows(Table({"name": NAME, "match": MATCH, **BOUNDS}, ("name", "match")), MOST_ROUTES),
     }
 )
@@ -111,6 +120,7 @@
     pipeline: dict[str, Any] | None = None
     fleet: dict[str, Any] | None = None
     discovery: dict[str, Any] | None = None
+    subset: dict[str, Any] | None = None
 
 
 class Reading(NamedTuple):
@@ -247,7 +257,10 @@
             faults("empty-match", (*path, "match"), "matches everything; use [defaults] for that")
         found = tuple(match.get(key, ()) for key in ("class", "plan", "command"))
         routes.append(Matched(at, bounds_of(name, row, base), *found))
-    kept = good.get("fleet"), good.get("discovery")
+    narrow = good.get("subset", {})
+    if narrow.get("calm", 0.5) >= narrow.get("busy", 2.0):
+        faults("subset-order", ("subset",), "calm is not under busy, so servers would come and go; lower it")
+    kept = good.get("fleet"), good.get("discovery"), good.get("subset")
     if facts is None:
         equal_ranks(routes, None, faults)
         return Operator({}, tuple(routes), good.get("capture"), fronts, shared, *kept)
--- a/heathglade/interface.py
+++ b/heathglade/interface.py
@@ -148,6 +148,7 @@
 
     kind: ListKind
     entries: tuple[ServerEntry, ...] = ()
+    of: int = 0  # servers that there are, where this gateway is told of some only; 0: these are all
 
 
 @record(frozen=True, slots=True)
--- a/heathglade/policy.py
+++ b/heathglade/policy.py
@@ -460,11 +460,13 @@
         self.means: dict[tuple[str, int], float] = {}
         self.usual = 0.0  # the median share of failures
         self.load = 1.0  # time of the last answers, all kinds, against their means, which are slow to learn
+        self.of = 0  # servers that there are, if more than are known here
         self.crowd = [0.0, 0.0]  # what others have at a server, for its size: means of cold and of warm ones
         self.rate = 0.0  # answers of a warm server, a second: the mean, of those that are warm now
 
     def update(self, news: ServerList, now: float) -> None:
         """Follows the list. A server that drains or is gone gets nothing new from this moment on."""
+        self.of = news.of or self.of
         if news.kind in (ListKind.FULL, ListKind.SAVED):
             listed = {entry.server for entry in news.entries}
             for name in [name for name in self.servers if name not in listed]:
@@ -798,7 +800,7 @@
         """Judges pressure, ages out customers, looks at held requests."""
         self.tick_at = now + TICK_MS
         self.actions.append(SetTimer(0, self.tick_at))
-        self.pressure.part = max(1, len(self.fleet.servers)) / self.settings.gateways
+        self.pressure.part = max(1, self.fleet.of, len(self.fleet.servers)) / self.settings.gateways
         self.pressure.window(now, [
             (min(now, a.began) - a.sent) / a.opened.cls.aim_ms
             for a in self.attempts.values() if a.sent >= self.woke
--- a/lab/coldstart.py
+++ b/lab/coldstart.py
@@ -232,9 +232,9 @@
     def __init__(
         self, folder: Path, count: int, rate: float, line: int = 30,
         operator: str | Callable[[int], str] | None = None,
-        settings: dict[str, Any] | None = None, known: bool = True,
+        settings: dict[str, Any] | None = None, known: bool = True, servers: int = 4,
     ) -> None:  # fmt: skip
-        nodes = [Node(f"s{i}", Trade({"report-read": 4.0}, slots=64)) for i in range(4)]
+        nodes = [Node(f"s{i}", Trade({"report-read": 4.0}, slots=64)) for i in range(servers)]
         self.site = LabSite(nodes, CounterService())
         self.folder, self.count, self.rate, self.line = folder, count, rate, line
         self.operator, self.known = operator, known
--- a/lab/nodes.py
+++ b/lab/nodes.py
@@ -57,7 +57,7 @@
         self.ran: list[Run] = []
         self.received = 0  # commands of clients that came whole
         self.turned_away = 0
-        self.links = 0  # connections that are open
+        self.links = self.most_links = self.made = 0  # connections: open, the most at once, ever made
         self.segments = 0  # reads in which these came, and all else
         self.inflight = self.waiting = 0
         self.free = asyncio.Semaphore(trade.slots)
@@ -83,6 +83,8 @@
         writing.add_done_callback(self.serving.discard)
         parser = hiredis.Reader()
         self.links += 1
+        self.made += 1
+        self.most_links = max(self.most_links, self.links)
         try:
             while data := await reader.read(65536):
                 self.segments += 1
--- a/tests/test_operator_files.py
+++ b/tests/test_operator_files.py
@@ -66,6 +66,8 @@
     bad(FLEET + MEMBER.replace("7947", "7946"), ("member-twice", 4)),
     bad(FLEET + MEMBER.replace("7947", "70000"), ("bad-port", 7)),
     bad(FLEET + MEMBER.replace("127.0.0.1", "gateway"), ("bad-word", 7)),
+    bad("[subset]\nservers = 4\nbusy = 1.0\ncalm = 1.0\n", ("subset-order", 1)),
+    bad("[subset]\nbusy = 1.0\n", ("missing-key", 1)),
     bad(FLEET + "patience_ms = 600\nperiod_ms = 500\n" + MEMBER, ("impatient", 1)),
     bad(FLEET + "budget_kib_s = 1\n" + MEMBER, ("out-of-range", 5)),
     bad(FLEET + "control = 'here'\nvoters = 3\n" + MEMBER, ("bad-word", 5), ("unknown-key", 6)),
