The fleet's audit sets use by account against the counter's totals, by one gateway for all

Change: deciders/fleet/audit.py chooses windows that are over and settled (the busiest 16 a step, each once), reads their totals by adding nothing, and tells once of an account that differs three windows in a row, further apart than what a counter that forgot loses. A holder that reaches no counter passes the lease on after its first step.

--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -110,7 +110,7 @@
             loop, config.discovery, self.listed, self.terms(asked), config.seed, self.doubt, self.serving
         )
         if self.fleet is not None:
-            self.fleet.follow = self.gateway.news
+            self.fleet.follow, self.fleet.counter = self.gateway.news, self.counter
         # What of the operator's file holds until a restart.
         self.begun = started(operator) if operator is not None else None
         self.stopping = asyncio.Event()
--- /dev/null
+++ b/glenchute/deciders/fleet/audit.py
@@ -0,0 +1,132 @@
+"""Use by account, as members' copies have it, against the shared counter's totals. No I/O; wall milliseconds
+are the names of windows only.
+
+Both tell of the same units by ways that have nothing in common, so where they differ for a window that is
+over and whose words have come, one of them has lost something: a counter that forgot, was split or replaced
+holds less than members let in; members that are not heard let in what only the counter knows. One process
+looks for all, as each look is a call to the counter; at the windows with the most use first, each once.
+
+What differs for good reasons is left out or allowed for: units of requests that were refused after asking
+stay in totals of plans with a ceiling (`Quota.call`), so there only "less" is judged; calls that had no
+answer in time may have been added or not, `SLACK` and `SHARE` are for those.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from heathglade.interface import Plan
+from heathglade.marks import mark_of
+from heathglade.windows import span_of, stable, window_start
+
+from .replica import Kind, Row
+
+SETTLED_S = 3.0  # after a window's end all words of it have come, to the counter too
+KNOWN_S = 12.0  # ... and members' rows of it are still held
+LOOKS = 16  # at most in a step
+SLACK, SHARE = 2.0, 0.1  # units, and share of the larger side, by which they may differ
+# Windows of an account in a row that have to differ alike before it is told of. They have to begin further
+# apart than what a counter that forgot has lost of windows that were over and not yet looked at.
+AGAIN = 3
+MOST_ACCOUNTS = 5_000
+MOST_LOOKED = 20_000
+
+
+class Look(NamedTuple):
+    """One total to be asked for."""
+
+    account: str
+    plan: Plan
+    begins: int  # the window, milliseconds
+    name: int  # on the counter
+    told: float  # units that members let in
+    mark: float
+
+
+class Apart(NamedTuple):
+    """An account of which both sides tell otherwise, now, or no longer."""
+
+    account: str
+    less: bool  # the counter holds less than members let in; else more
+    members: float
+    counter: float
+
+
+class Audit:
+    """What one process knows for it."""
+
+    def __init__(self) -> None:
+        self.plans: dict[str, Plan] = {}  # of accounts that this process has seen
+        self.looked: dict[tuple[str, int], None] = {}  # windows, each once
+        # Accounts: how they differ, in how many windows in a row, and when the first of these began.
+        self.runs: dict[str, tuple[bool, int, int]] = {}
+        self.apart: dict[str, Apart] = {}
+        self.compared = self.unanswered = 0
+
+    def seen(self, account: str, plan: Plan) -> None:
+        """A request of this account; only of such is the plan known, and with it where windows end."""
+        if plan.rate and account not in self.plans:
+            if len(self.plans) >= MOST_ACCOUNTS:
+                del self.plans[next(iter(self.plans))]
+            self.plans[account] = plan
+
+    def due(self, now_ms: float, rows: Iterable[Row]) -> list[Look]:
+        """Totals that are worth a look now; `rows` as this process holds them, `now_ms` by the clock that
+        windows are named by."""
+        told: dict[tuple[str, int], float] = {}
+        for row in rows:
+            account, _, start = row.key.rpartition("/")
+            plan = self.plans.get(account)
+            if row.kind is not Kind.USE or plan is None or not start.isdigit():
+                continue
+            age_s = (now_ms - int(start) - span_of(plan)) / 1000.0
+            window = account, int(start)
+            if SETTLED_S <= age_s <= KNOWN_S and window not in self.looked and self.sound(window, plan):
+                told[window] = told.get(window, 0.0) + row.value
+        chosen = sorted(told, key=lambda window: (-told[window], window))[:LOOKS]
+        looks = []
+        for account, begins in chosen:
+            self.looked[account, begins] = None
+            if len(self.looked) > MOST_LOOKED:
+                del self.looked[next(iter(self.looked))]
+            plan = self.plans[account]
+            mark = mark_of(plan.burst, plan.rate, span_of(plan) / 1000.0, plan.ceiling_burst)
+            name = stable(f"{account}/{begins}")
+            looks.append(Look(account, plan, begins, name, told[account, begins], mark))
+        return looks
+
+    @staticmethod
+    def sound(window: tuple[str, int], plan: Plan) -> bool:
+        """Whether such a window there is: a row may say anything."""
+        account, begins = window
+        return abs(window_start(begins + 0.5 * span_of(plan), account, plan) - begins) <= 1.0
+
+    def answered(self, look: Look, total: float | None) -> Apart | None:
+        """The total of a look, None where none came. What is to be told of now: an account that has come to
+        differ, once, until it agrees again."""
+        if total is None:
+            self.unanswered += 1
+            return None
+        self.compared += 1
+        units = total - round(total / look.mark) * look.mark
+        most = SLACK + SHARE * max(look.told, units)
+        less, more = units < look.told - most, units > look.told + most and not look.plan.ceiling_rate
+        if not less and not more:
+            self.runs.pop(look.account, None)
+            self.apart.pop(look.account, None)
+            return None
+        before, count, first = self.runs.get(look.account, (less, 0, look.begins))
+        if before is not less:
+            count, first = 0, look.begins
+        count += 1
+        if look.account not in self.runs and len(self.runs) >= MOST_ACCOUNTS:
+            del self.runs[next(iter(self.runs))]
+        self.runs[look.account] = less, count, first
+        if count < AGAIN or look.begins - first < 1000.0 * SETTLED_S + span_of(look.plan):
+            return None
+        known, found = self.apart.get(look.account), Apart(look.account, less, look.told, units)
+        self.apart[look.account] = found
+        if len(self.apart) > MOST_ACCOUNTS:
+            del self.apart[next(iter(self.apart))]
+        return found if known is None or known.less is not less else None
--- a/glenchute/peers/fleet/events.py
+++ b/glenchute/peers/fleet/events.py
@@ -41,6 +41,11 @@
     "audit.apart": Event(
         logging.WARNING, ("member", "parts"), "a member's copy has differed from the auditor's for over 10 s"
     ),
+    "audit.use": Event(
+        logging.WARNING,
+        ("account", "counter", "members", "holds"),
+        "of an account the counter's total and what members let in differ, in windows that are over",
+    ),
     "task.failed": Event(
         logging.WARNING, ("task", "error"), "a step raised, or took too long; another holder is to try"
     ),
--- a/glenchute/peers/fleet/node.py
+++ b/glenchute/peers/fleet/node.py
@@ -18,9 +18,10 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any, cast
 
-from glenchute.core.types import Address, Decisions, News
+from glenchute.core.types import Address, Counting, Decisions, News
 from glenchute.deciders.fleet import coldstart
 from glenchute.deciders.fleet import members as membership
+from glenchute.deciders.fleet.audit import Audit, Look
 from glenchute.deciders.fleet.coldstart import ASKER_WAIT_S, ListShare
 from glenchute.deciders.fleet.gossip import Gossip, Pace, Rows, Taken
 from glenchute.deciders.fleet.health import Health
@@ -32,7 +33,7 @@
 from heathglade import interface as api
 
 from .events import tell
-from .tasks import SETTLE_S, Guard, Runner, Task, call
+from .tasks import SETTLE_S, Guard, LeaseLost, Runner, Task, call
 from .telling import Telling
 from .wire import Bad, decode, encode
 
@@ -72,6 +73,8 @@
         health = Health(writer, random.Random(rng.getrandbits(60)))
         self.telling = Telling(module, made, self.use, health, self.told, self.share, loop.time)
         self.lists = ListShare(self.name, now, rng) if raw.get("share_list") else None
+        self.use_audit = Audit()
+        self.counter: Counting | None = None
         self.runner = self.running(raw["leases"], rng) if "leases" in raw else None
         self.discovery: Discovery | None = None
         self.follow: Callable[[News], None] | None = None  # takes what others heard of servers
@@ -97,6 +100,7 @@
                 step = call(row["name"], f"{self.name}#{self.boot:x}", address_of(row["address"]), longest)
             elif row["kind"] == "audit":
                 step = self.audit
+                self.telling.seen = self.use_audit.seen
             tasks.append(Task(row["name"], row.get("interval_s", 1.0), 2.0 * longest + SETTLE_S, step))
         return Runner(
             self.loop, self.name, self.boot, terms, tasks, rng, self.send, self.told,
@@ -105,12 +109,36 @@
 
     async def audit(self, guard: Guard) -> None:
         """Tells once of each member whose copy has differed from this one's for longer than copies take to
-        agree. It only reads and writes a line, so that it needs no token."""
+        agree, and of accounts whose use the counter has otherwise. It only reads and writes a line, so that
+        it needs no token."""
         now = self.loop.time()
         apart = {name: parts for name, (since, parts) in self.gossip.apart.items() if now - since > AUDIT_S}
         for name in sorted(apart.keys() - self.audited):
             tell("audit.apart", member=name, parts=apart[name])
         self.audited = set(apart)
+        if self.counter is not None and self.gossip.known:
+            held = (self.replica.rows[at].row for at in self.replica.order[Kind.USE])
+            looks = self.use_audit.due(self.telling.now_ms, held)
+            totals = await asyncio.gather(*map(self.total, looks))
+            if looks and guard.step and totals.count(None) == len(totals):
+                raise LeaseLost  # another may reach the counter. The first step has to end well, or it failed
+            for look, total in zip(looks, totals, strict=True):
+                found = self.use_audit.answered(look, total)
+                if found is not None:
+                    tell("audit.use", account=found.account, counter=round(found.counter, 1),
+                         members=round(found.members, 1), holds="less" if found.less else "more")  # fmt: skip
+
+    async def total(self, look: Look) -> float | None:
+        """What the counter holds under a name; None where it does not say. Adding nothing changes nothing."""
+        assert self.counter is not None
+        told: asyncio.Future[float | None] = self.loop.create_future()
+
+        def done(total: float, ending: api.Ending, took_ms: float) -> None:
+            if not told.done():
+                told.set_result(total if ending is api.Ending.OK else None)
+
+        self.counter.call(look.name, 0.0, 1000.0, done, lambda *late: None)
+        return await told
 
     async def start(self) -> None:
         """Opens the socket; the first probes go out. Where the address is taken, as by the process before
@@ -388,7 +416,8 @@
         held = {kind.name.lower(): len(self.replica.order[kind]) for kind in Kind}
         evicted = {f"evicted_{kind.name.lower()}": self.replica.evicted[kind] for kind in Kind}
         held |= {"denied": self.restraint.denied, "on_trial": len(self.restraint.words),
-                 "avoided": len(self.telling.health.words)}  # fmt: skip
+                 "avoided": len(self.telling.health.words), "audited": self.use_audit.compared,
+                 "use_apart": len(self.use_audit.apart)}  # fmt: skip
         return [{**held, **evicted, "known": self.gossip.known, "share": round(self.share(), 3),
                  "health": self.members.health, "sent_bytes": self.gossip.sent_bytes,
                  "rows_sent": self.gossip.rows_sent, "rows_taken": self.gossip.rows_taken,
--- a/glenchute/peers/fleet/telling.py
+++ b/glenchute/peers/fleet/telling.py
@@ -24,6 +24,8 @@
         share: Callable[[], float], clock: Callable[[], float],
     ) -> None:  # fmt: skip
         """`clock`: seconds, as the rows' ages are counted."""
+        self.seen: Callable[[str, api.Plan], None] = lambda customer, plan: None  # for the audit of use
+        self.now_ms = 0.0  # of the windows' clock, at the last event
         self.module, self.use, self.health, self.clock = module, use, health, clock
         self.tell, self.share = tell, share
         self.servers: set[str] = set()  # on the list
@@ -32,11 +34,13 @@
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         """One event for the module."""
+        self.now_ms = now_ms
         if isinstance(event, api.Request):
             for avoid in self.health.taken(self.clock(), len(self.servers)):
                 self.module.handle(now_ms, avoid)
             plan = self.plans.get(event.plan)
             if plan is not None and plan.rate and len(self.open) < MOST_OPEN:
+                self.seen(event.customer, plan)
                 window, share = window_start(now_ms, event.customer, plan), self.share()
                 units = self.use.by_others(event.customer, window)
                 last = window_start(window - 1.0, event.customer, plan)
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -210,9 +210,9 @@
 
 
 def test_twelve_processes_meet_each_of_twelve_servers_few_at_a_time(tmp_path: Path) -> None:
-    """By the servers' own books of whose requests ran: four gateways a server, and some by load; without subsets
-    47 of 60 met one server (`benchmarks.subsets start`). Then a third of the servers dies, one gateway stands
-    still, and another is killed and started again; service goes on throughout."""
+    """By the servers' own books of whose requests ran: four gateways a server, and some by load; without
+    subsets 47 of 60 met one server (`benchmarks.subsets start`). Then a third of the servers dies, one
+    gateway stands still, and another is killed and started again; service goes on throughout."""
     async def scenario() -> None:
         async with Herd(tmp_path, 12, 100.0, 200, "[subset]\nservers = 4\n", servers=12) as herd:
             await herd.start(range(12))
