--- a/benchmarks/replication.py
+++ b/benchmarks/replication.py
@@ -134,8 +134,8 @@
             )))  # fmt: skip
             last.append(first[-1] + net.run(60.0, lambda net=net: net.all_see("g1", State.DEAD)))  # type: ignore[misc]
         print(f"{count:3} members, {lose:.0%} lost, {slow:.0%} slow: suspected after "
-              f"{statistics.mean(first):.2f} s (SWIM {0.2 * 2.582:.2f}), buried by all after {statistics.mean(last):.1f} s, false burials {false}",
-              flush=True)  # fmt: skip
+              f"{statistics.mean(first):.2f} s (SWIM {0.2 * 2.582:.2f}), buried by all after "
+              f"{statistics.mean(last):.1f} s, false burials {false}", flush=True)  # fmt: skip
 
 
 def gone() -> None:
