A watch that falls silent gets a second call beside it, before its news count as told

To blame: peers/discovery.py QUIET_S (3 s after the wait), then pause, connect, ask. Ruled out: the pools (sends ended 1 ms after the word), the saved list, the module.

Change: deciders/watch.py owns the calls that are out and the budget derived from the terms; peers/discovery.py carries out. A late call gets another beside it, the first answer counts, two are out at most. Also found by reading: one unreadable row hid a drain in another; a start's 0.3 s for the list ran from before the process could ask.

Tests: the model with the old 3 s is late; the start's test fails without its line.

--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -35,7 +35,8 @@
 
     from .succession import Succession
 
-LIST_WAIT_S = 0.3  # a start waits this long for the list of the day before it serves by the saved one
+LIST_WAIT_S = 0.3  # a start waits this long for the list of the day before it serves by the saved one ...
+CALL_WAIT_S = 2.0  # ... from when it was asked for, which takes the process this long at most
 SERVING_S = 5.0  # attempts that fail so long after the last answer tell that no server answers
 LEAVE_S = 3.2  # what is still held this long after SIGTERM is answered and left; the kill comes at 3.7 s
 LINGER_S = 0.05
@@ -117,7 +118,9 @@
 
     def terms(self, asked: dict[str, Any]) -> Terms:
         """Who shares discovery, and what it bears."""
-        terms = Terms(self.config.settings.gateways, self.config.number)
+        # An operator who tells what the service bears tells that it is shared.
+        pushed = not self.config.settings.subscribe and not asked
+        terms = Terms(self.config.settings.gateways, self.config.number, pushed=pushed)
         return terms._replace(rate=asked.get("calls_per_s", terms.rate), list_age_s=asked.get("list_age_s"))
 
     def serving(self) -> bool:
@@ -254,9 +257,8 @@
             self.gateway.news(self.config.known)
             if self.doubt is not None:
                 self.doubt.follow(self.config.known.version, self.config.known.event)
-        version = self.config.known.version if self.config.known is not None else None
         asks = self.fleet is not None and self.fleet.begin(self.config.known, self.discovery)
-        awaited = self.discovery.begin(version, LIST_WAIT_S, asks)
+        awaited = self.discovery.begin(self.config.known, LIST_WAIT_S, asks)
         if self.fleet is not None:
             await self.fleet.start()
         if self.control is not None:
@@ -266,6 +268,8 @@
         # The saved list may be old: a moment is given for today's, but no start hangs on discovery. Where the
         # turn to ask comes later than that, the saved list serves until then.
         if awaited:
+            # A process that gets little of its core makes the call late: that time is not the agent's.
+            await wait(self.discovery.called, CALL_WAIT_S)
             await wait(self.discovery.first, LIST_WAIT_S)
         await self.listener.start(*self.config.listen, self.passed)
         if self.succession is not None:
--- a/glenchute/deciders/pacing.py
+++ b/glenchute/deciders/pacing.py
@@ -29,6 +29,7 @@
 # the service a call, so the wait grows with the fleet, in these bounds: all together end so many a second.
 WAIT_S = (4.0, 20.0)
 CALLS_PER_S = 3.0
+PUSHED_WAIT_S = 3.0  # where lists are pushed: half of the time after which what a silent watch misses counts
 CROWDED_WAIT_S = 55.0  # the longest wait at a service that turns calls away
 ANSWER_S = 2.0  # a crowded service takes so long for an answer
 URGENT = 0.25  # the first part of a spread belongs to those without a list
@@ -51,6 +52,9 @@
     # What the service has to tell counts as told after this, for a gateway that starts too. None: nobody says
     # so, a saved list may be of long ago, and no call is put off but those that the service turns away.
     list_age_s: float | None = None
+    # Lists are pushed: the service is an agent on this machine, which answers at once and at no cost. What it
+    # has counts as told whether or not a call is out.
+    pushed: bool = False
 
 
 def calls_bound(terms: Terms, listed: bool = True) -> float:
@@ -141,12 +145,14 @@
         lost = self.backoff == BACKOFF_S[0]
         share = self.rng.random() if lost else self.rng.uniform(0.5, 1.5)
         pause = max(share * min(self.spread, self.calm), self.backoff * self.rng.uniform(0.5, 1.0))
-        self.backoff = min(BACKOFF_S[1], 2.0 * self.backoff)
+        self.backoff = BACKOFF_S[0] if self.terms.pushed else min(BACKOFF_S[1], 2.0 * self.backoff)
         return pause
 
     def patience(self) -> float:
         """How long a watch waits for news. Gateways that began together must not end together."""
         wait = min(WAIT_S[1], max(WAIT_S[0], self.gateways / CALLS_PER_S))
+        if self.terms.pushed:
+            wait = PUSHED_WAIT_S
         if self.terms.list_age_s is not None:
             wait = max(wait, min(CROWDED_WAIT_S, self.gateways / (WATCHES * self.rate)))
         return wait * self.rng.uniform(0.75, 1.0)
--- /dev/null
+++ b/glenchute/deciders/watch.py
@@ -0,0 +1,181 @@
+"""Which calls for the list are out, when the next one goes, and which are given up: so that what the service
+has to tell is in force before it counts as told. No I/O; seconds of one clock that never goes back.
+
+What is told to whom, and when (PROTOCOL, and the standing test's terms):
+
+- a watch that has fallen silent is broken; what it misses counts as told `TOLD_S` after it fell silent, or
+  `TOLD_AFTER_WAIT_S` after the wait of its call is over, whichever is later;
+- another address counts `TOLD_MOVED_S` after the order to follow it;
+- where lists are pushed, by an agent on this machine that answers at once and at no cost, what the agent
+  has counts as told whether or not a call is out.
+
+A silent watch looks like one without news until its wait is over, and it cannot have fallen silent before
+the answer before it. So from the end of the wait on, `budget` is what is left at least: for noticing, a new
+connection and an answer. It is parted evenly: a call that is not answered after a part of it gets another
+beside it, on a connection of its own, that does not wait for news. Whichever is answered first counts, and
+the others are closed.
+
+Guarantee (property test): while one of the calls made after the silence comes up and is answered within
+`reach`, its answer is in force in time, whatever the wait, the moment of the silence, and what became of
+the other calls.
+
+Cost: where lists are asked for, the service is shared. One call is made beside one that is late, no sooner
+than half of the budget after its wait; then the pauses of `Pacing` hold. A service that answers within a
+second gets no call more than before. Where lists are pushed waits are half of `TOLD_S`, so that three tries
+fit, and pauses are short enough for a drain's grace, as the calls cost nobody but this machine.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from .pacing import PUSHED_WAIT_S, Pacing
+
+TOLD_S = 6.0
+TOLD_AFTER_WAIT_S = 2.0
+TOLD_MOVED_S = 4.0
+TRIES_PUSHED = 3  # calls beside a silent one, within the budget
+TRIES_ASKED = 1
+AT_ONCE_S = 0.001  # the wait of a call that wants an answer now, whether or not there are news
+MOST_OUT = 2  # calls at one time: the newest, and one that may still be answered
+
+
+class Open(NamedTuple):
+    """A connection is to be opened, and a call made on it."""
+
+    line: int
+    wait_s: float  # for news; 0: the whole list is asked for
+
+
+class Ask(NamedTuple):
+    """A call on a connection that has answered."""
+
+    line: int
+    wait_s: float
+
+
+class Close(NamedTuple):
+    """A connection is to be closed: nothing that comes on it counts any more."""
+
+    line: int
+
+
+Action = Open | Ask | Close
+
+
+def budget(wait_s: float, moved: bool = False) -> float:
+    """From the end of a call's wait until what it misses may count as told, seconds at least."""
+    return max((TOLD_MOVED_S if moved else TOLD_S) - wait_s, TOLD_AFTER_WAIT_S)
+
+
+class Watch:
+    """The calls of one gateway. The owner carries actions out in order, calls `tick` at `due`, and tells of
+    each line that it was asked to open or to ask what became of it, in the order of events."""
+
+    def __init__(self, turns: Pacing, others: Callable[[], float] = lambda: 0.0) -> None:
+        """`others`: for how long, in seconds, members ask for this gateway."""
+        self.turns = turns
+        self.others = others
+        self.tries = TRIES_PUSHED if turns.terms.pushed else TRIES_ASKED
+        self.longest_s = float("inf")  # of a watch's waits
+        self.due = float("inf")  # when the next call goes, if nothing comes before
+        self.out: list[int] = []  # lines with a call out or coming up, oldest first
+        self.rest: int | None = None  # the line that has answered, between two calls
+        self.last = 0  # number of the newest line
+        self.beside = 0  # calls made beside a late one since the last answer
+        self.awaited = False  # a start waits for the next answer
+        self.moved = False  # nothing has come from the present address yet
+        self.left_alone = False  # members ask for this gateway
+
+    def reach(self, wait_s: float) -> float:
+        """The part of the budget after which a call gets another beside it. An agent on this machine answers
+        all calls alike, so that even those that need not wait are late by the same measure there."""
+        if self.turns.terms.pushed:
+            wait_s = max(wait_s, PUSHED_WAIT_S)
+        return budget(wait_s, self.moved) / (self.tries + 1)
+
+    def begin(self, now: float, pause_s: float, awaited: bool) -> None:
+        """The first call goes after this pause."""
+        self.due, self.awaited = now + pause_s, awaited
+
+    def move(self, now: float) -> list[Action]:
+        """Another address: what is out at the old one counts no more."""
+        closed = [*self.out, *([self.rest] if self.rest is not None else [])]
+        self.out, self.rest, self.beside, self.moved = [], None, 0, True
+        self.due = now + self.turns.moved()
+        return [Close(line) for line in closed]
+
+    def hurry(self, now: float) -> None:
+        """This gateway is to ask for others from now on."""
+        if self.left_alone:
+            self.due = now
+
+    def tick(self, now: float, listed: bool) -> list[Action]:
+        """Makes the call that is due, if one is. `listed`: a list is held, and news of it are asked."""
+        if now < self.due:
+            return []
+        if not self.out:
+            seconds = self.others()
+            self.left_alone = seconds > 0.0
+            if self.left_alone:
+                self.due = now + seconds + self.turns.in_step()
+                return []
+            return [self.call(now, self.wait() if listed else 0.0)]
+        self.beside += 1
+        actions: list[Action] = [self.call(now, AT_ONCE_S if listed else 0.0)]
+        if self.beside > self.tries:
+            # In vain so far: no longer a matter of one broken watch, and the service's callers take turns.
+            self.due = max(self.due, now + self.turns.failed())
+        while len(self.out) > MOST_OUT:
+            actions.append(Close(self.out.pop(0)))
+        return actions
+
+    def wait(self) -> float:
+        """The wait of the next call for news."""
+        return AT_ONCE_S if self.awaited else min(self.longest_s, self.turns.patience())
+
+    def call(self, now: float, wait_s: float) -> Action:
+        """A call, on the line that rests or on a new one."""
+        self.due = now + wait_s + self.reach(wait_s)
+        line, self.rest = self.rest, None
+        if line is not None:
+            self.out.append(line)
+            return Ask(line, wait_s)
+        self.last += 1
+        self.out.append(self.last)
+        return Open(self.last, wait_s)
+
+    def began(self, now: float, line: int) -> None:
+        """The first bytes of an answer: its wait is over."""
+        if line in self.out[-1:]:
+            self.due = min(self.due, now + self.reach(0.0))
+
+    def answered(self, now: float, line: int, pause_s: float) -> list[Action]:
+        """A sound answer is in force; the next call goes after a pause."""
+        closed = [one for one in self.out if one != line]
+        self.out, self.rest, self.beside = [], line, 0
+        self.awaited = self.moved = False
+        self.due = now + pause_s
+        return [Close(one) for one in closed]
+
+    def failed(self, now: float, line: int, pause_s: float) -> list[Action]:
+        """An answer that says nothing; the next call goes after a pause."""
+        self.out.remove(line)
+        self.due = now + pause_s
+        if self.out:
+            return [Close(line)]  # another call is out, and one line rests at most
+        self.rest = line
+        return []
+
+    def lost(self, now: float, line: int) -> bool:
+        """A connection has ended or did not come up. Whether no call is out any more because of it."""
+        if line == self.rest:
+            self.rest = None  # after its answer: the next call opens another
+        if line not in self.out:
+            return False
+        self.out.remove(line)
+        if self.out:
+            return False
+        self.due = now + self.turns.failed()
+        return True
--- a/glenchute/peers/discovery.py
+++ b/glenchute/peers/discovery.py
@@ -16,18 +16,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from glenchute.core.types import News
+from glenchute.core.types import Address, News
 from glenchute.deciders.pacing import Doubt, Pacing, Terms
+from glenchute.deciders.watch import Action, Ask, Close, Open, Watch
 from heathglade.interface import ListKind, ServerEntry, ServerList, ServerState
 
 log = logging.getLogger("glenchute")
 
-# An answer later than this past its wait means an agent that has gone silent. A crowded service takes 2 s;
-# who gives up earlier leaves it to finish an answer that nobody reads, and asks again.
-QUIET_S = 3.0
-CONNECT_S = 1.0
 BUSY = 503
-AT_ONCE_S = 0.001  # the wait of a call whose answer a start waits for
 IDLE_GAP_S = 0.1  # pause after an answer with no news that came at once; a watch lasts over 0.2 s
 MOST_BODY = 4 * 1024 * 1024
 
@@ -62,19 +58,64 @@
     )
 
 
-def read_list(raw: Any, saved: bool = False) -> News:
-    """Discovery's form of the list, in the module's terms."""
+class Held:
+    """The list in force, for rows of the next that can't be read: their servers stay as they are."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, tuple[ServerEntry, Address | None]] = {}
+
+    def follow(self, news: News) -> None:
+        """This is in force now."""
+        if news.event.kind is not ListKind.CHANGES:
+            self.rows = {}
+        for one in news.event.entries:
+            if one.state is ServerState.GONE:
+                self.rows.pop(one.server, None)
+            else:
+                self.rows[one.server] = one, news.addresses.get(one.server)
+
+    def instead(self, named: set[str], unreadable: list[Any]) -> list[tuple[ServerEntry, Address | None]]:
+        """What stands for rows that can't be read: their servers' old rows; where one does not even tell its
+        server, those of all servers that are not `named` by a row that can."""
+        names = [row.get("id") if isinstance(row, dict) else None for row in unreadable]
+        if not all(isinstance(name, str) for name in names):
+            names = list(self.rows)
+        return [self.rows[name] for name in names if name in self.rows and name not in named]
+
+
+def read_row(row: Any) -> tuple[ServerEntry, Address | None]:
+    """One server and where it listens."""
+    made = entry(row)
+    where = address(row["addr"]) if row.get("addr") else None
+    if made.state is ServerState.ACTIVE and where is None:
+        raise ListError(f"no address for {made.server}")
+    return made, where
+
+
+def read_list(raw: Any, saved: bool = False, held: Held | None = None) -> News:
+    """Discovery's form of the list, in the module's terms. A row that can't be read is a ListError where no
+    list is `held`; else its server stays as it was, so that a bad row hides nothing of the others."""
     try:
         kind = ListKind.SAVED if saved else ListKind.FULL if raw["full"] else ListKind.CHANGES
-        rows = raw["servers"]
-        entries = tuple(entry(row) for row in rows)
-        addresses = {str(row["id"]): address(row["addr"]) for row in rows if row.get("addr")}
-        for one in entries:
-            if one.state is ServerState.ACTIVE and one.server not in addresses:
-                raise ListError(f"no address for {one.server}")
-        return News(int(raw["version"]), ServerList(kind, entries), addresses)
+        version, rows, read, unreadable = int(raw["version"]), raw["servers"], [], []
+        for row in rows:
+            try:
+                read.append(read_row(row))
+            except (KeyError, TypeError, ValueError, AttributeError):
+                if held is None:
+                    raise
+                unreadable.append(row)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise ListError(f"not a list of servers ({error!r})") from None
+    if unreadable and held is not None:
+        if not read:
+            raise ListError(f"none of {len(unreadable)} rows can be read")
+        log.warning("%d of %d rows of the list can't be read: their servers stay as they were",
+                    len(unreadable), len(rows))  # fmt: skip
+        if kind is ListKind.FULL:
+            read += held.instead({one.server for one, _ in read}, unreadable)
+    entries = tuple(one for one, _ in read)
+    return News(version, ServerList(kind, entries), {e.server: at for e, at in read if at is not None})
 
 
 def seconds(text: bytes) -> float | None:
@@ -86,20 +127,23 @@
     """One HTTP connection: a request at a time, each answer handed on whole."""
 
     def __init__(
-        self, answered: Callable[[int, bytes, float | None], None], lost: Callable[[], None]
+        self,
+        answered: Callable[[int, bytes, float | None], None],
+        lost: Callable[[], None],
+        began: Callable[[], None],
     ) -> None:
         import h11  # a tenth of what a start imports, and not needed before the first call
 
         self.h11 = h11
         self.answered = answered
         self.lost = lost
+        self.began = began
         self.http = h11.Connection(h11.CLIENT)
         self.transport: asyncio.Transport | None = None
         self.status = 0
         self.body = b""
         self.retry_after: float | None = None  # seconds, if the answer names them
         self.aborted = False
-        self.told = False  # the last call has its answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
@@ -109,7 +153,6 @@
     def get(self, host: str, target: str) -> None:
         """Sends a request."""
         assert self.transport is not None
-        self.told = False
         head = self.h11.Request(
             method="GET", target=target, headers=[("Host", host), ("Accept", "application/json")]
         )
@@ -135,6 +178,7 @@
         event = self.http.next_event()
         if isinstance(event, self.h11.Response):
             self.status, self.body = event.status_code, b""
+            self.began()
             self.retry_after = seconds(dict(event.headers).get(b"retry-after", b""))
         elif isinstance(event, self.h11.Data):
             self.body += bytes(event.data)
@@ -143,7 +187,6 @@
                 return False
         elif isinstance(event, self.h11.EndOfMessage):
             status, body = self.status, self.body
-            self.told = True
             if self.http.our_state is self.h11.DONE and self.http.their_state is self.h11.DONE:
                 self.http.start_next_cycle()
                 self.answered(status, body, self.retry_after)
@@ -173,7 +216,8 @@
 
 
 class Discovery:
-    """Fetches the list, then watches it for as long as the process runs."""
+    """Fetches the list, then watches it for as long as the process runs. Which calls are out, and when the
+    next one goes, is decided in `deciders/watch.py`."""
 
     def __init__(
         self,
@@ -191,116 +235,128 @@
         self.where = where
         self.tell = tell
         self.since: int | None = None  # the version of the list held; None asks for the whole list
-        self.exchange: Exchange | None = None
-        self.task: asyncio.Task[None] | None = None
-        self.timer: asyncio.TimerHandle | None = None  # of the answer awaited or of the next call
+        self.held = Held()  # the list itself, for rows that can't be read
+        self.lines: dict[int, Exchange] = {}
+        self.opening: dict[int, asyncio.Task[None]] = {}
+        self.timer: asyncio.TimerHandle | None = None
         self.turns = Pacing(terms, random.Random(seed))
+        # Members may ask for this gateway: how long it is to leave the service alone.
+        self.others: Callable[[], float] = lambda: 0.0
+        self.watch = Watch(self.turns, lambda: self.others())
         self.doubt, self.serving = doubt, serving
         self.failed = 0  # tries since the last good answer
-        self.asked = 0.0
+        self.asked = 0.0  # when the last call was sent
+        self.called = asyncio.Event()  # set once a first call has been made, or could not be
         self.first = asyncio.Event()  # set with the first answer
-        self.awaited = True  # a start waits for it
-        # Members may ask for this gateway: how long it is to leave the service alone.
-        self.others: Callable[[], float] = lambda: 0.0
-        self.longest_s = float("inf")  # of a watch's waits
-        self.resting: Callable[[], None] | None = None  # what comes after that
         self.confirmed: Callable[[int], None] = lambda version: None  # told of each sound answer
         self.closed = False
 
-    def begin(self, known: int | None, patience_s: float, at_once: bool = False) -> bool:
-        """The first call, in this gateway's turn. `known`: the version of the saved list, if there is one
-        that can be served by. Whether the answer is worth waiting for so long."""
-        self.since = known
+    def begin(self, known: News | None, patience_s: float, at_once: bool = False) -> bool:
+        """The first call, in this gateway's turn. `known`: the saved list, if there is one that can be served
+        by. Whether the answer is worth waiting for so long."""
+        if known is not None:
+            self.since = known.version
+            self.held.follow(known)
         pause = 0.0 if at_once else self.turns.first(known is not None)
-        self.awaited = pause < patience_s or known is None
-        self.expect(pause, self.start)
-        return self.awaited
-
-    def start(self) -> None:
-        """Opens a connection, and asks on it; later, where members ask for this gateway."""
-        if self.left_alone(self.start):
-            return
-        self.task = self.loop.create_task(self.open())
+        awaited = pause < patience_s or known is None
+        self.watch.begin(self.loop.time(), pause, awaited)
+        self.book()
+        return awaited
 
     def move(self, where: tuple[str, int]) -> None:
         """Discovery has another address: the whole list is asked for there, as versions known from the old
         one mean nothing to it. The list held stays in force until then."""
         if where == self.where:
             return
-        if self.timer is not None:
-            self.timer.cancel()
-        if self.task is not None:
-            self.task.cancel()
-        left, self.exchange, self.since = self.exchange, None, None
-        if left is not None:
-            left.abort()
-        self.where = where
-        self.expect(self.turns.moved(), self.start)
-
-    async def open(self) -> None:
-        """Opens a connection and asks."""
-        exchange = Exchange(lambda *answer: self.answered(exchange, *answer), lambda: self.lost(exchange))
-        self.exchange = exchange
-        try:
-            await asyncio.wait_for(self.loop.create_connection(lambda: exchange, *self.where), CONNECT_S)
-        except (OSError, TimeoutError):
-            self.lost(exchange)
-            return
-        self.ask()
-
-    def ask(self) -> None:
-        """The next call; an answer that does not come ends the connection."""
-        if self.closed or self.exchange is None:
-            return
-        if self.left_alone(self.ask):
-            return
-        if not self.exchange.usable():
-            self.exchange.abort()
-            if self.exchange.told:
-                self.start()
-            else:
-                self.lost(self.exchange)
-            return
-        self.asked = self.loop.time()
-        target, wait = "/v1/servers", QUIET_S
-        if self.since is not None:
-            # The first answer is what a start waits for, and there may be no news.
-            waited = self.awaited and not self.first.is_set()
-            patience = AT_ONCE_S if waited else min(self.longest_s, self.turns.patience())
-            target += f"?since={self.since}&timeout_ms={patience * 1000.0:.0f}"
-            wait += patience
-        self.expect(wait, self.exchange.abort)
-        self.exchange.get(f"{self.where[0]}:{self.where[1]}", target)
-
-    def left_alone(self, then: Callable[[], None]) -> bool:
-        """Whether members ask for this gateway; then it looks again later, and not in step with others."""
-        seconds = self.others()
-        self.resting = then if seconds > 0.0 else None
-        if seconds > 0.0:
-            self.expect(seconds + self.turns.in_step(), then)
-        return seconds > 0.0
+        self.where, self.since = where, None
+        self.carry_out(self.watch.move(self.loop.time()))
+        self.book()
 
     def hurry(self) -> None:
         """This gateway is to ask for others from now on."""
-        if self.resting is not None:
-            self.expect(0.0, self.resting)
+        self.watch.hurry(self.loop.time())
+        self.book()
 
-    def expect(self, seconds: float, then: Callable[[], None]) -> None:
-        """One timer at a time."""
+    def book(self) -> None:
+        """One timer, for the call that is due next."""
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = self.loop.call_later(seconds, then)
-
-    def answered(
-        self, exchange: Exchange, status: int, body: bytes, retry_after: float | None = None
-    ) -> None:
+        self.timer = None if self.closed else self.loop.call_at(self.watch.due, self.tick)
+
+    def tick(self) -> None:
+        """Makes the call that is due."""
+        if self.watch.out and self.watch.due <= self.loop.time():
+            self.failing("no answer")
+        self.carry_out(self.watch.tick(self.loop.time(), self.since is not None))
+        self.book()
+
+    def carry_out(self, actions: list[Action]) -> None:
+        """The decider's orders."""
+        for action in actions:
+            match action:
+                case Open(line, wait_s):
+                    self.open(line, wait_s)
+                case Ask(line, wait_s):
+                    self.ask(line, wait_s)
+                case Close(line):
+                    self.end(line)
+
+    def open(self, line: int, wait_s: float) -> None:
+        """Opens a connection and asks; the decider bounds both together."""
+        exchange = Exchange(
+            lambda *answer: self.answered(line, *answer),
+            lambda: self.lost(line),
+            lambda: self.watch.began(self.loop.time(), line),
+        )
+        self.lines[line] = exchange
+
+        async def connect() -> None:
+            try:
+                await self.loop.create_connection(lambda: exchange, *self.where)
+            except OSError:
+                self.lost(line)
+                return
+            finally:
+                self.opening.pop(line, None)
+            self.ask(line, wait_s)
+
+        self.opening[line] = self.loop.create_task(connect())
+
+    def ask(self, line: int, wait_s: float) -> None:
+        """Makes a call on a connection that is up."""
+        exchange = self.lines.get(line)
+        if exchange is None:
+            return
+        if not exchange.usable():
+            # It ended in this very moment, and its end has not been told yet.
+            self.end(line)
+            self.watch.lost(self.loop.time(), line)
+            self.book()
+            return
+        target = "/v1/servers"
+        if self.since is not None:
+            target += f"?since={self.since}&timeout_ms={wait_s * 1000.0:.0f}"
+        self.asked = self.loop.time()
+        self.called.set()
+        exchange.get(f"{self.where[0]}:{self.where[1]}", target)
+
+    def end(self, line: int) -> None:
+        """Closes a connection; nothing that comes on it counts any more."""
+        task, exchange = self.opening.pop(line, None), self.lines.pop(line, None)
+        if task is not None:
+            task.cancel()
+        if exchange is not None:
+            exchange.abort()
+
+    def answered(self, line: int, status: int, body: bytes, retry_after: float | None = None) -> None:
         """An answer: told on if it is a list, else asked for anew after a pause."""
-        if exchange is not self.exchange:
+        if line not in self.watch.out or line not in self.lines:
             return
+        now = self.loop.time()
         try:
             if status != 200:
                 raise ListError(f"status {status}")
-            news = read_list(json.loads(body))
+            news = read_list(json.loads(body), held=self.held)
             if self.since is None and news.event.kind is not ListKind.FULL:
                 raise ListError("changes to no list")
             if self.since is not None and news.version < self.since and news.event.kind is not ListKind.FULL:
@@ -316,21 +372,24 @@
             # all together may call. With shorter pauses its line stays longer than its callers wait.
             busy = status == BUSY
             pause = self.turns.busy(retry_after, self.since is not None) if busy else self.turns.failed()
-            self.expect(pause, self.ask)
+            self.carry_out(self.watch.failed(now, line, pause))
+            self.book()
             return
         if self.failed:
             log.info("discovery answers again, after %d tries", self.failed)
             self.failed = 0
         if self.since is None or news.event.entries or news.event.kind is ListKind.FULL:
+            self.held.follow(news)
             self.tell(news)
         self.confirmed(news.version)
-        at_once = not news.event.entries and self.loop.time() - self.asked < IDLE_GAP_S
+        at_once = not news.event.entries and now - self.asked < IDLE_GAP_S
         self.since = news.version
         self.turns.answered()
         self.first.set()
         # News end all gateways' watches in the same moment.
         pause = self.turns.in_step() if news.event.entries else 0.0
-        self.expect(IDLE_GAP_S if at_once else pause, self.ask)
+        self.carry_out(self.watch.answered(now, line, IDLE_GAP_S if at_once else pause))
+        self.book()
 
     def failing(self, why: str) -> None:
         """Tells the operators once that the list in force may be old."""
@@ -338,21 +397,18 @@
         if self.failed == 1:
             log.warning("discovery fails (%.80s): the list of version %s stays in force", why, self.since)
 
-    def lost(self, exchange: Exchange) -> None:
-        """The connection is gone or never came up."""
-        if exchange is not self.exchange or self.closed:
+    def lost(self, line: int) -> None:
+        """A connection is gone or never came up."""
+        if self.closed or self.lines.pop(line, None) is None:
             return
-        if exchange.told:
-            return  # after an answer: the next call finds that it needs a new connection
-        self.failing("no connection, or no answer on it")
-        self.expect(self.turns.failed(), self.start)
+        self.called.set()
+        if self.watch.lost(self.loop.time(), line):
+            self.failing("no connection, or no answer on it")
+        self.book()
 
     def close(self) -> None:
         """The end of the process."""
         self.closed = True
-        if self.timer is not None:
-            self.timer.cancel()
-        if self.task is not None:
-            self.task.cancel()
-        if self.exchange is not None:
-            self.exchange.abort()
+        self.book()
+        for line in list(self.lines):
+            self.end(line)
--- a/glenchute/peers/fleet/node.py
+++ b/glenchute/peers/fleet/node.py
@@ -224,7 +224,7 @@
             self.lists.discovery(self.loop.time(), known.version, True, servers_of(known), ())
             self.lists.confirmed = -1e9  # by nobody of late
         discovery.others = self.leave_alone
-        discovery.longest_s = ASKER_WAIT_S
+        discovery.watch.longest_s = ASKER_WAIT_S
         return self.lists.asks(self.there())
 
     def confirmed(self, version: int) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -21,7 +21,6 @@
 from glenchute.fronts.resp2 import clients as clients_module
 from glenchute.fronts.resp2.clients import MOST_PENDING
 from glenchute.peers import counter as counter_module
-from glenchute.peers import discovery as discovery_module
 from glenchute.peers.counter import Counter
 from glenchute.peers.discovery import ListError, read_list
 from heathglade import interface as api
@@ -727,18 +726,6 @@
     play(scenario())
 
 
-def test_a_silent_agent_is_asked_on_a_new_connection(monkeypatch: pytest.MonkeyPatch) -> None:
-    async def scenario() -> None:
-        discovery = DiscoveryPeer()
-        async with site(decisions=Script(lambda event: []), discovery=discovery):
-            await until(lambda: len(discovery.writers) >= 3)
-
-    monkeypatch.setattr(discovery_module, "QUIET_S", 0.05)
-    monkeypatch.setattr(pacing, "WAIT_S", (0.05, 0.05))
-    monkeypatch.setattr(pacing, "CROWDED_WAIT_S", 0.05)
-    play(scenario())
-
-
 def test_discovery_that_is_down_keeps_no_gateway_from_serving() -> None:
     async def scenario() -> None:
         discovery = DiscoveryPeer(listing(1, []))
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,365 @@
+"""The watch on the list: silent, late, reset, crossing and moved calls, by a model and on sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from glenchute.cli.run import LIST_WAIT_S
+from glenchute.deciders import pacing, watch
+from glenchute.deciders.pacing import Pacing, Terms
+from glenchute.deciders.watch import Ask, Close, Open, Watch, budget
+from glenchute.peers.discovery import Discovery, ListError, read_list
+from glenchute.peers.discovery import Held as HeldList
+from heathglade import interface as api
+from lab.peers import Peer, always, http, listing, play, row, until
+from tests.loopback import Script, site
+
+
+class Agent:
+    """What answers a gateway's calls, under a simulated clock. Calls made before `silent_at` that have not
+    been answered by then never are; a later one is answered `late` after it was made, with what is new."""
+
+    def __init__(self, terms: Terms, seed: int, silent_at: float, late: list[float]) -> None:
+        self.turns = Pacing(terms, random.Random(seed))
+        self.watch = Watch(self.turns)
+        self.silent_at, self.late = silent_at, late
+        self.now = 0.0
+        self.answers: dict[int, float] = {}  # when a line's call is answered
+        self.calls: list[tuple[float, float]] = []  # when each was made, and its wait
+        self.most_out = 0
+
+    def carry_out(self, actions: list[watch.Action]) -> None:
+        for action in actions:
+            if isinstance(action, Close):
+                self.answers.pop(action.line, None)
+                continue
+            assert isinstance(action, Open | Ask)
+            self.calls.append((self.now, action.wait_s))
+            if self.now >= self.silent_at:
+                late = self.late[min(len(self.late) - 1, self.made_since() - 1)]
+                self.answers[action.line] = self.now + late
+            elif self.now + action.wait_s < self.silent_at:
+                self.answers[action.line] = self.now + action.wait_s
+            self.most_out = max(self.most_out, len(self.watch.out))
+
+    def made_since(self) -> int:
+        return sum(at >= self.silent_at for at, _ in self.calls)
+
+    def heard_at(self) -> float:
+        """When the news of the silence are in force."""
+        self.watch.begin(0.0, 0.0, False)
+        for _ in range(10_000):
+            line, at = min(self.answers.items(), key=lambda one: one[1], default=(0, float("inf")))
+            self.now = max(self.now, min(at, self.watch.due))
+            if at <= self.watch.due:
+                del self.answers[line]
+                if self.now >= self.silent_at:
+                    return self.now
+                self.carry_out(self.watch.answered(self.now, line, 0.0))
+            else:
+                self.carry_out(self.watch.tick(self.now, True))
+        raise AssertionError("nothing was ever heard")
+
+
+def told_at(agent: Agent) -> float:
+    """When it counts as told: the terms of PROTOCOL and of the standing test, by the silent call."""
+    began, wait_s = max(one for one in agent.calls if one[0] < agent.silent_at)
+    return max(agent.silent_at + watch.TOLD_S, began + wait_s + watch.TOLD_AFTER_WAIT_S)
+
+
+@st.composite
+def silences(draw: st.DrawFn) -> tuple[Agent, float]:
+    pushed, gateways = draw(st.booleans()), draw(st.sampled_from([1, 3, 40, 200, 2000]))
+    silent_at = draw(st.floats(0.0, 60.0, exclude_min=True))
+    reach = 0.75 if pushed else 1.0  # of the watch's calls: checked against the decider's word below
+    # Lateness of the calls after the silence; in each pair one is within reach, the other may never be.
+    first, share = draw(st.sampled_from([0, 1] if pushed else [0])), draw(st.floats(0.0, 1.0))
+    late = [1e9] * first + [share * reach]
+    return Agent(Terms(gateways, 0, pushed=pushed), draw(st.integers(0, 99)), silent_at, late), reach
+
+
+@settings(max_examples=600, deadline=None)
+@given(silences())
+def test_what_a_silent_watch_misses_is_in_force_before_it_counts_as_told(made: tuple[Agent, float]) -> None:
+    agent, reach = made
+    for wait_s in (0.0, 2.25, 3.0) if agent.turns.terms.pushed else (0.0, 3.0, 4.0, 9.0, 20.0, 55.0):
+        assert agent.watch.reach(wait_s) >= reach  # what the page of the decider promises
+    heard = agent.heard_at()
+    assert heard <= told_at(agent)
+    assert agent.most_out <= watch.MOST_OUT
+    pushed = agent.turns.terms.pushed
+    assert sum(at >= agent.silent_at for at, _ in agent.calls) <= (2 + watch.TRIES_PUSHED if pushed else 2)
+
+
+def test_without_the_call_beside_it_would_be_late(monkeypatch: pytest.MonkeyPatch) -> None:
+    """As it was: an answer was given up 3 s after its wait."""
+    monkeypatch.setattr(Watch, "reach", lambda self, wait_s: 3.0)
+    agent = Agent(Terms(200, 0), 1, 30.0, [0.0])
+    assert agent.heard_at() > told_at(agent)
+
+
+def test_a_service_that_answers_within_a_second_gets_no_call_more() -> None:
+    """What the calls beside cost a fleet of 200 that asks: none at a service that takes up to a second for an
+    answer, one for each call that takes longer, and no crowd when nothing is answered at all."""
+    made = {}
+    for late in (0.0, 0.9, 1.9, 1e9):
+        calls = 0
+        for number in range(200):
+            agent = Watch(Pacing(Terms(200, number), random.Random(number)))
+            now, answers = 0.0, dict[int, float]()
+            agent.begin(0.0, number * 0.1, False)
+            while now < 120.0:
+                line, at = min(answers.items(), key=lambda one: one[1], default=(0, 1e18))
+                now = min(at, agent.due)
+                if at <= agent.due:
+                    answers.clear()
+                    agent.answered(now, line, 0.0)
+                    continue
+                for action in agent.tick(now, True):
+                    if not isinstance(action, Close):
+                        calls += 1
+                        answers[action.line] = now + action.wait_s + late
+                    else:
+                        answers.pop(action.line, None)
+        made[late] = calls / 120.0
+    assert made[0.9] <= made[0.0] <= 12.5 and made[1.9] <= 2.0 * made[0.0]
+    assert made[1e9] <= 200 / 1.5  # each asks again at a bounded pace
+
+
+@pytest.mark.parametrize("wait_s", [0.0, 3.0, 4.0, 20.0, 55.0])
+def test_the_budget_is_what_the_terms_leave(wait_s: float) -> None:
+    for silent in (0.0, 0.5 * wait_s, wait_s):
+        told = max(silent + watch.TOLD_S, wait_s + watch.TOLD_AFTER_WAIT_S)
+        assert wait_s + budget(wait_s) <= told
+
+
+# --- on sockets ------------------------------------------------------------------------------------------
+
+
+class Held(Peer):
+    """Discovery by hand: each call is kept, with its connection, until the test answers it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.calls: list[tuple[str, asyncio.StreamWriter]] = []
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            self.calls.append((head.split(b" ")[1].decode(), writer))
+
+    async def call(self, number: int) -> asyncio.StreamWriter:
+        """The connection of a call, once it has come."""
+        await until(lambda: len(self.calls) > number)
+        return self.calls[number][1]
+
+    async def answer(self, number: int, data: bytes) -> None:
+        (await self.call(number)).write(data)
+
+    def reset(self, number: int) -> None:
+        self.calls[number][1].transport.abort()
+
+    @property
+    def open(self) -> int:
+        return sum(not writer.transport.is_closing() for writer in self.writers)
+
+
+@pytest.fixture
+def quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The terms at a tenth of their size."""
+    for module, name, value in (
+        (watch, "TOLD_S", 0.6), (watch, "TOLD_AFTER_WAIT_S", 0.2), (watch, "TOLD_MOVED_S", 0.4),
+        (pacing, "PUSHED_WAIT_S", 0.3), (watch, "PUSHED_WAIT_S", 0.3),
+    ):  # fmt: skip
+        monkeypatch.setattr(module, name, value)
+
+
+def states(script: Script) -> dict[str, str]:
+    """What the module was told of each server last."""
+    return {e.server: e.state.value for event in script.of(api.ServerList) for e in event.entries}
+
+
+DRAINS = listing(9, [row("a", 80, "Terminating")], full=False)
+READY = listing(5, [row("a", 80), row("b", 81)])
+STALE = listing(6, [row("a", 80)], full=False)
+# One row of three can't be read: by its address, by what it is, by its number.
+UNREADABLE = [
+    row("b", 81) | {"addr": "nowhere"},
+    {"id": "b", "state": "Ready"},
+    ["b"],
+    row("b", 81) | {"started_ms": "soon"},
+]
+
+
+async def first_answers(agent: Held) -> None:
+    """A list is held, and a watch is out: the call of number 1."""
+    await agent.answer(0, READY)
+    await agent.call(1)
+
+
+async def silent_then_beside(agent: Held, script: Script) -> None:
+    """Both calls are answered in one moment, the older last: it takes nothing back."""
+    await agent.call(2)
+    agent.calls[2][1].write(DRAINS)
+    agent.calls[1][1].write(STALE)  # both are read in one round of the loop, in either order
+    await until(lambda: states(script)["a"] == "draining")
+    assert "since=9&" in (await agent.call(3), agent.calls[3][0])[1]
+    await until(lambda: agent.open == 1)
+
+
+async def late_before_beside(agent: Held, script: Script) -> None:
+    """The late call is answered while the second is out: the second is closed."""
+    await agent.call(2)
+    agent.calls[1][1].write(DRAINS)
+    await until(lambda: states(script)["a"] == "draining")
+    assert (await agent.call(3)) is agent.calls[1][1]
+    await until(lambda: agent.open == 1)
+
+
+async def reset_in_mid_answer(agent: Held, script: Script) -> None:
+    agent.calls[1][1].write(DRAINS[:-20])
+    await asyncio.sleep(0.01)
+    agent.reset(1)
+    assert states(script)["a"] == "active"
+    await agent.answer(2, DRAINS)
+
+
+async def stops_in_mid_answer(agent: Held, script: Script) -> None:
+    """Half of an answer and silence: another call is made beside it, long before its wait is over."""
+    agent.calls[1][1].write(DRAINS[:-20])
+    await agent.answer(2, DRAINS)
+
+
+async def trickles(agent: Held, script: Script) -> None:
+    """A byte at a time is an answer too, if it is whole in time."""
+    for at in range(len(DRAINS)):
+        agent.calls[1][1].write(DRAINS[at : at + 1])
+        if at % 20 == 0:
+            await asyncio.sleep(0)
+
+
+async def silent_for_long(agent: Held, script: Script) -> None:
+    """Down: two calls are out at most, and the one that is answered at the return counts."""
+    for number in range(2, 7):
+        await agent.call(number)
+        await until(lambda: agent.open <= watch.MOST_OUT)
+    last = len(agent.calls) - 1
+    agent.calls[last][1].write(DRAINS)
+
+
+async def refused_beside(agent: Held, script: Script) -> None:
+    """No connection can be opened for the second call; the first is answered after all."""
+    assert agent.server is not None
+    agent.server.close()
+    await asyncio.sleep(0.5)
+    agent.calls[1][1].write(DRAINS)
+
+
+@pytest.mark.parametrize(
+    "scene",
+    [silent_then_beside, late_before_beside, reset_in_mid_answer, stops_in_mid_answer, trickles,
+     silent_for_long, refused_beside],
+)  # fmt: skip
+def test_a_drain_is_heard_of_whatever_becomes_of_the_call(scene: Any, quick: None) -> None:
+    async def scenario() -> None:
+        agent, script = Held(), Script(lambda event: [])
+        task = asyncio.create_task(first_answers(agent))
+        async with site(decisions=script, discovery=agent):  # type: ignore[arg-type]
+            await task
+            await scene(agent, script)
+            await until(lambda: states(script)["a"] == "draining")
+            assert states(script)["b"] == "active"
+
+    play(scenario())
+
+
+@pytest.mark.parametrize("bad", UNREADABLE)
+@pytest.mark.parametrize("full", [False, True])
+def test_a_row_that_cant_be_read_hides_no_drain_in_another(bad: Any, full: bool, quick: None) -> None:
+    async def scenario() -> None:
+        agent, script = Held(), Script(lambda event: [])
+        task = asyncio.create_task(first_answers(agent))
+        async with site(decisions=script, discovery=agent) as one:  # type: ignore[arg-type]
+            await task
+            rows = {"version": 9, "full": full, "servers": [row("a", 80, "Terminating"), bad]}
+            await agent.answer(1, http(json.dumps(rows).encode()))
+            await until(lambda: states(script)["a"] == "draining")
+            assert states(script)["b"] == "active" and set(one.program.servers.known()) == {"a", "b"}
+            assert "since=9&" in (await agent.call(2), agent.calls[2][0])[1]
+
+    play(scenario())
+
+
+def test_a_list_of_which_no_row_can_be_read_is_turned_down() -> None:
+    """A form that is new to us must not end service."""
+    with pytest.raises(ListError):
+        read_list({"version": 1, "full": True, "servers": UNREADABLE}, held=None)
+    with pytest.raises(ListError):
+        read_list({"version": 1, "full": True, "servers": UNREADABLE}, held=HeldList())
+
+
+@pytest.mark.parametrize("way", ["silent", "connecting", "twice", "back"])
+def test_a_new_address_counts_whatever_was_under_way(way: str, quick: None) -> None:
+    async def scenario() -> None:
+        old, other, new, script = Held(), Held(), Held(), Script(lambda event: [])
+        task = asyncio.create_task(first_answers(old))
+        async with site(decisions=script, discovery=old) as one:  # type: ignore[arg-type]
+            await task
+            for peer in (other, new):
+                await peer.start()
+            discovery, first = one.program.discovery, one.program.discovery.where
+            last = new
+            if way == "silent":
+                await old.call(2)  # a call is late, and another out beside it
+            if way == "connecting":
+                discovery.move(("127.0.0.1", other.port))
+                await until(lambda: bool(discovery.opening))
+            if way == "twice":
+                discovery.move(("127.0.0.1", other.port))
+                await other.call(0)
+            if way == "back":
+                discovery.move(("127.0.0.1", new.port))
+                await new.call(0)
+                last = old
+            before = len(last.calls)
+            discovery.move(first if way == "back" else ("127.0.0.1", new.port))
+            # What the places left behind say now counts no more.
+            for peer in {old, other, new} - {last}:
+                for writer in [one for _, one in peer.calls if not one.transport.is_closing()]:
+                    writer.write(listing(99, [row("a", 80, "Terminating"), row("b", 81, "Terminating")]))
+            await last.call(before)
+            assert last.calls[before][0] == "/v1/servers"  # versions of another place mean nothing
+            await last.answer(before, listing(3, [row("a", 80, "Terminating"), row("b", 81)]))
+            await until(lambda: states(script)["a"] == "draining")
+            assert states(script)["b"] == "active"
+            await until(lambda: sum(peer.open for peer in (old, other, new)) == 1)
+
+            for peer in (other, new):
+                await peer.stop()
+
+    play(scenario())
+
+
+def test_a_start_hears_of_a_drain_before_it_serves_by_a_saved_list(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The saved list has a server Ready that drains. The time that the start waits runs from the call: what
+    the process needs to make it, on a fifth of a core, is not the agent's."""
+
+    async def scenario() -> None:
+        agent, script = Held(), Script(lambda event: [])
+        task = asyncio.create_task(agent.answer(0, listing(2, [row("s0", 80, "Terminating")], full=False)))
+        async with site(always(None), decisions=script, discovery=agent):  # type: ignore[arg-type]
+            assert states(script)["s0"] == "draining"
+        await task
+
+    def late(self: Discovery, line: int, wait_s: float) -> None:
+        self.loop.call_later(2.0 * LIST_WAIT_S, at_once, self, line, wait_s)
+
+    at_once = Discovery.open
+    monkeypatch.setattr(Discovery, "open", late)
+    play(scenario())
