--- /dev/null
+++ b/benchmarks/floors.py
@@ -0,0 +1,57 @@
+"""The lowest margins over the standing test's floors, from the bench's journal.
+
+    python -m benchmarks.floors [JOURNAL] [--since ID]
+
+For each deployment and panel: days, lowest score, what was served over what the gate wants (of all, of the class
+and of the plan that came nearest), and the highest price of units beyond quotas on calm days. Over 1 holds on
+that day alone; on short days the gate adds all days up, so that one of them may be under 1.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+
+def ratio(served: float, wanted: float | None) -> float:
+    """Served over wanted; what wants nothing has all the room there is."""
+    return served / wanted if wanted else float("inf")
+
+
+def nearest(days: Iterable[dict[str, Any]], key: str) -> tuple[float, str]:
+    """The class or plan that came nearest to its floor, and on which day."""
+    found = [
+        (ratio(row[1], row[2]), f"{row[0]} on {day['name']}") for day in days for row in day.get(key) or ()
+    ]
+    return min(found, default=(float("inf"), "-"))
+
+
+def main() -> None:
+    """Prints a row for each deployment and panel."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("journal", nargs="?", default="journal", type=Path)
+    parser.add_argument("--since", default="", help="an entry's time, such as 20261202T0240")
+    asked = parser.parse_args()
+    rows: dict[tuple[str, str], list[dict[str, Any]]] = {}
+    for path in sorted(asked.journal.glob("*.json")):
+        entry = json.loads(path.read_text()) if path.name >= asked.since else {}
+        days = [day for day in entry.get("days") or () if "served_least" in day]
+        panel = next((word for word in ("brink", "quick") if word in str(entry.get("panel"))), "full")
+        rows.setdefault((str(entry.get("site")), panel), []).extend(days)
+    print(f"{'deployment':16} {'panel':8} days  least score  served  class                                   plan"
+          "                                    over on calm")  # fmt: skip
+    for (site, panel), days in sorted(rows.items()):
+        if not days:
+            continue
+        served = min(ratio(day["served"], day["served_least"]) for day in days)
+        (of_class, cls), (of_plan, plan) = nearest(days, "by_class"), nearest(days, "by_tenant")
+        over = max((day["over"] for day in days if day["name"].startswith("calm+mass")), default=float("nan"))
+        print(f"{site:16} {panel:8} {len(days):4}  {min(day['score'] for day in days):11.2f}  {served:6.2f}  "
+              f"{of_class:4.2f} {cls:34} {of_plan:4.2f} {plan:34} {over:.3f}")  # fmt: skip
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -70,14 +70,17 @@
 
 
 @asynccontextmanager
-async def whole(tmp_path: Path, agent: Peer | None = None, longest_ms: float = 2e4) -> AsyncIterator[Whole]:
+async def whole(
+    tmp_path: Path, agent: Peer | None = None, longest_ms: float = 2e4,
+    counter: bytes | None = b"+PONG\r\n", saved: bool = True,
+) -> AsyncIterator[Whole]:  # fmt: skip
     made: list[Whole] = []
 
     async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
         await made[0].release.wait()
         return SERVED
 
-    server, counts = RespPeer(reply), RespPeer(always(b"+PONG\r\n"))
+    server, counts = RespPeer(reply), RespPeer(always(counter))
     discovery = agent or DiscoveryPeer()
     for peer in (server, counts, discovery):
         await peer.start()
@@ -91,6 +94,8 @@
     raw["settings"] = SETTINGS | {
         "profiles": [one | {"hard_limit_ms": longest_ms} for one in SETTINGS["profiles"]]
     }
+    if not saved:
+        del raw["known"]
     path = tmp_path / "config.json"
     path.write_text(json.dumps(raw))
     process = await start(path)
@@ -197,6 +202,30 @@
     play(scenario())
 
 
+def test_a_restart_is_ready_at_a_fifth_of_a_core_with_nobody_to_ask(tmp_path: Path) -> None:
+    """Discovery and counter say nothing, no list is saved; the process runs for 20 ms of each 100."""
+
+    async def scenario() -> None:
+        agent = Held()
+        async with whole(tmp_path, agent, counter=None, saved=False) as one:
+
+            async def fifth() -> None:
+                while one.process.returncode is None:
+                    one.signal(signal.SIGSTOP)
+                    await asyncio.sleep(0.08)
+                    one.signal(signal.SIGCONT)
+                    await asyncio.sleep(0.02)
+
+            task = asyncio.create_task(fifth())
+            async with asyncio.timeout(10.0):
+                asker = await patient(one.listen)
+                assert await asker.ask(b"PING") == b"PONG"
+            task.cancel()
+            one.signal(signal.SIGCONT)
+
+    play(scenario())
+
+
 @pytest.mark.parametrize("longest_s", [0.05, 0.15, 0.8, 1.5, 3.0, 6.0, 60.0])
 def test_all_is_over_before_the_kill_however_short_deadlines_are(longest_s: float) -> None:
     """The kill comes no sooner than the longest deadline, three seconds at most, and 0.7 s more."""
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 import random
+import socket
+import struct
 from typing import Any
 
 import pytest
@@ -163,7 +165,10 @@
         (await self.call(number)).write(data)
 
     def reset(self, number: int) -> None:
-        self.calls[number][1].transport.abort()
+        writer = self.calls[number][1]
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
 
     @property
     def open(self) -> int:
@@ -230,6 +235,26 @@
     await agent.answer(2, DRAINS)
 
 
+def endless(data: bytes) -> bytes:
+    """An answer that has no length: the end of the connection is its end."""
+    return b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + data.partition(b"\r\n\r\n")[2]
+
+
+async def no_length_and_an_end(agent: Held, script: Script) -> None:
+    agent.calls[1][1].write(endless(DRAINS))
+    agent.calls[1][1].close()
+
+
+async def no_length_and_a_reset(agent: Held, script: Script) -> None:
+    """A reset is no end, however whole the answer looks."""
+    agent.calls[1][1].write(endless(STALE.replace(b'"version": 6', b'"version": 8')))
+    await asyncio.sleep(0.02)
+    agent.reset(1)
+    await agent.call(2)
+    assert "since=5&" in agent.calls[2][0]
+    await agent.answer(2, DRAINS)
+
+
 async def stops_in_mid_answer(agent: Held, script: Script) -> None:
     """Half of an answer and silence: another call is made beside it, long before its wait is over."""
     agent.calls[1][1].write(DRAINS[:-20])
@@ -263,8 +288,8 @@
 
 @pytest.mark.parametrize(
     "scene",
-    [silent_then_beside, late_before_beside, reset_in_mid_answer, stops_in_mid_answer, trickles,
-     silent_for_long, refused_beside],
+    [silent_then_beside, late_before_beside, reset_in_mid_answer, no_length_and_an_end, no_length_and_a_reset,
+     stops_in_mid_answer, trickles, silent_for_long, refused_beside],
 )  # fmt: skip
 def test_a_drain_is_heard_of_whatever_becomes_of_the_call(scene: Any, quick: None) -> None:
     async def scenario() -> None:
