--- a/benchmarks/floors.py
+++ b/benchmarks/floors.py
@@ -2,9 +2,9 @@
 
     python -m benchmarks.floors [JOURNAL] [--since ID]
 
-For each deployment and panel: days, lowest score, what was served over what the gate wants (of all, of the class
-and of the plan that came nearest), and the highest price of units beyond quotas on calm days. Over 1 holds on
-that day alone; on short days the gate adds all days up, so that one of them may be under 1.
+For each deployment and panel: days, lowest score, what was served over what the gate wants (of all, of the
+class and of the plan that came nearest), and the highest price of units beyond quotas on calm days. Over 1
+holds on that day alone; on short days the gate adds all days up, so that one of them may be under 1.
 """
 
 from __future__ import annotations
@@ -41,8 +41,7 @@
         days = [day for day in entry.get("days") or () if "served_least" in day]
         panel = next((word for word in ("brink", "quick") if word in str(entry.get("panel"))), "full")
         rows.setdefault((str(entry.get("site")), panel), []).extend(days)
-    print(f"{'deployment':16} {'panel':8} days  least score  served  class                                   plan"
-          "                                    over on calm")  # fmt: skip
+    print(f"{'deployment':16} {'panel':8} days  least score  served  {'class':39} {'plan':39} over on calm")
     for (site, panel), days in sorted(rows.items()):
         if not days:
             continue
