--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -188,8 +188,8 @@
 def quick(monkeypatch: pytest.MonkeyPatch) -> None:
     """The terms at a tenth of their size."""
     for module, name, value in (
-        (pacing, "TOLD_S", 0.6), (watch, "TOLD_S", 0.6), (watch, "TOLD_AFTER_WAIT_S", 0.2), (watch, "TOLD_MOVED_S", 0.4),
-        (pacing, "PUSHED_WAIT_S", 0.3), (watch, "PUSHED_WAIT_S", 0.3),
+        (pacing, "TOLD_S", 0.6), (watch, "TOLD_S", 0.6), (watch, "TOLD_AFTER_WAIT_S", 0.2),
+        (watch, "TOLD_MOVED_S", 0.4), (pacing, "PUSHED_WAIT_S", 0.3), (watch, "PUSHED_WAIT_S", 0.3),
     ):  # fmt: skip
         monkeypatch.setattr(module, name, value)
 
