A failed call to discovery costs no change its 6 s, also where list_age_s is stated

Cause: Pacing spread calls after a 503 or a failure over up to 60 s where the operators state list_age_s, and kept any Retry-After up to 60 s; a call after a failed one waited for news as long as any (20 s and more), so one that hung was missed for that long; the order to move waited up to list_age_s.

Change: the terms stand once, in deciders/told.py; Watch and Pacing derive their pauses and waits from them. A call that came to nothing is followed within told.latest of the moment at which it was made and within 4 s; until a sound answer, calls wait 4 s at most; after a move, 2 s. Retry-After is kept up to half of that. Who comes again and again does so each 3 to 4 s, and after news gateways take turns by their numbers instead of by draws. A 503 of an agent that pushes lists pauses 0.1 s as other failures.

Tests: a property over kind of failure, lateness of its word, moment of the return, Retry-After and age; every pause against the terms; the pace at a service that is away. The wrong size 3-300 asked at most 40 calls a second after 20 s of 300 gateways that are turned away, which is one in 7.5 s; it now holds the pace of the terms, and that all is quiet later. lab/coldstart.py drew a watch's wait after its answer, so it never saw a wait of a call in doubt.

--- a/glenchute/deciders/pacing.py
+++ b/glenchute/deciders/pacing.py
@@ -8,11 +8,14 @@
 What a service sees of N gateways, at a rate of R calls a second and lists that may be B old, both stated:
 
 - N that start at once: at most `calls_bound` in any second, which is the larger of `LOAD` R and
-  4/3 N / (B - 2 s), and one. Where the size is set wrong by a factor, so is this, until the service has
-  turned calls away: each time divides the rate by `DECREASE`. Where no age is stated, whoever is turned away
-  comes again within `UNSTATED_SPREAD_S`, whatever the service says of it: its news count as told by then.
-- N that lose their watch, hear the same news or are moved at once: as many on average; a second's number
-  is drawn.
+  4/3 N / (B - 2 s), and one. These are first calls. Where the size is set wrong by a factor, so is this,
+  until the service has turned calls away: each time divides the rate by `DECREASE`.
+- N that hear the same news at once: as many; on average, where they don't know their numbers.
+- N that lose their watch or are turned away: the same, but each comes again within `told.longest_pause`
+  (4 s), whatever the service says of it and whatever is stated: its news count as told by then. So the
+  terms go before the rate: R below N / (4 s) / `LOAD` does not bear them. While calls fail or are turned
+  away, again and again, each makes one in 3 to 4 s.
+- N that are moved: within 2 s, for the same reason.
 - A start over and over with a pause shorter than its turn makes no call; a longer one, one call each.
 - Without a list (its turn comes in the first quarter, which the others leave free) four times as many, if
   all have none.
@@ -26,23 +29,21 @@
 
 from heathglade.interface import ListKind, ServerList, ServerState
 
+from . import told
+
 # A watch waits so long for news; what it waits for counts as told 2 s after that. Each end of a wait costs
 # the service a call, so the wait grows with the fleet, in these bounds: all together end so many a second.
 WAIT_S = (4.0, 20.0)
 CALLS_PER_S = 3.0
-PUSHED_WAIT_S = 3.0  # where lists are pushed: half of the time after which what a silent watch misses counts
 CROWDED_WAIT_S = 55.0  # the longest wait at a service that turns calls away
-ANSWER_S = 2.0  # a crowded service takes so long for an answer
 URGENT = 0.25  # the first part of a spread belongs to those without a list
 LOAD = 0.8  # of the rate is what turns take; the ends of waits need some
 WATCHES = 0.25  # ... and no more than this
 DECREASE = 4.0  # of the rate, at each call that is turned away
 INCREASE = 0.1  # of what is left then, at each answer
-MOST_SPREAD_S = 60.0
-TOLD_S = 6.0  # what the service has to tell counts as told so much later, whether or not it was heard
-UNSTATED_SPREAD_S = TOLD_S - ANSWER_S  # so that no pause makes news late where nobody states more
+MOST_SPREAD_S = 60.0  # of calls that all make after news, at a service that turned calls away
+AGAIN = 0.75  # who comes again and again takes the last part of the longest pause, so that few calls are made
 BACKOFF_S = (0.1, 1.0)  # pauses between tries at a service that does not answer
-MOST_RETRY_AFTER_S = 60.0
 
 
 class Terms(NamedTuple):
@@ -60,10 +61,11 @@
 
 
 def calls_bound(terms: Terms, listed: bool = True) -> float:
-    """Calls in any one second, at most, by gateways that all begin in one moment and know their numbers."""
+    """First calls in a second, at most, of gateways that all begin in one moment and know their numbers."""
     if terms.list_age_s is None:
         return float(terms.gateways)
-    most = max(LOAD * terms.rate, terms.gateways / (1.0 - URGENT) / max(1e-9, terms.list_age_s - ANSWER_S))
+    spread = max(1e-9, terms.list_age_s - told.ANSWER_S)
+    most = max(LOAD * terms.rate, terms.gateways / (1.0 - URGENT) / spread)
     return min(float(terms.gateways), most * (1.0 if listed else (1.0 - URGENT) / URGENT) + 1.0)
 
 
@@ -77,6 +79,7 @@
         self.step = 0.0  # by which it grows
         self.crowded = False  # calls were turned away, and the rate is not yet what it was
         self.backoff = BACKOFF_S[0]
+        self.doubted = False  # the last call came to nothing
 
     @property
     def spread(self) -> float:
@@ -89,7 +92,7 @@
     def most(self) -> float:
         """The longest spread."""
         if self.crowded:
-            return UNSTATED_SPREAD_S if self.terms.list_age_s is None else MOST_SPREAD_S
+            return told.longest_pause() if self.terms.list_age_s is None else MOST_SPREAD_S
         return self.calm
 
     @property
@@ -97,14 +100,18 @@
         """The longest spread of calls that the service has not turned away: a change in the meantime is heard
         of no later than a list may be old. Where nobody says how old that is, nothing is put off."""
         age = self.terms.list_age_s
-        return 0.0 if age is None else max(0.0, age - ANSWER_S)
+        return 0.0 if age is None else max(0.0, age - told.ANSWER_S)
 
-    def first(self, listed: bool) -> float:
-        """The pause before a start's first call. `listed`: a list that can be served by is at hand."""
-        number = self.terms.number
-        at = self.rng.random()
+    def turn(self) -> float:
+        """Where in a spread this gateway's turn is: by its number, where it knows that, else drawn."""
+        number, at = self.terms.number, self.rng.random()
         if number is not None and 0 <= number < self.gateways:
             at = (number + at) / self.gateways
+        return at
+
+    def first(self, listed: bool) -> float:
+        """The pause before a start's first call. `listed`: a list that can be served by is at hand."""
+        at = self.turn()
         if self.gateways == 1:
             return 0.0
         # The first part is left free, and the others' calls are no denser for that where time allows.
@@ -114,40 +121,50 @@
     def in_step(self) -> float:
         """The pause before a call that all gateways would make now: their watches have told the same news,
         or they were moved."""
-        return self.rng.random() * min(self.spread, self.calm) if self.gateways > 1 else 0.0
+        return self.turn() * min(self.spread, self.calm) if self.gateways > 1 else 0.0
 
     def moved(self) -> float:
         """Another service from now on, of which nothing is known: the pause before its first call."""
         self.rate, self.crowded, self.backoff = self.terms.rate, False, BACKOFF_S[0]
-        return self.in_step()
+        self.doubted = False
+        return self.turn() * min(self.spread, self.calm, told.longest_pause(moved=True))
 
     def answered(self) -> None:
         """The service answers."""
         self.backoff = BACKOFF_S[0]
+        self.doubted = False
         self.rate = min(self.terms.rate, self.rate + self.step)
         self.crowded = self.crowded and self.rate < self.terms.rate
 
     def busy(self, retry_after_s: float | None, listed: bool) -> float:
         """A call was turned away: the pause before the next. Who has a list leaves the first part of the
         spread to those that have none."""
-        self.crowded = True
+        if self.terms.pushed:
+            return self.failed()  # nobody else asks this agent, and what it has counts at once
+        again, self.doubted, self.crowded = self.doubted, True, True
         stated = self.terms.list_age_s is not None
         least_rate = self.gateways / (LOAD * self.most) if stated else self.terms.rate / DECREASE
         self.rate = max(least_rate, self.rate / DECREASE)
         self.step = INCREASE * self.rate
-        first = max(BACKOFF_S[0], min(MOST_RETRY_AFTER_S, retry_after_s or 0.0))
-        part = self.rng.uniform(URGENT if stated and listed else 0.1, 1.0)
+        # What it asks for is kept as far as the terms allow, with room left to be out of step.
+        most = told.longest_pause()
+        first = max(BACKOFF_S[0], min(0.5 * most, retry_after_s or 0.0))
+        # Those that came to nothing before are spread already.
+        part = self.rng.uniform(AGAIN if again else URGENT if stated and listed else 0.1, 1.0)
         if stated and not listed:
             part *= URGENT
-        pause = first + part * max(self.spread, BACKOFF_S[0])
-        return pause if stated else min(pause, UNSTATED_SPREAD_S)
+        return first + part * min(max(self.spread, BACKOFF_S[0]), most - first)
 
     def failed(self) -> float:
         """No connection, or no sound answer: the pause before the next try. All may have lost the service in
         this moment, and all wait for its return, so that they must not come in the same second."""
-        lost = self.backoff == BACKOFF_S[0]
-        share = self.rng.random() if lost else self.rng.uniform(0.5, 1.5)
-        pause = max(share * min(self.spread, self.calm), self.backoff * self.rng.uniform(0.5, 1.0))
+        again, self.doubted = self.doubted, True
+        spread = min(self.spread, self.calm)
+        if again:  # as many calls as by draws from the whole spread
+            pause = self.rng.uniform(AGAIN, 1.0) * min(2.0 * spread / (1.0 + AGAIN), told.longest_pause())
+        else:
+            pause = self.turn() * min(spread, told.longest_pause())
+        pause = max(pause, self.backoff * self.rng.uniform(0.5, 1.0))
         self.backoff = BACKOFF_S[0] if self.terms.pushed else min(BACKOFF_S[1], 2.0 * self.backoff)
         return pause
 
@@ -155,9 +172,11 @@
         """How long a watch waits for news. Gateways that began together must not end together."""
         wait = min(WAIT_S[1], max(WAIT_S[0], self.gateways / CALLS_PER_S))
         if self.terms.pushed:
-            wait = PUSHED_WAIT_S
+            wait = told.PUSHED_WAIT_S
         if self.terms.list_age_s is not None:
             wait = max(wait, min(CROWDED_WAIT_S, self.gateways / (WATCHES * self.rate)))
+        if self.doubted:
+            wait = min(wait, told.wait_in_doubt())
         return wait * self.rng.uniform(0.75, 1.0)
 
 
--- a/glenchute/deciders/watch.py
+++ b/glenchute/deciders/watch.py
@@ -1,13 +1,7 @@
 """Which calls for the list are out, when the next one goes, and which are given up: so that what the service
 has to tell is in force before it counts as told. No I/O; seconds of one clock that never goes back.
 
-What is told to whom, and when (PROTOCOL, and the standing test's terms):
-
-- a watch that has fallen silent is broken; what it misses counts as told `TOLD_S` after it fell silent, or
-  `TOLD_AFTER_WAIT_S` after the wait of its call is over, whichever is later;
-- another address counts `TOLD_MOVED_S` after the order to follow it;
-- where lists are pushed, by an agent on this machine that answers at once and at no cost, what the agent
-  has counts as told whether or not a call is out.
+What counts as told, and when, is stated in `told.py`; all pauses and waits derive from it.
 
 A silent watch looks like one without news until its wait is over, and it cannot have fallen silent before
 the answer before it. So from the end of the wait on, `budget` is what is left at least: for noticing, a new
@@ -15,9 +9,15 @@
 beside it, on a connection of its own, that does not wait for news. Whichever is answered first counts, and
 the others are closed.
 
-Guarantee (property test): while one of the calls made after the silence comes up and is answered within
+A call that came to nothing (no connection, a reset, a 503 with whatever `Retry-After`, an answer that says
+nothing) is followed by the next within `told.latest` of the moment at which it was made, and within
+`told.longest_pause`. Until a sound answer has come, calls wait for news no longer than `told.wait_in_doubt`,
+as each may hang.
+
+Guarantee (property tests): while one of the calls made after the silence comes up and is answered within
 `reach`, its answer is in force in time, whatever the wait, the moment of the silence, and what became of
-the other calls.
+the other calls. The same holds from the moment in which discovery could be reached again, whatever became
+of each call before it and however late that was told.
 
 Cost: where lists are asked for, the service is shared. One call is made beside one that is late, no sooner
 than half of the budget after its wait; then the pauses of `Pacing` hold. A service that answers within a
@@ -30,10 +30,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from .pacing import PUSHED_WAIT_S, TOLD_S, Pacing
+from . import told
+from .pacing import Pacing
 
-TOLD_AFTER_WAIT_S = 2.0
-TOLD_MOVED_S = 4.0
 TRIES_PUSHED = 3  # calls beside a silent one, within the budget
 TRIES_ASKED = 1
 AT_ONCE_S = 0.001  # the wait of a call that wants an answer now, whether or not there are news
@@ -63,11 +62,6 @@
 Action = Open | Ask | Close
 
 
-def budget(wait_s: float, moved: bool = False) -> float:
-    """From the end of a call's wait until what it misses may count as told, seconds at least."""
-    return max((TOLD_MOVED_S if moved else TOLD_S) - wait_s, TOLD_AFTER_WAIT_S)
-
-
 class Watch:
     """The calls of one gateway. The owner carries actions out in order, calls `tick` at `due`, and tells of
     each line that it was asked to open or to ask what became of it, in the order of events."""
@@ -85,14 +79,15 @@
         self.beside = 0  # calls made beside a late one since the last answer
         self.awaited = False  # a start waits for the next answer
         self.moved = False  # nothing has come from the present address yet
+        self.latest = float("inf")  # when the next call goes, whatever becomes of the last one made
         self.left_alone = False  # members ask for this gateway
 
     def reach(self, wait_s: float) -> float:
         """The part of the budget after which a call gets another beside it. An agent on this machine answers
         all calls alike, so that even those that need not wait are late by the same measure there."""
         if self.turns.terms.pushed:
-            wait_s = max(wait_s, PUSHED_WAIT_S)
-        return budget(wait_s, self.moved) / (self.tries + 1)
+            wait_s = max(wait_s, told.PUSHED_WAIT_S)
+        return told.budget(wait_s, self.moved) / (self.tries + 1)
 
     def begin(self, now: float, pause_s: float, awaited: bool) -> None:
         """The first call goes after this pause."""
@@ -125,7 +120,7 @@
         actions: list[Action] = [self.call(now, AT_ONCE_S if listed else 0.0)]
         if self.beside > self.tries:
             # In vain so far: no longer a matter of one broken watch, and the service's callers take turns.
-            self.due = max(self.due, now + self.turns.failed())
+            self.due = min(max(self.due, now + self.turns.failed()), self.latest)
         while len(self.out) > MOST_OUT:
             actions.append(Close(self.out.pop(0)))
         return actions
@@ -137,6 +132,7 @@
     def call(self, now: float, wait_s: float) -> Action:
         """A call, on the line that rests or on a new one."""
         self.due = now + wait_s + self.reach(wait_s)
+        self.latest = now + told.latest(wait_s)
         line, self.rest = self.rest, None
         if line is not None:
             self.out.append(line)
@@ -156,7 +152,7 @@
     def failed(self, now: float, line: int, pause_s: float) -> list[Action]:
         """An answer that says nothing; the next call goes after a pause."""
         self.out.remove(line)
-        self.due = now + pause_s
+        self.after(now, pause_s)
         if self.out:
             return [Close(line)]  # another call is out, and one line rests at most
         self.rest = line
@@ -171,5 +167,9 @@
         self.out.remove(line)
         if self.out:
             return False
-        self.due = now + self.turns.failed()
+        self.after(now, self.turns.failed())
         return True
+
+    def after(self, now: float, pause_s: float) -> None:
+        """A call came to nothing: when the next goes."""
+        self.due = max(now, min(now + pause_s, self.latest))
--- a/lab/coldstart.py
+++ b/lab/coldstart.py
@@ -105,15 +105,16 @@
             return
         self.calls.append(Call(self.now, "answered"))
         self.free_at += 1.0 / self.rate
-        self.at(self.free_at - self.now, self.answer, number, life)
+        # The wait goes with the call, so that it is drawn before it is known that the service answers.
+        self.at(self.free_at - self.now, self.answer, number, life, pacing.patience())
 
-    def answer(self, number: int, life: int) -> None:
+    def answer(self, number: int, life: int, wait_s: float) -> None:
         """The answer to a first call, or none yet to a watch."""
         if life == self.life[number]:
             self.pacing[number].answered()
             self.heard.setdefault(number, self.now)
             self.parked[number] = life
-            self.at(self.pacing[number].patience(), self.wait_ends, number, life, self.now)
+            self.at(wait_s, self.wait_ends, number, life, self.now)
 
     def wait_ends(self, number: int, life: int, since: float) -> None:
         """A watch without news."""
