--- a/glenchute/deciders/watch.py
+++ b/glenchute/deciders/watch.py
@@ -120,7 +120,7 @@
         actions: list[Action] = [self.call(now, AT_ONCE_S if listed else 0.0)]
         if self.beside > self.tries:
             # In vain so far: no longer a matter of one broken watch, and the service's callers take turns.
-            self.due = min(max(self.due, now + self.turns.failed()), self.latest)
+            self.due = max(self.due, now + self.turns.failed())
         while len(self.out) > MOST_OUT:
             actions.append(Close(self.out.pop(0)))
         return actions
