--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -243,6 +243,17 @@
     assert heard <= counts + 1e-6
 
 
+@pytest.mark.parametrize("word_s", [0.0, 1.0, 2.9, 7.0])
+@pytest.mark.parametrize("how", ["failed", "lost"])
+def test_a_pause_counts_from_the_call_not_from_the_late_word_of_its_failure(how: str, word_s: float) -> None:
+    """The service may have come back right after the call was made."""
+    one = Watch(Pacing(Terms(200, 199, 13.0, 30.0), random.Random(1)))
+    one.begin(0.0, 0.0, True)
+    one.tick(0.0, True)
+    _ = one.failed(word_s, 1, 4.0) if how == "failed" else one.lost(word_s, 1)
+    assert one.due <= max(word_s, told.TOLD_S - told.ANSWER_S)
+
+
 @pytest.mark.parametrize("count", [200, 520])
 def test_a_service_that_is_away_is_called_at_a_bounded_pace(count: int) -> None:
     """What the terms cost it: one call a gateway in 3 to 4 s."""
