Descriptors: one budget parts them, and fits at few of them too

At 64 idle clients alone held all.

`budget` in deciders/places.py is the one place that parts them; clients.py, platform.py and run.py ask it. From 280 descriptors on the parts are as before; the counter has fewer links under 192.

Tests: a process under RLIMIT_NOFILE, discovery silent or refused, servers' connections and idle clients at the limit, then a drain. With the old parts: 'assert 96 <= (96 - 4)' at 96 (silent, refused) and at 64 a request of ten is refused (BUSY 500). At 1,024 the old parts passed too.

--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -19,6 +19,7 @@
 from glenchute.core.types import Decisions, News
 from glenchute.deciders.lifecycle import ACCEPT_S
 from glenchute.deciders.pacing import Doubt, Terms
+from glenchute.deciders.places import budget
 from glenchute.fronts.resp2.clients import Listener
 from glenchute.fronts.resp2.commands import Catalogue
 from glenchute.peers.counter import Counter
@@ -78,7 +79,11 @@
         shared = operator.pipeline if operator is not None else None  # connections to servers
         self.servers = self.backend(shared)
         self.counter = (
-            Counter(loop, config.counter, made.counter_timeout_ms / 1000.0) if config.counter else None
+            Counter(
+                loop, config.counter, made.counter_timeout_ms / 1000.0, budget(config.sockets).links
+            )
+            if config.counter
+            else None
         )
         decisions = decisions or Policy(made, config.seed)
         self.recorder: Recorder | None = None
--- a/glenchute/config/platform.py
+++ b/glenchute/config/platform.py
@@ -8,6 +8,7 @@
 
 from glenchute.backends.resp2 import Limits
 from glenchute.core.types import News
+from glenchute.deciders.places import budget
 from glenchute.fronts.resp2.commands import Bounds, bounds
 from glenchute.peers.discovery import ListError, address, read_list
 from heathglade.interface import Settings
@@ -98,7 +99,7 @@
             connect_s=num(limits.get("connect_timeout_ms"), 250.0) / 1000.0,
             idle_s=max(0.5, num(limits.get("conn_idle_ms"), 15_000.0) / 1000.0 - 2.0),
             grace_s=num(safety.get("drain_grace_ms"), 250.0) / 1000.0,
-            connections=sockets * 3 // 10,
+            connections=budget(sockets).servers,
             long_values=max(4, int(memory_mb * 1e6 * LONG_SHARE / LONG_COST)),
         ),
         bounds=bounds(raw["settings"]),
--- a/glenchute/deciders/places.py
+++ b/glenchute/deciders/places.py
@@ -38,6 +38,12 @@
 BUCKETS = 14  # of mean pauses, each twice as long as the one before; the last from 4 s on
 CHECK_S = (0.02, 0.1)  # how often `expired` wants to be asked, under pressure and at ease
 
+# Descriptors that a process has for itself: 3 streams, 10 of the loop (one is held back, to turn clients away
+# when there are none left), 2 listeners, 8 callers at the second address, 3 calls to discovery, 2 files.
+OWN = 28
+SPARE = 16  # connections past the limit, at most, while they are told so or are being left
+LEAST_LINKS, MOST_LINKS = 2, 12  # to the counter, at few descriptors and at many
+
 Key = TypeVar("Key", bound=Hashable)
 
 
@@ -98,6 +104,28 @@
     return min(BUCKETS - 1, int(gap * 1000.0).bit_length())
 
 
+@record(frozen=True, slots=True)
+class Budget:
+    """What each part of a process may hold of its descriptors."""
+
+    clients: int
+    requesting: int  # of these, for requests: a third of all descriptors, as the platform's clients have it
+    spare: int  # of clients that are told that there is no room, or are being left
+    servers: int
+    links: int  # to the counter
+
+
+def budget(sockets: int) -> Budget:
+    """The parts of so many descriptors, which with `OWN` are never more than that: what clients hold, however
+    idle, leaves the rest of the process its own. Where there are many, clients get half and servers three
+    tenths; where that leaves too few for the others, the two share what is left, five to three."""
+    links = min(MOST_LINKS, max(LEAST_LINKS, sockets // 16))
+    spare = min(SPARE, sockets // 16)
+    left = max(2, sockets - OWN - links - spare)
+    servers = min(sockets * 3 // 10, max(1, left * 3 // 8))
+    return Budget(min(sockets // 2, left - servers), sockets // 3, spare, servers, links)
+
+
 class Places(Generic[Key]):
     """The places of one listener.
 
--- a/glenchute/fronts/resp2/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -19,7 +19,7 @@
 from glenchute.core.gateway import Gateway, Live
 from glenchute.core.types import Answer, Refused, Served, Source, Streamed
 from glenchute.deciders.lifecycle import Lifecycle
-from glenchute.deciders.places import Close, Places, Reason, State
+from glenchute.deciders.places import Close, Places, Reason, State, budget
 from glenchute.wire import resp
 
 from .commands import Catalogue, CommandError
@@ -37,7 +37,6 @@
 RELEASE_S = 0.02  # before a finished reply's time is up, what keeps it may be given up
 UNREAD_S = 0.1  # how often connections that are not read from are looked at: has the client gone?
 PART_S = 0.05  # how often idle connections are looked at while the process leaves or drains
-SPARE = 16  # connections past the limit, at most, while they are told so or are being left
 
 
 def encode(answer: Answer) -> bytes:
@@ -436,13 +435,12 @@
     def __init__(
         self, loop: asyncio.AbstractEventLoop, gateway: Gateway, catalogue: Catalogue, sockets: int
     ) -> None:
-        """`sockets`: the descriptors of the process, of which clients may take half, and a third for
-        requests, as they do at the other end."""
+        """`sockets`: the descriptors of the process, of which clients may take a part."""
         self.loop = loop
         self.gateway = gateway
         self.catalogue = catalogue
-        self.sockets = sockets
-        self.places: Places[Client] = Places(sockets // 2, sockets // 3, min(SPARE, sockets // 16))
+        self.budget = made = budget(sockets)
+        self.places: Places[Client] = Places(made.clients, made.requesting, made.spare)
         self.open_ids: set[bytes] = set()
         self.release = False  # an unfinished read may be given up for the finished replies behind it
         self.looks: dict[Client, asyncio.TimerHandle] = {}  # when such connections are looked at again
@@ -538,8 +536,8 @@
     def share(self, share: float) -> None:
         """From now on this process keeps to so much of the gateway's places; what is held over that goes as
         new connections come."""
-        self.places.most = max(1, int(self.sockets // 2 * share))
-        self.places.most_requesting = max(1, int(self.sockets // 3 * share))
+        self.places.most = max(1, int(self.budget.clients * share))
+        self.places.most_requesting = max(1, int(self.budget.requesting * share))
 
     def parts(self) -> bool:
         """Whether connections close behind their last reply."""
--- a/glenchute/peers/counter.py
+++ b/glenchute/peers/counter.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from glenchute.deciders.places import MOST_LINKS
 from glenchute.wire import resp
 from heathglade.interface import Ending
 
@@ -18,7 +19,7 @@
 MOST_TOTAL = 1e12
 # Connections. Answers on one come in the order of its calls, so a call that a crowded part of the counter is
 # slow to take up holds back the answers of the others behind it, and a spoilt answer ends them all.
-LINKS = 12
+LINKS = MOST_LINKS  # unless the descriptors are few
 PING_S = 3.0  # the counter closes what has stood idle for about 10 s
 SILENT_S = 1.5  # an answer this late means a peer that vanished; the connection is opened anew
 CONNECT_S = 0.5
@@ -188,11 +189,14 @@
 class Counter:
     """Calls to the counter."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], timeout_s: float) -> None:
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, address: tuple[str, int], timeout_s: float, links: int = LINKS
+    ) -> None:
+        """`links`: connections."""
         self.loop = loop
         self.timeout_s = timeout_s
         self.address = address
-        self.links = [Link(loop, address) for _ in range(LINKS)]
+        self.links = [Link(loop, address) for _ in range(links)]
         self.leaving: list[Link] = []  # to addresses of before, with calls that are still out
 
     def move(self, address: tuple[str, int]) -> None:
@@ -203,14 +207,14 @@
         self.leaving = [link for link in [*self.leaving, *self.links] if link.calls]
         for link in self.links:
             link.retire()
-        self.links = [Link(self.loop, address) for _ in range(LINKS)]
+        self.links = [Link(self.loop, address) for _ in range(len(self.links))]
 
     def call(
         self, name: int, amount: float, ttl_ms: float, done: Done, late: Done | None = None
     ) -> None:
         """Adds an amount to a name; `done` is called once, within the time-out. After a time-out `late` is
         called once, with what became of the call, within `SILENT_S` and half a second."""
-        link, now = self.links[name % LINKS], self.loop.time()
+        link, now = self.links[name % len(self.links)], self.loop.time()
         if self.leaving:
             for old in self.leaving:
                 old.give_up(name)
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,183 @@
+"""Descriptors: what clients hold, however idle, leaves discovery, the counter and the servers theirs."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import resource
+import signal
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from glenchute.deciders.places import OWN, budget
+from lab.services import CounterService
+from lab.site import GatewayProcess, free_port
+
+from .loopback import (
+    CUSTOMER,
+    GET,
+    SERVED,
+    Client,
+    DiscoveryPeer,
+    RespPeer,
+    listing,
+    numbered,
+    play,
+    raw_config,
+    row,
+    until,
+)
+
+TOLD_S = 6.0  # a drain counts as told so long after discovery could be reached
+LEFT = 4  # descriptors that nobody holds: calls to discovery beside the one, a configuration that is read
+QUIET = 30  # requests in a row that the drained server has no part in
+
+
+@pytest.mark.parametrize("sockets", [64, 65, 96, 127, 192, 224, 256, 1024, 4096])
+def test_the_parts_of_the_descriptors_fit_into_them(sockets: int) -> None:
+    made = budget(sockets)
+    assert OWN + made.clients + made.spare + made.servers + made.links <= sockets
+    assert min(made.clients, made.servers, made.links, made.spare) >= 2
+    assert made.clients >= made.servers
+
+
+@pytest.mark.parametrize("sockets", [320, 1024, 4096])
+def test_many_descriptors_give_clients_half_and_servers_three_tenths(sockets: int) -> None:
+    made = budget(sockets)
+    assert (made.clients, made.requesting, made.servers) == (sockets // 2, sockets // 3, sockets * 3 // 10)
+
+
+class Held:
+    """A gateway in a process that may hold so many descriptors, three servers, discovery that is down."""
+
+    def __init__(self, folder: Path, sockets: int, silent: bool) -> None:
+        self.folder, self.sockets, self.silent = folder, sockets, silent
+        self.servers = [RespPeer(self.answer) for _ in range(3)]
+        self.counter = CounterService()
+        self.ids = numbered()
+        self.crowd: list[asyncio.Task[None]] = []
+        self.open: set[asyncio.StreamWriter] = set()
+        self.answers = asyncio.Event()
+        self.turned_away = 0
+        self.most = 0
+
+    async def answer(self, words: list[bytes], writer: asyncio.StreamWriter) -> bytes | None:
+        if words[1] != CUSTOMER:
+            await self.answers.wait()
+        return SERVED
+
+    async def __aenter__(self) -> Held:
+        self.down = DiscoveryPeer()  # takes calls and never answers
+        for peer in (*self.servers, self.counter, self.down):
+            await peer.start(free_port() if peer is self.down else 0)
+        if not self.silent:
+            await self.down.stop()
+        self.rows = [row(f"s{i}", peer.port) for i, peer in enumerate(self.servers)]
+        raw = raw_config(self.down.port, self.counter.port, self.rows, free_port())
+        raw["limits"]["sockets"] = self.sockets
+        self.gateway = GatewayProcess(self.folder, raw)
+        self.gateway.start()
+        assert self.gateway.process is not None
+        self.pid = self.gateway.process.pid
+        resource.prlimit(self.pid, resource.RLIMIT_NOFILE, (self.sockets, self.sockets))
+        await self.gateway.ready()
+        return self
+
+    async def __aexit__(self, *failure: object) -> None:
+        for task in self.crowd:
+            task.cancel()
+        await asyncio.gather(*self.crowd, return_exceptions=True)
+        self.gateway.signal(signal.SIGKILL)
+        assert self.gateway.process is not None
+        self.gateway.process.wait()
+        for peer in (*self.servers, self.counter, self.down):
+            await peer.stop()
+
+    def look(self) -> None:
+        """Counts the descriptors of the process."""
+        self.most = max(self.most, len(os.listdir(f"/proc/{self.pid}/fd")))
+
+    async def idle(self) -> None:
+        """A client that says nothing, and comes back as soon as it is turned out."""
+        while True:
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.gateway.port)
+            except OSError:
+                continue
+            self.open.add(writer)
+            try:
+                await reader.read()
+            except ConnectionError:
+                pass
+            finally:
+                self.open.discard(writer)
+                self.turned_away += 1
+                writer.close()
+            await asyncio.sleep(0.05)
+
+    async def fill(self) -> None:
+        """So many requests open that their connections to the servers, which stay, are all that those are
+        given; then idle clients past the last place."""
+        made = budget(self.sockets)
+        many = min(24, made.servers)
+        clients = [await Client.connect(self.gateway.port) for _ in range(many)]
+        for number, client in enumerate(clients):
+            client.send(b"CALL.GET", b"%016x" % (7000 + number), next(self.ids), GET)
+            await until(lambda: sum(len(peer.calls()) for peer in self.servers) > number)  # noqa: B023
+        self.answers.set()
+        for client in clients:
+            assert await client.reply() == b"value"
+            client.writer.close()
+        self.crowd = [asyncio.create_task(self.idle()) for _ in range(made.clients + made.spare + 8)]
+        await until(lambda: self.turned_away >= made.spare)
+
+    async def ask(self) -> Any:
+        """A request on a connection of its own, made again where there was no room; its reply."""
+        while True:
+            try:
+                client = await Client.connect(self.gateway.port)
+                reply = await client.ask(b"CALL.GET", CUSTOMER, next(self.ids), GET)
+                client.writer.close()
+            except OSError:
+                continue
+            if reply is not None and "too many" not in str(reply):
+                return reply
+
+    def drained(self) -> int:
+        """Requests that have come to s0."""
+        return sum(words[1] == CUSTOMER for words in self.servers[0].calls())
+
+
+@pytest.mark.parametrize(("sockets", "silent"), [(64, True), (96, False), (96, True), (1024, False)])
+def test_a_drain_is_heard_past_idle_clients(tmp_path: Path, sockets: int, silent: bool) -> None:
+    """Discovery is refused or silent while idle clients and open requests take all that they are given. It
+    returns with a drain: the call to it, the attempts and the counter's links have their descriptors."""
+
+    async def scenario() -> None:
+        async with Held(tmp_path, sockets, silent) as held:
+            await held.fill()
+            for _ in range(5):
+                assert await held.ask() == b"value"
+                held.look()
+            rows = [row("s0", held.servers[0].port, "Terminating"), *held.rows[1:]]
+            back = DiscoveryPeer(listing(2, rows))
+            if silent:
+                held.down.answers += [listing(2, rows)] * 100
+            else:
+                await back.start(held.down.port)
+            loop = asyncio.get_running_loop()
+            could_be_reached = loop.time()
+            quiet = 0
+            while quiet < QUIET:
+                before = held.drained()
+                assert await held.ask() == b"value"
+                held.look()
+                quiet = quiet + 1 if held.drained() == before else 0
+                assert loop.time() - could_be_reached < TOLD_S + 1.0, "the drain was not heard"
+            assert held.most <= sockets - LEFT
+            assert len(held.counter.writers) >= budget(sockets).links  # none went without one for good
+            await back.stop()
+
+    play(scenario())
