--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -11,7 +11,9 @@
 
 import pytest
 
+from glenchute.deciders import pacing
 from glenchute.deciders.places import OWN, budget
+from glenchute.peers import counter
 from lab.services import CounterService
 from lab.site import GatewayProcess, free_port
 
@@ -181,3 +183,46 @@
             await back.stop()
 
     play(scenario())
+
+
+def first_free(pid: int) -> int:
+    """The lowest number that no descriptor of the process has."""
+    taken = {int(name) for name in os.listdir(f"/proc/{pid}/fd")}
+    return next(number for number in range(len(taken) + 1) if number not in taken)
+
+
+def test_without_any_descriptor_nothing_gives_up_for_good(tmp_path: Path) -> None:
+    """Every peer is lost in a moment in which no socket can be opened, nor a file. Each part goes on trying,
+    and the process goes on listening."""
+
+    async def scenario() -> None:
+        async with Held(tmp_path, 128, silent=True) as held:
+            peers = (*held.servers, held.counter, held.down)
+            client = await Client.connect(held.gateway.port)
+            assert await client.ask(b"CALL.GET", CUSTOMER, next(held.ids), GET) == b"value"
+            for peer in peers:
+                await peer.stop()
+                peer.writers.clear()
+            low = 128
+            for _ in range(40):  # those that are refused open and close theirs meanwhile
+                low = min(low, first_free(held.pid))
+                await asyncio.sleep(0.01)
+            resource.prlimit(held.pid, resource.RLIMIT_NOFILE, (low, 128))
+            for peer in peers:
+                await peer.start(peer.port)
+            asked = len(held.down.targets)
+            assert await client.ask(b"CALL.GET", CUSTOMER, next(held.ids), GET) != b"value"
+            newcomer = await Client.connect(held.gateway.port)
+            assert await newcomer.ended()
+            held.gateway.signal(signal.SIGHUP)
+            await until(lambda: "the configuration in force stays" in held.gateway.log.read_text())
+            await asyncio.sleep(max(counter.BACKOFF_S[1], pacing.BACKOFF_S[1]) + 0.2)  # all have tried
+            assert not [peer for peer in peers if peer.writers]
+            resource.prlimit(held.pid, resource.RLIMIT_NOFILE, (128, 128))
+            await until(lambda: len(held.counter.writers) >= budget(128).links)
+            await until(lambda: len(held.down.targets) > asked)
+            while await held.ask() != b"value":
+                pass
+            assert await client.ask(b"CALL.GET", CUSTOMER, next(held.ids), GET) == b"value"
+
+    play(scenario())
