--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import signal
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import pytest
@@ -29,20 +32,43 @@
 PROCESSES = 4  # that start in one moment
 
 
-@pytest.mark.parametrize("saved", ["a list", "an empty list", "none"])
-def test_a_start_is_ready_with_discovery_silent_and_the_counter_mute(tmp_path: Path, saved: str) -> None:
-    """It then serves by the saved list; without one it refuses, until discovery answers, and serves."""
+@contextmanager
+def unreachable() -> Iterator[int]:
+    """A port where no connection comes up, nor is refused: those that wait to be accepted are too many."""
+    with socket.socket() as full:
+        full.bind(("127.0.0.1", free_port()))
+        full.listen(0)
+        waiting = [socket.socket() for _ in range(4)]
+        for one in waiting:
+            one.setblocking(False)
+            one.connect_ex(full.getsockname())
+        try:
+            yield full.getsockname()[1]
+        finally:
+            for one in waiting:
+                one.close()
+
+
+@pytest.mark.parametrize(
+    ("saved", "reached"), [("a list", True), ("an empty list", True), ("none", True), ("a list", False)]
+)
+def test_a_start_is_ready_with_discovery_silent_and_the_counter_mute(
+    tmp_path: Path, saved: str, reached: bool
+) -> None:
+    """It then serves by the saved list; without one it refuses, until discovery answers, and serves. Not
+    `reached`: no connection to discovery comes up."""
 
-    async def scenario() -> None:
+    async def scenario(full: int) -> None:
         silent, mute, server = DiscoveryPeer(), RespPeer(always(None)), RespPeer(always(SERVED))
         for peer in (silent, mute, server):
             await peer.start()
         rows, ids = [row("s0", server.port)], numbered()
+        discovery = silent.port if reached else full
         gateways = []
         for number in range(PROCESSES):
             folder = tmp_path / f"g{number}"
             folder.mkdir()
-            raw = raw_config(silent.port, mute.port, rows if saved == "a list" else [], free_port())
+            raw = raw_config(discovery, mute.port, rows if saved == "a list" else [], free_port())
             if saved == "none":
                 del raw["known"]
             gateways.append(GatewayProcess(folder, raw))
@@ -56,6 +82,7 @@
                 assert reply == b"value"
             else:
                 assert str(reply).startswith("BUSY")
+            if saved != "a list" and reached:
                 silent.answers += [listing(2, rows)] * 100
                 while await client.ask(b"CALL.GET", CUSTOMER, next(ids), GET) != b"value":
                     await asyncio.sleep(0.02)
@@ -67,4 +94,5 @@
             for peer in (silent, mute, server):
                 await peer.stop()
 
-    play(scenario())
+    with unreachable() as full:
+        play(scenario(full))
