--- /dev/null
+++ b/tests/test_readiness.py
@@ -0,0 +1,98 @@
+"""A start hangs on nobody: ready with discovery silent, the counter mute, the saved list empty or missing."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import pytest
+
+from lab.site import GatewayProcess, free_port
+
+from .loopback import (
+    CUSTOMER,
+    GET,
+    SERVED,
+    Client,
+    DiscoveryPeer,
+    RespPeer,
+    always,
+    listing,
+    numbered,
+    play,
+    raw_config,
+    row,
+)
+
+READY_S = 10.0  # nine in ten restarted processes are ready by then
+PROCESSES = 4  # that start in one moment
+
+
+@contextmanager
+def unreachable() -> Iterator[int]:
+    """A port where no connection comes up, nor is refused: those that wait to be accepted are too many."""
+    with socket.socket() as full:
+        full.bind(("127.0.0.1", free_port()))
+        full.listen(0)
+        waiting = [socket.socket() for _ in range(4)]
+        for one in waiting:
+            one.setblocking(False)
+            one.connect_ex(full.getsockname())
+        try:
+            yield full.getsockname()[1]
+        finally:
+            for one in waiting:
+                one.close()
+
+
+@pytest.mark.parametrize(
+    ("saved", "reached"), [("a list", True), ("an empty list", True), ("none", True), ("a list", False)]
+)
+def test_a_start_is_ready_with_discovery_silent_and_the_counter_mute(
+    tmp_path: Path, saved: str, reached: bool
+) -> None:
+    """It then serves by the saved list; without one it refuses, until discovery answers, and serves. Not
+    `reached`: no connection to discovery comes up."""
+
+    async def scenario(full: int) -> None:
+        silent, mute, server = DiscoveryPeer(), RespPeer(always(None)), RespPeer(always(SERVED))
+        for peer in (silent, mute, server):
+            await peer.start()
+        rows, ids = [row("s0", server.port)], numbered()
+        discovery = silent.port if reached else full
+        gateways = []
+        for number in range(PROCESSES):
+            folder = tmp_path / f"g{number}"
+            folder.mkdir()
+            raw = raw_config(discovery, mute.port, rows if saved == "a list" else [], free_port())
+            if saved == "none":
+                del raw["known"]
+            gateways.append(GatewayProcess(folder, raw))
+        try:
+            for gateway in gateways:
+                gateway.start()
+            await asyncio.gather(*(gateway.ready(READY_S) for gateway in gateways))
+            client = await Client.connect(gateways[0].port)
+            reply = await client.ask(b"CALL.GET", CUSTOMER, next(ids), GET)
+            if saved == "a list":
+                assert reply == b"value"
+            else:
+                assert str(reply).startswith("BUSY")
+            if saved != "a list" and reached:
+                silent.answers += [listing(2, rows)] * 100
+                while await client.ask(b"CALL.GET", CUSTOMER, next(ids), GET) != b"value":
+                    await asyncio.sleep(0.02)
+        finally:
+            for gateway in gateways:
+                gateway.signal(signal.SIGKILL)
+                if gateway.process is not None:
+                    gateway.process.wait()
+            for peer in (silent, mute, server):
+                await peer.stop()
+
+    with unreachable() as full:
+        play(scenario(full))
