Ends of clients are looked for right before an attempt begins, by one call for all

Cause: an attempt that begins over 0.1 s after its client's end is a break, and `UNREAD_S` was the whole of that allowance: an end was seen by reading, or on a look each 0.1 s where reading is paused, so that a busy loop came on top. What brings an attempt (a timer, the counter's word, a server's answer) is also handled before the client's socket is looked at, and a request that came together with its end was begun in any case.

One epoll for the ends of all connections is asked before an attempt begins, unless that was done within 10 ms by the machine's clock; a connection accepted since is always asked for. A request whose client has gone ends as unsent and is over for the module. Looks while reading is paused use the same call, each 25 ms.

--- a/glenchute/core/gateway.py
+++ b/glenchute/core/gateway.py
@@ -64,14 +64,19 @@
     """A request that has been taken."""
 
     __slots__ = (
-        "answer", "attempts", "began_ms", "call", "course", "deadline", "may_have_run", "out", "ref", "timer",
+        "answer", "attempts", "began_ms", "call", "course", "deadline", "left", "may_have_run", "out", "ref",
+        "timer",
     )  # fmt: skip
 
-    def __init__(self, ref: str, call: Call, deadline: float, answer: Callable[[Answer], None]) -> None:
+    def __init__(
+        self, ref: str, call: Call, deadline: float, answer: Callable[[Answer], None],
+        left: Callable[[], bool] | None = None,
+    ) -> None:  # fmt: skip
         self.ref = ref
         self.call = call
         self.deadline = deadline  # the loop's time
         self.answer = answer
+        self.left = left  # whether its client has gone, though that may not have been told yet
         self.attempts = 0
         self.out: list[Attempt] = []  # attempts under way: one, or two where copies may overlap
         self.course: Course | None = None  # what the operator's routes allow
@@ -158,12 +163,15 @@
                 if isinstance(action, api.Send | api.Refuse | api.Fail):
                     self.close_request(action.request_id)
 
-    def take(self, call: Call, answer: Callable[[Answer], None]) -> Live:
-        """A client's request has come whole; `answer` is called once, with the final answer."""
+    def take(
+        self, call: Call, answer: Callable[[Answer], None], left: Callable[[], bool] | None = None
+    ) -> Live:
+        """A client's request has come whole; `answer` is called once, with the final answer. `left` is asked
+        before each attempt whether the client has gone."""
         self.serial += 1
         # Ids of our own: an attempt may outlive its request, whose id a client may then use again.
         ref = str(self.serial)
-        live = Live(ref, call, self.loop.time() + call.time_left_ms / 1000.0, answer)
+        live = Live(ref, call, self.loop.time() + call.time_left_ms / 1000.0, answer, left)
         self.live[ref] = live
         live.timer = self.loop.call_at(live.deadline, self.overdue, ref)
         timeout_ms = copy_after_ms = 0.0
@@ -265,6 +273,9 @@
         number = live.attempts if live is not None else 0
         if live is not None:
             live.attempts += 1
+            if live.left is not None and live.left():
+                self.client_left(live)  # its end has come, and is yet to be read
+                live = None
         if live is None or not self.may_start(live):
             # Over, or another attempt is still out where that is not allowed, or its route allows no more.
             self.post(api.AttemptEnded(ref, number, server, api.Ending.UNSENT, 0.0, live is None))
--- a/glenchute/fronts/resp2/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -12,6 +12,7 @@
 import math
 import select
 import socket
+import time
 from collections import deque
 from collections.abc import KeysView
 from typing import Any
@@ -35,7 +36,10 @@
 BUFFERED = 256 * 1024  # replies that may wait for a slow reader before its commands are left unread
 REPORT_S = 10.0  # a line for the operators this often, while anything happens
 RELEASE_S = 0.02  # before a finished reply's time is up, what keeps it may be given up
-UNREAD_S = 0.1  # how often connections that are not read from are looked at: has the client gone?
+GONE_S = 0.1  # an attempt that begins later than this after its client's end is a break (STANDING.md)
+LOOK_S = GONE_S / 10.0  # ends were looked for so shortly before an attempt begins, also after a busy loop
+UNREAD_S = GONE_S / 4.0  # how often while connections are not read from, for what has begun or waits in line
+MOST_ENDS = 64  # told by one call
 PART_S = 0.05  # how often idle connections are looked at while the process leaves or drains
 SPARE = 16  # connections past the limit, at most, while they are told so or are being left
 
@@ -58,6 +62,53 @@
     return bool(waiting.poll(0))
 
 
+class Ends:
+    """Which clients have gone, though their ends may not have been read yet: the loop may have been busy,
+    other bytes may come first, or reading is paused. One call asks for all connections, so that it can be
+    made before an attempt begins."""
+
+    def __init__(self) -> None:
+        self.poll = select.epoll()
+        self.clients: dict[int, Client] = {}  # by descriptor
+        self.looked = -math.inf
+
+    def add(self, client: Client, sock: Any) -> None:
+        """A new connection; what came on it was not looked at yet."""
+        client.number = sock.fileno()
+        self.clients[client.number] = client
+        self.poll.register(client.number, select.EPOLLRDHUP)
+        self.looked = -math.inf
+
+    def drop(self, client: Client) -> None:
+        """It is closed, or told: to be called while its descriptor is its own."""
+        if self.clients.pop(client.number, None) is not None:
+            self.poll.unregister(client.number)
+
+    def look(self) -> None:
+        """Marks those that have gone."""
+        self.looked = time.monotonic()
+        while True:
+            found = self.poll.poll(0, MOST_ENDS)
+            for number, _ in found:
+                client = self.clients[number]
+                self.drop(client)
+                client.gone = True
+            if len(found) < MOST_ENDS:
+                return
+
+    def close(self) -> None:
+        """The end of the process."""
+        self.looked = math.inf
+        self.poll.close()
+        self.clients.clear()  # connections are lost after this
+
+    def gone(self, client: Client) -> bool:
+        """Whether this client had gone within the last `LOOK_S`."""
+        if time.monotonic() - self.looked > LOOK_S:
+            self.look()
+        return client.gone
+
+
 class Slot:
     """The place of one reply in a connection's order."""
 
@@ -96,8 +147,10 @@
         "discarded",
         "errors",
         "full",
+        "gone",
         "leaving",
         "listener",
+        "number",
         "parser",
         "partial",
         "paused",
@@ -118,6 +171,8 @@
         self.leaving = False  # all is written and the own side is shut
         self.discarded = 0  # bytes that came since then
         self.full = False  # the client does not read its replies
+        self.gone = False  # it has closed, though bytes of it may still wait to be read
+        self.number = -1  # the connection's descriptor
         self.paused = False
         self.working = False
         self.waiting = False  # a turn of the loop is booked for commands that are left
@@ -130,9 +185,15 @@
         self.transport = transport  # type: ignore[assignment]
         assert self.transport is not None
         self.transport.set_write_buffer_limits(high=BUFFERED)
+        self.listener.ends.add(self, self.transport.get_extra_info("socket"))
         self.listener.made(self)
 
+    def left(self) -> bool:
+        """Whether the client has gone."""
+        return self.gone or self.listener.ends.gone(self)
+
     def connection_lost(self, exc: Exception | None) -> None:
+        self.listener.ends.drop(self)
         self.transport, self.closing = None, True
         look = self.listener.looks.pop(self, None)
         if look is not None:
@@ -226,7 +287,7 @@
         slot.request_id = call.request_id
         self.listener.taken += 1
         try:
-            live = self.listener.gateway.take(call, slot.fill)
+            live = self.listener.gateway.take(call, slot.fill, self.left)
         except Exception:
             slot.release()
             raise
@@ -393,12 +454,6 @@
         """Whether bytes, or the end, have come from the other side and wait in the machine."""
         return self.transport is not None and happened(self.transport.get_extra_info("socket"), select.POLLIN)
 
-    def gone(self) -> bool:
-        """Whether the other side has closed, though bytes of it may still wait to be read."""
-        return self.transport is not None and happened(
-            self.transport.get_extra_info("socket"), select.POLLRDHUP
-        )
-
     def finish(self) -> None:
         """Closes once all that was taken is answered."""
         self.closing = True
@@ -445,6 +500,7 @@
         self.places: Places[Client] = Places(sockets // 2, sockets // 3, min(SPARE, sockets // 16))
         self.open_ids: set[bytes] = set()
         self.release = False  # an unfinished read may be given up for the finished replies behind it
+        self.ends = Ends()
         self.looks: dict[Client, asyncio.TimerHandle] = {}  # when such connections are looked at again
         self.server: asyncio.Server | None = None
         self.accepted = self.taken = 0  # connections; requests that reached the decisions
@@ -488,7 +544,8 @@
     def look(self) -> None:
         """Ends those whose clients have gone: what they wait for must not be sent on any more."""
         self.looker = None
-        for client in [one for one in self.left_unread if one.gone()]:
+        self.ends.look()
+        for client in [one for one in self.left_unread if one.gone]:
             if client.transport is not None:
                 client.transport.abort()
         if self.left_unread:
@@ -599,3 +656,4 @@
         for client in list(self.clients):
             if client.transport is not None:
                 client.transport.close()
+        self.ends.close()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -16,9 +17,10 @@
 import hiredis
 import pytest
 
+from glenchute.backends.resp2 import SETTLE_S
 from glenchute.deciders import lifecycle
 from glenchute.deciders.lifecycle import ACCEPT_S, KILL_S, MOST_HELD_S, Lifecycle
-from glenchute.fronts.resp2.clients import BUFFERED, MOST_PENDING
+from glenchute.fronts.resp2.clients import BUFFERED, GONE_S, MOST_ENDS, MOST_PENDING
 from heathglade import Gateway as Policy
 from heathglade import interface as api
 from heathglade.interface import Ending
@@ -588,3 +590,181 @@
         await new.stop()
 
     play(scenario())
+
+
+# --- clients that leave while the gateway is busy ---------------------------------------------------------
+
+BUSY_S = 1.5 * GONE_S  # the loop stands still for longer than an attempt may follow its client's end
+
+
+def raw_client(one: Site, *commands: bytes) -> socket.socket:
+    """A connection whose bytes and end are in the machine before the loop's next turn."""
+    sock = socket.create_connection(("127.0.0.1", one.port))
+    sock.sendall(b"".join(commands))
+    return sock
+
+
+def end_raw(sock: socket.socket, how: str) -> None:
+    """As `end`, at once."""
+    if how == "half-close":
+        sock.shutdown(socket.SHUT_WR)
+        return
+    if how == "reset":
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+async def rested(one: Site, count: int = 4) -> Client:
+    """Leaves so many connections to the servers open and unused, so that an attempt is written at once."""
+    script = one.program.gateway.decisions
+    steady = await one.client()
+    if isinstance(script, Script):
+        decide, script.decide = script.decide, send_to("s0")
+    for number in range(count):
+        steady.send(*READ, b"rested%d" % number, GET)
+    assert [await steady.reply() for _ in range(count)] == [b"value"] * count
+    if isinstance(script, Script):
+        script.decide = decide
+        script.events.clear()
+    return steady
+
+
+def reads(count: int) -> list[bytes]:
+    return [packed(*READ, b"%d" % number, GET) for number in range(count)]
+
+
+@pytest.mark.parametrize("how", ENDS)
+@pytest.mark.parametrize("pending", [1, MOST_PENDING, 3 * MOST_PENDING])
+def test_who_left_while_the_loop_was_busy_is_not_sent_on(how: str, pending: int) -> None:
+    """Requests wait; the client goes while the loop stands still; then, before any socket is looked at, the
+    module sends them. With 64 pending the connection is not even read from."""
+
+    async def scenario() -> None:
+        script = Script(lambda event: [])
+        async with site(always(SERVED), decisions=script) as one:
+            steady = await rested(one)
+            sock = raw_client(one, *reads(pending))
+            taken = min(pending, MOST_PENDING)
+            await until(lambda: len(script.of(api.Request)) == taken)
+            _, held = one.program.listener.clients
+            assert held.paused is (pending >= MOST_PENDING)
+            refs = [event.request_id for event in script.of(api.Request)]
+            script.decide = lambda event: (
+                [api.Send(ref, "s0") for ref in refs] if isinstance(event, api.TimerFired) else []
+            )
+            end_raw(sock, how)
+            time.sleep(BUSY_S)
+            one.program.gateway.post(api.TimerFired(1))
+            await until(lambda: len(script.of(api.RequestGone)) == taken)
+            assert {e.ending for e in script.of(api.AttemptEnded)} == {Ending.UNSENT}
+            assert all(e.final for e in script.of(api.AttemptEnded))
+            assert len(script.of(api.AttemptEnded)) == taken
+            await until(lambda: held not in one.program.listener.clients)
+            script.decide = send_to("s0")
+            assert await steady.ask(*READ, b"0", GET) == b"value"
+            assert len(one.servers[0].calls()) == 4 + 1, "what the gone client had asked was sent on"
+            sock.close()
+
+    play(scenario())
+
+
+@pytest.mark.parametrize("how", ENDS)
+def test_a_request_that_came_with_its_clients_end_is_not_begun(how: str) -> None:
+    """Both are in the machine when the loop, busy till then, reads: the request comes first to it."""
+
+    async def scenario() -> None:
+        script = Script(send_to("s0"))
+        async with site(always(SERVED), decisions=script) as one:
+            steady = await rested(one)
+            sock = raw_client(one)
+            await until(lambda: len(one.program.listener.clients) == 2)
+            for command in reads(3):
+                sock.sendall(command)
+            end_raw(sock, how)
+            time.sleep(BUSY_S)
+            await until(lambda: len(one.program.listener.clients) == 1)
+            assert await steady.ask(*READ, b"0", GET) == b"value"
+            assert len(one.servers[0].calls()) == 4 + 1
+            sock.close()
+
+    play(scenario())
+
+
+@pytest.mark.parametrize("how", ENDS)
+def test_a_connection_and_its_end_that_waited_to_be_accepted_begin_nothing(how: str) -> None:
+    """The machine took it, its request and its end while the loop was busy; another's request, taken in the
+    same turn, has just had the ends looked for."""
+
+    async def scenario() -> None:
+        script = Script(send_to("s0"))
+        async with site(always(SERVED), decisions=script) as one:
+            steady = await rested(one)
+            accepted = one.program.listener.accepted
+            steady.send(*READ, b"steady", GET)
+            end_raw(sock := raw_client(one, *reads(1)), how)
+            time.sleep(BUSY_S)
+            assert await steady.reply() == b"value"
+            await until(lambda: one.program.listener.accepted == accepted + 1)
+            await until(lambda: len(one.program.listener.clients) == 1)
+            assert await steady.ask(*READ, b"steady", GET) == b"value"
+            assert len(one.servers[0].calls()) == 4 + 2
+            sock.close()
+
+    play(scenario())
+
+
+@pytest.mark.parametrize("how", ENDS)
+def test_no_further_attempt_where_the_answer_is_read_before_the_clients_end(how: str) -> None:
+    """The server turns a request away in the moment in which its client goes; both wait for a busy loop."""
+
+    async def scenario() -> None:
+        socks: list[socket.socket] = []
+
+        async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+            if len(socks) == 1:
+                writer.write(b"-BUSY\r\n")
+                end_raw(socks.pop(), how)
+                time.sleep(BUSY_S)
+                return b""
+            return SERVED
+
+        heard = Heard(Policy(settings(SETTINGS), 1))
+        async with site(reply, reply, decisions=heard) as one:
+            steady = await rested(one, 12)
+            await asyncio.sleep(2.0 * SETTLE_S)  # before that they are not used again
+            heard.endings.clear()
+            socks.append(raw_client(one, *reads(1)))
+            await until(lambda: not socks)
+            await until(lambda: len(one.program.listener.clients) == 1 and not one.program.gateway.out)
+            assert await steady.ask(*READ, b"0", GET) == b"value"
+            assert sum(len(server.calls()) for server in one.servers) == 12 + 2
+            assert heard.endings[0] is Ending.FULL and heard.endings[-1] is Ending.OK
+            assert set(heard.endings[1:-1]) <= {Ending.UNSENT}
+
+    play(scenario())
+
+
+def test_ends_are_told_by_one_call_for_all_and_cost_none_within_its_time() -> None:
+    """Also more at once than one call tells; who stays is not taken for gone."""
+
+    async def scenario() -> None:
+        script = Script(lambda event: [])
+        async with site(always(SERVED), decisions=script) as one:
+            ends, count = one.program.listener.ends, MOST_ENDS + 10
+            socks = [raw_client(one) for _ in range(count)]
+            await until(lambda: len(one.program.listener.clients) == count)
+            stays, *others = one.program.listener.clients
+            assert not ends.gone(stays)
+            for sock in socks[1:]:
+                sock.close()
+            ends.looked = time.monotonic() + 60.0
+            assert not any(ends.gone(other) for other in others)
+            ends.looked = -float("inf")
+            assert not ends.gone(stays) and all(other.gone for other in others)
+            assert list(ends.clients.values()) == [stays]
+            await until(lambda: len(one.program.listener.clients) == 1)
+            socks[0].close()
+            await until(lambda: not one.program.listener.clients)
+            assert not ends.clients
+
+    play(scenario())
