Connections that close behind unread replies are given up in their time

Found by reading what has no timer. A client that shuts its side while replies wait in the gateway's buffer and reads none of them kept its place and descriptor for good: the transport waits for the buffer, and the idle check took the end of the stream for a command that comes and revived the place as busy. A request that was open on it went on, though a half-close counts as the client's end. Where the gateway itself closed behind a full buffer, a client that read a part and stopped turned the place from stuck to busy, which has no time at all.

Change: the end of a client's stream ends what it had open at once, and the place has the time of those that don't read; a closing transport is never busy again.

--- a/glenchute/fronts/resp2/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -200,6 +200,17 @@
             look.cancel()
         self.listener.places.left(self)
         self.listener.left_unread.discard(self)
+        self.drop_all()
+
+    def eof_received(self) -> None:
+        """The client has gone. The transport closes once what is written has left, for which it has its time:
+        a client that reads nothing would else keep its place, and have its requests sent on."""
+        self.closing = True
+        self.drop_all()
+        self.be(State.STUCK)
+
+    def drop_all(self) -> None:
+        """Nobody waits for the replies that are due."""
         slots, self.slots = self.slots, deque()
         for slot in slots:
             slot.release()
@@ -387,8 +398,8 @@
 
     def settle(self) -> None:
         """Tells what the connection is doing now."""
-        if self.full:
-            self.be(State.STUCK)
+        if self.full or (self.closing and self.transport is not None and self.transport.is_closing()):
+            self.be(State.STUCK)  # also when some has been read: the rest has no other time
         elif self.slots or self.closing:
             self.be(State.BUSY)
         elif self.parser.rest():
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -20,6 +20,7 @@
 from glenchute.backends.resp2 import SETTLE_S
 from glenchute.deciders import lifecycle
 from glenchute.deciders.lifecycle import ACCEPT_S, KILL_S, MOST_HELD_S, Lifecycle
+from glenchute.deciders.places import Reason
 from glenchute.fronts.resp2.clients import BUFFERED, GONE_S, MOST_ENDS, MOST_PENDING
 from heathglade import Gateway as Policy
 from heathglade import interface as api
@@ -768,3 +769,78 @@
             assert not ends.clients
 
     play(scenario())
+
+
+# --- an end of a connection whose replies are not read ----------------------------------------------------
+
+
+async def half_closed_idle(one: Site, script: Script, sock: socket.socket, held: Any) -> None:
+    """The client shuts its side, with nothing open."""
+    sock.shutdown(socket.SHUT_WR)
+    await until(lambda: held.transport is None or held.transport.is_closing())
+
+
+async def half_closed_with_a_request_open(one: Site, script: Script, sock: socket.socket, held: Any) -> None:
+    """... and with a request that waits for its decision: over at once, though the transport is not."""
+    script.decide = lambda event: []
+    sock.send(packed(*READ, b"open", GET))
+    await until(lambda: one.program.gateway.live)
+    sock.shutdown(socket.SHUT_WR)
+    await until(lambda: script.of(api.RequestGone))
+    assert held.transport is not None and held.transport.is_closing()
+    assert not one.program.gateway.live and not one.program.listener.open_ids
+
+
+async def left_full_then_read_in_part(one: Site, script: Script, sock: socket.socket, held: Any) -> None:
+    """The gateway closes behind a full buffer, of which the client then reads some and no more."""
+    for number in range(1000, 1100):
+        if held.full:
+            break
+        taken = one.program.listener.taken
+        sock.send(packed(*READ, b"%d" % number, GET))
+        await until(lambda: one.program.listener.taken == taken + 1 and not held.slots)  # noqa: B023
+    assert held.full
+    held.finish()
+    assert held.leaving and held.transport.is_closing()
+    while held.full:
+        try:
+            sock.recv(2000)  # in small pieces: the rest stays in our buffer
+        except BlockingIOError:
+            await asyncio.sleep(0.001)
+
+
+@pytest.mark.parametrize(
+    "scene", [half_closed_idle, half_closed_with_a_request_open, left_full_then_read_in_part]
+)
+def test_a_connection_that_closes_behind_unread_replies_has_its_time(
+    scene: Callable[[Site, Script, socket.socket, Any], Awaitable[None]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The transport waits for its buffer to empty, and the peer never reads: the place is given up all the
+    same, and the descriptor with it."""
+    for name in ("IDLE_S", "STUCK_S"):
+        monkeypatch.setattr(f"glenchute.deciders.places.{name}", 0.2)
+
+    async def scenario() -> None:
+        big = b"*3\r\n$60000\r\n" + b"v" * 60000 + b"\r\n*-1\r\n*-1\r\n"
+        script = Script(send_to("s0"))
+        async with site(always(big), decisions=script) as one:
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(("127.0.0.1", one.port))
+            sock.setblocking(False)
+            await until(lambda: one.program.listener.clients)
+            held: Any = next(iter(one.program.listener.clients))
+            held.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+            number = 0
+            while not held.transport.get_write_buffer_size():
+                number += 1
+                sock.send(packed(*READ, b"%d" % number, GET))
+                await until(lambda: one.program.listener.taken == number and not held.slots)  # noqa: B023
+                await asyncio.sleep(0)  # the write happens at the turn's end
+            await scene(one, script, sock, held)
+            async with asyncio.timeout(20.0):
+                await until(lambda: not one.program.listener.clients and held.transport is None)
+            assert one.program.listener.places.closed[Reason.STUCK] == 1
+            sock.close()
+
+    play(scenario())
