One turn of the loop takes in bounded bytes of a client: 200 slow readers cost 1.2 GB

Found by the new `benchmarks/floods.py`. The transport writes at the end of the loop's turn, and tells only then that a client does not read; but one turn reads up to 32 times 256 KB, each call of which was answered anew. What a client had put into the machine, 6 MB and more, thus became replies or unread commands in our memory: 200 clients that ask for megabytes and read a byte a second took the gateway to 1,249 MB (trial of 2 s a scene; 1,071 MB at 8 s) for 192 it may have, and its neighbours got 22 % (86 %) of their requests served. Commands too small for that were read on without end while sixteen a turn were carried out.

Change: nothing is read while a turn is booked, and one is booked once 64 KB of replies were given to the transport.

Measured: the two new cases fail without it (3,585,000 and 2,799,776 bytes held for one client, 589,824 allowed).

--- /dev/null
+++ b/benchmarks/floods.py
@@ -0,0 +1,223 @@
+"""What floods and trickling peers cost a gateway and its other clients: memory, descriptors, latency.
+
+``python -m benchmarks.floods [SECONDS] [--rate N]``. Each scene has a gateway process of its own, four nodes
+and an open load of well-behaved clients (`lab/load.py`) in this process, and the flood in a third. Memory and
+descriptors are the gateway's own, read from /proc; times are the well-behaved clients', from the moment at
+which a request was due. A quiet run comes first and last, so that the machine's own noise shows.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import multiprocessing
+import os
+import random
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import NamedTuple
+
+import uvloop
+
+from benchmarks.machine import machine
+from glenchute.wire import resp
+from lab.load import Load, percentile
+from lab.nodes import Node, Trade
+from lab.peers import Client
+from lab.site import KINDS, SETTINGS, GatewayProcess, LabSite, accounts
+
+NODES = 4
+SERVICE_MS = 10.0
+ROOM = {"per_second": 1e5, "most_at_once": 1e6, "ceiling_rate": 0.0}
+WORD = b"x" * 60_000
+LARGE = resp.command(b"PING", WORD)
+PLAIN = resp.command(b"CALL.GET", b"%016x" % 7, b"slow", b"c=report-read,t=standard,d=2000")
+
+
+class Scene(NamedTuple):
+    """A flood: how many at once, and what each does over and over; or nodes that trickle."""
+
+    name: str
+    clients: int = 0
+    each: Callable[[int, int], Awaitable[None]] | None = None
+    trickling: int = 0
+
+
+class Row(NamedTuple):
+    """What came of one."""
+
+    name: str
+    rss_mb: float
+    peak_mb: float
+    descriptors: int
+    p50: float
+    p99: float
+    served: int
+    asked: int
+
+
+# --- the floods: one client's turn, given the gateway's port and the client's number ----------------------
+
+
+async def sent_and_gone(port: int, number: int) -> None:
+    """Six megabytes of whole commands, none of whose replies is read, and a reset."""
+    client = await Client.connect(port)
+    client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+    try:
+        async with asyncio.timeout(0.5):
+            for _ in range(100):
+                client.writer.write(LARGE)
+                await client.writer.drain()
+    finally:
+        client.writer.transport.abort()
+
+
+async def never_asking(port: int, number: int) -> None:
+    """Connects, says nothing until it is turned out, and comes back."""
+    client = await Client.connect(port)
+    try:
+        await client.ended()
+    finally:
+        client.writer.close()
+
+
+async def writing_slowly(port: int, number: int) -> None:
+    """A command at a byte a second, until it is turned out."""
+    client = await Client.connect(port)
+    try:
+        for byte in PLAIN:
+            client.writer.write(bytes((byte,)))
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(client.ended(), 1.0)
+                return
+    finally:
+        client.writer.transport.abort()
+
+
+async def reading_slowly(port: int, number: int) -> None:
+    """Asks for megabytes, and reads a byte a second."""
+    client = await Client.connect(port)
+    client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+    sock = client.writer.get_extra_info("socket")
+    try:
+        for _ in range(100):
+            client.writer.write(LARGE)
+        while True:
+            await asyncio.sleep(1.0)
+            with contextlib.suppress(BlockingIOError):
+                if not os.read(sock.fileno(), 1):
+                    return
+    finally:
+        client.writer.transport.abort()
+
+
+class Trickling(Node):
+    """Answers a byte a second."""
+
+    async def write_in_order(
+        self, line: asyncio.Queue[asyncio.Task[bytes | None]], writer: asyncio.StreamWriter
+    ) -> None:
+        while (reply := await (await line.get())) is not None:
+            for byte in reply:
+                writer.write(bytes((byte,)))
+                await asyncio.sleep(1.0)
+
+
+SCENES = (
+    Scene("quiet"),
+    Scene("6 MB sent and gone, 8 at once", 8, sent_and_gone),
+    Scene("700 that never ask", 700, never_asking),
+    Scene("300 write a byte a second", 300, writing_slowly),
+    Scene("200 read a byte a second", 200, reading_slowly),
+    Scene("one node of four trickles", trickling=1),
+    Scene("quiet again"),
+)
+
+
+def flood(number: int, port: int) -> None:
+    """A scene's flood, in a process of its own, until that is ended."""
+    scene = SCENES[number]
+
+    async def again(client: int) -> None:
+        assert scene.each is not None
+        await asyncio.sleep(random.Random(client).random())
+        while True:
+            with contextlib.suppress(OSError, TimeoutError):
+                await scene.each(port, client)
+            await asyncio.sleep(0.05)
+
+    async def all_of_them() -> None:
+        await asyncio.gather(*(again(client) for client in range(scene.clients)))
+
+    uvloop.run(all_of_them())
+
+
+def status_mb(pid: int, name: str) -> float:
+    """A figure of /proc/PID/status that is told in kB."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith(name + ":")) / 1024.0
+
+
+async def play(number: int, seconds: float, rate: float) -> Row:
+    """One scene."""
+    scene = SCENES[number]
+    trade = Trade({kind.class_name: SERVICE_MS for kind in KINDS}, slots=100)
+    nodes = [(Trickling if i < scene.trickling else Node)(f"n{i}", trade) for i in range(NODES)]
+    rss, descriptors = 0.0, 0
+    plans = [plan | ROOM for plan in SETTINGS["packages"]]
+    async with LabSite(nodes) as site:
+        with tempfile.TemporaryDirectory() as folder:
+            gateway = GatewayProcess(Path(folder), site.platform(SETTINGS | {"packages": plans}))
+            gateway.start()
+            flooding = None
+            try:
+                await gateway.ready()
+                assert gateway.process is not None
+                pid = gateway.process.pid
+                await Load(lambda: gateway.port, KINDS, accounts(), rate, seed=9).run(2.0)
+                if scene.each is not None:
+                    context = multiprocessing.get_context("spawn")
+                    flooding = context.Process(target=flood, args=(number, gateway.port), daemon=True)
+                    flooding.start()
+                    await asyncio.sleep(2.5)  # it comes up, and reaches its number
+                load = Load(lambda: gateway.port, KINDS, accounts(), rate, seed=1)
+                running = asyncio.create_task(load.run(seconds))
+                while not running.done():
+                    rss = max(rss, status_mb(pid, "VmRSS"))
+                    descriptors = max(descriptors, len(os.listdir(f"/proc/{pid}/fd")))
+                    await asyncio.sleep(0.05)
+                await running
+                peak = status_mb(pid, "VmHWM")
+            finally:
+                if flooding is not None:
+                    flooding.kill()
+                    flooding.join()
+                await gateway.stop()
+    took = [one.took_ms for one in load.outcomes if one.answer == "served"]
+    return Row(scene.name, rss, peak, descriptors, percentile(took, 50), percentile(took, 99), len(took),
+               len(load.outcomes))  # fmt: skip
+
+
+def main() -> None:
+    """Prints the table."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("seconds", type=float, nargs="?", default=10.0)
+    parser.add_argument("--rate", type=float, default=60.0)
+    args = parser.parse_args()
+    print(machine())
+    print(f"{NODES} nodes of {SERVICE_MS:g} ms, {args.rate:g} requests/s of other clients for"
+          f" {args.seconds:g} s a scene, 1024 descriptors, 192 MB;"
+          f" load average {os.getloadavg()[0]:.0f}")  # fmt: skip
+    print("| scene | memory, most (MB) | peak since start (MB) | descriptors | p50 ms | p99 ms | served |")
+    print("| --- | ---: | ---: | ---: | ---: | ---: | ---: |")
+    for number in range(len(SCENES)):
+        row = uvloop.run(play(number, args.seconds, args.rate))
+        share = 100.0 * row.served / max(1, row.asked)
+        print(f"| {row.name} | {row.rss_mb:.0f} | {row.peak_mb:.0f} | {row.descriptors} | {row.p50:.1f} |"
+              f" {row.p99:.1f} | {row.served} of {row.asked} ({share:.1f} %) |", flush=True)  # fmt: skip
+
+
+if __name__ == "__main__":
+    main()
--- a/glenchute/fronts/resp2/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -34,6 +34,7 @@
 LINGER_BYTES = 4 * 1024 * 1024
 LONG_BUFFERED = 64 * 1024  # of a long value that may wait for its reader before the server is left unread
 BUFFERED = 256 * 1024  # replies that may wait for a slow reader before its commands are left unread
+HEAPED = 64 * 1024  # replies after which a turn of the loop is awaited: the transport writes at its end
 REPORT_S = 10.0  # a line for the operators this often, while anything happens
 RELEASE_S = 0.02  # before a finished reply's time is up, what keeps it may be given up
 GONE_S = 0.1  # an attempt that begins later than this after its client's end is a break (STANDING.md)
@@ -136,6 +137,7 @@
         else:
             self.release()
             self.reply = encode(answer)
+            self.client.heaped += len(self.reply)
         self.client.flush()
 
 
@@ -148,6 +150,7 @@
         "errors",
         "full",
         "gone",
+        "heaped",
         "leaving",
         "listener",
         "number",
@@ -172,6 +175,7 @@
         self.discarded = 0  # bytes that came since then
         self.full = False  # the client does not read its replies
         self.gone = False  # it has closed, though bytes of it may still wait to be read
+        self.heaped = 0  # bytes of replies since the transport could last tell whether the client reads
         self.number = -1  # the connection's descriptor
         self.paused = False
         self.working = False
@@ -239,6 +243,8 @@
         left = TURN
         try:
             while left and not self.closing and not self.full and len(self.slots) < MOST_PENDING:
+                if self.heaped > HEAPED:
+                    break
                 words = self.parser.next()
                 if words is False:
                     break
@@ -256,10 +262,16 @@
         self.flush()
 
     def book(self) -> None:
-        """Commands are left in the buffer: the loop's next turn goes on with them."""
+        """The loop's next turn goes on with what is left in the buffer. Nothing is read before that: one turn
+        may read megabytes, in many calls."""
         if not self.waiting:
             self.waiting = True
-            self.listener.loop.call_soon(self.work)
+            self.listener.loop.call_soon(self.turn)
+
+    def turn(self) -> None:
+        """That turn; what was written before it has left, or the transport has told."""
+        self.heaped = 0
+        self.work()
 
     def command(self, words: Any) -> None:
         """One command. Whatever is wrong with it is told to the client, and only what breaks RESP closes."""
@@ -278,6 +290,7 @@
             # A fault of ours would else end the connection with all that is held on it.
             log.exception("a command failed")
             slot.reply = slot.reply or resp.FAILED
+        self.heaped += len(slot.reply or b"")
 
     def carry_out(self, slot: Slot, words: list[bytes]) -> None:
         """Takes a request, or answers a command of the connection itself."""
@@ -333,6 +346,8 @@
         """Writes the replies that are next in order, and reads on or stops reading."""
         if self.transport is None or self.working:
             return  # while commands are being taken, their replies go out together afterwards
+        if self.heaped > HEAPED:
+            self.book()
         ready: list[bytes] = []
         while self.slots and self.next_reply(self.slots[0]):
             ready.append(self.slots.popleft().reply or b"")
@@ -435,7 +450,7 @@
 
     def throttle(self) -> None:
         """Backpressure: a client that does not read, or has too much pending, is not read from."""
-        stop = not self.closing and (self.full or len(self.slots) >= MOST_PENDING)
+        stop = not self.closing and (self.full or self.waiting or len(self.slots) >= MOST_PENDING)
         if self.transport is None or self.transport.is_closing() or stop == self.paused:
             return
         self.paused = stop
@@ -458,8 +473,8 @@
         if self.streaming is not None:
             self.streaming.resume()
         self.settle()
-        self.throttle()
         self.book()
+        self.throttle()
 
     def readable(self) -> bool:
         """Whether bytes, or the end, have come from the other side and wait in the machine."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,7 +10,7 @@
 import struct
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any
 
@@ -21,7 +21,7 @@
 from glenchute.deciders import lifecycle
 from glenchute.deciders.lifecycle import ACCEPT_S, KILL_S, MOST_HELD_S, Lifecycle
 from glenchute.deciders.places import Reason
-from glenchute.fronts.resp2.clients import BUFFERED, GONE_S, MOST_ENDS, MOST_PENDING
+from glenchute.fronts.resp2.clients import BUFFERED, GONE_S, HEAPED, MOST_ENDS, MOST_PENDING
 from heathglade import Gateway as Policy
 from heathglade import interface as api
 from heathglade.interface import Ending
@@ -844,3 +844,46 @@
             sock.close()
 
     play(scenario())
+
+
+# --- what one turn of the loop may bring -------------------------------------------------------------------
+
+
+ONE_READ = 256 * 1024  # of one call for what has come, at most
+
+
+@pytest.mark.parametrize(
+    ("command", "count"), [(packed(b"PING", b"x" * 60_000), 60), (packed(b"PING"), 200_000)],
+    ids=["large", "small"],
+)  # fmt: skip
+def test_megabytes_that_wait_in_the_machine_are_not_all_taken_in(command: bytes, count: int) -> None:
+    """A turn of the loop may read them in many calls, and the transport tells only at its end that the client
+    reads nothing. They are there before the loop's next turn; another client is served meanwhile."""
+
+    async def scenario() -> None:
+        async with site(always(SERVED)) as one:
+            other, sock = await one.client(), socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(("127.0.0.1", one.port))
+            await until(lambda: len(one.program.listener.clients) == 2)
+            held: Any = list(one.program.listener.clients)[1]
+            ours = held.transport.get_extra_info("socket")
+            ours.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+            ours.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8 << 20)
+            sock.setblocking(False)
+            rest = memoryview(command * count)
+            most = turns = 0
+            while turns < 300 and not (held.full and turns > 20):
+                with suppress(BlockingIOError):
+                    while rest:
+                        rest = rest[sock.send(rest) :]
+                await asyncio.sleep(0)
+                turns += 1
+                left = len(held.parser._raw) - held.parser._at
+                most = max(most, left + held.transport.get_write_buffer_size())
+            assert 0 < most <= BUFFERED + HEAPED + ONE_READ, f"{most} bytes held for one client"
+            assert held.paused
+            assert await other.ask(b"PING") == b"PONG"
+            sock.close()
+
+    play(scenario())
