--- a/glenchute/fronts/resp2/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -12,6 +12,7 @@
 import math
 import select
 import socket
+import time
 from collections import deque
 from collections.abc import KeysView
 from typing import Any
@@ -33,9 +34,13 @@
 LINGER_BYTES = 4 * 1024 * 1024
 LONG_BUFFERED = 64 * 1024  # of a long value that may wait for its reader before the server is left unread
 BUFFERED = 256 * 1024  # replies that may wait for a slow reader before its commands are left unread
+HEAPED = 64 * 1024  # replies after which a turn of the loop is awaited: the transport writes at its end
 REPORT_S = 10.0  # a line for the operators this often, while anything happens
 RELEASE_S = 0.02  # before a finished reply's time is up, what keeps it may be given up
-UNREAD_S = 0.1  # how often connections that are not read from are looked at: has the client gone?
+GONE_S = 0.1  # an attempt that begins later than this after its client's end is a break (STANDING.md)
+LOOK_S = GONE_S / 10.0  # ends were looked for so shortly before an attempt begins, also after a busy loop
+UNREAD_S = GONE_S / 4.0  # how often while connections are not read from, for what has begun or waits in line
+MOST_ENDS = 64  # told by one call
 PART_S = 0.05  # how often idle connections are looked at while the process leaves or drains
 
 
@@ -57,6 +62,53 @@
     return bool(waiting.poll(0))
 
 
+class Ends:
+    """Which clients have gone, though their ends may not have been read yet: the loop may have been busy,
+    other bytes may come first, or reading is paused. One call asks for all connections, so that it can be
+    made before an attempt begins."""
+
+    def __init__(self) -> None:
+        self.poll = select.epoll()
+        self.clients: dict[int, Client] = {}  # by descriptor
+        self.looked = -math.inf
+
+    def add(self, client: Client, sock: Any) -> None:
+        """A new connection; what came on it was not looked at yet."""
+        client.number = sock.fileno()
+        self.clients[client.number] = client
+        self.poll.register(client.number, select.EPOLLRDHUP)
+        self.looked = -math.inf
+
+    def drop(self, client: Client) -> None:
+        """It is closed, or told: to be called while its descriptor is its own."""
+        if self.clients.pop(client.number, None) is not None:
+            self.poll.unregister(client.number)
+
+    def look(self) -> None:
+        """Marks those that have gone."""
+        self.looked = time.monotonic()
+        while True:
+            found = self.poll.poll(0, MOST_ENDS)
+            for number, _ in found:
+                client = self.clients[number]
+                self.drop(client)
+                client.gone = True
+            if len(found) < MOST_ENDS:
+                return
+
+    def close(self) -> None:
+        """The end of the process."""
+        self.looked = math.inf
+        self.poll.close()
+        self.clients.clear()  # connections are lost after this
+
+    def gone(self, client: Client) -> bool:
+        """Whether this client had gone within the last `LOOK_S`."""
+        if time.monotonic() - self.looked > LOOK_S:
+            self.look()
+        return client.gone
+
+
 class Slot:
     """The place of one reply in a connection's order."""
 
@@ -84,6 +136,7 @@
         else:
             self.release()
             self.reply = encode(answer)
+            self.client.heaped += len(self.reply)
         self.client.flush()
 
 
@@ -95,8 +148,11 @@
         "discarded",
         "errors",
         "full",
+        "gone",
+        "heaped",
         "leaving",
         "listener",
+        "number",
         "parser",
         "partial",
         "paused",
@@ -117,6 +173,9 @@
         self.leaving = False  # all is written and the own side is shut
         self.discarded = 0  # bytes that came since then
         self.full = False  # the client does not read its replies
+        self.gone = False  # it has closed, though bytes of it may still wait to be read
+        self.heaped = 0  # bytes of replies since the transport could last tell whether the client reads
+        self.number = -1  # the connection's descriptor
         self.paused = False
         self.working = False
         self.waiting = False  # a turn of the loop is booked for commands that are left
@@ -129,15 +188,32 @@
         self.transport = transport  # type: ignore[assignment]
         assert self.transport is not None
         self.transport.set_write_buffer_limits(high=BUFFERED)
+        self.listener.ends.add(self, self.transport.get_extra_info("socket"))
         self.listener.made(self)
 
+    def left(self) -> bool:
+        """Whether the client has gone."""
+        return self.gone or self.listener.ends.gone(self)
+
     def connection_lost(self, exc: Exception | None) -> None:
+        self.listener.ends.drop(self)
         self.transport, self.closing = None, True
         look = self.listener.looks.pop(self, None)
         if look is not None:
             look.cancel()
         self.listener.places.left(self)
         self.listener.left_unread.discard(self)
+        self.drop_all()
+
+    def eof_received(self) -> None:
+        """The client has gone. The transport closes once what is written has left, for which it has its time:
+        a client that reads nothing would else keep its place, and have its requests sent on."""
+        self.closing = True
+        self.drop_all()
+        self.be(State.STUCK)
+
+    def drop_all(self) -> None:
+        """Nobody waits for the replies that are due."""
         slots, self.slots = self.slots, deque()
         for slot in slots:
             slot.release()
@@ -166,6 +242,8 @@
         left = TURN
         try:
             while left and not self.closing and not self.full and len(self.slots) < MOST_PENDING:
+                if self.heaped > HEAPED:
+                    break
                 words = self.parser.next()
                 if words is False:
                     break
@@ -183,10 +261,16 @@
         self.flush()
 
     def book(self) -> None:
-        """Commands are left in the buffer: the loop's next turn goes on with them."""
+        """The loop's next turn goes on with what is left in the buffer. Nothing is read before that: one turn
+        may read megabytes, in many calls."""
         if not self.waiting:
             self.waiting = True
-            self.listener.loop.call_soon(self.work)
+            self.listener.loop.call_soon(self.turn)
+
+    def turn(self) -> None:
+        """That turn; what was written before it has left, or the transport has told."""
+        self.heaped = 0
+        self.work()
 
     def command(self, words: Any) -> None:
         """One command. Whatever is wrong with it is told to the client, and only what breaks RESP closes."""
@@ -205,6 +289,7 @@
             # A fault of ours would else end the connection with all that is held on it.
             log.exception("a command failed")
             slot.reply = slot.reply or resp.FAILED
+        self.heaped += len(slot.reply or b"")
 
     def carry_out(self, slot: Slot, words: list[bytes]) -> None:
         """Takes a request, or answers a command of the connection itself."""
@@ -225,7 +310,7 @@
         slot.request_id = call.request_id
         self.listener.taken += 1
         try:
-            live = self.listener.gateway.take(call, slot.fill)
+            live = self.listener.gateway.take(call, slot.fill, self.left)
         except Exception:
             slot.release()
             raise
@@ -260,6 +345,8 @@
         """Writes the replies that are next in order, and reads on or stops reading."""
         if self.transport is None or self.working:
             return  # while commands are being taken, their replies go out together afterwards
+        if self.heaped > HEAPED:
+            self.book()
         ready: list[bytes] = []
         while self.slots and self.next_reply(self.slots[0]):
             ready.append(self.slots.popleft().reply or b"")
@@ -325,8 +412,8 @@
 
     def settle(self) -> None:
         """Tells what the connection is doing now."""
-        if self.full:
-            self.be(State.STUCK)
+        if self.full or (self.closing and self.transport is not None and self.transport.is_closing()):
+            self.be(State.STUCK)  # also when some has been read: the rest has no other time
         elif self.slots or self.closing:
             self.be(State.BUSY)
         elif self.parser.rest():
@@ -362,7 +449,7 @@
 
     def throttle(self) -> None:
         """Backpressure: a client that does not read, or has too much pending, is not read from."""
-        stop = not self.closing and (self.full or len(self.slots) >= MOST_PENDING)
+        stop = not self.closing and (self.full or self.waiting or len(self.slots) >= MOST_PENDING)
         if self.transport is None or self.transport.is_closing() or stop == self.paused:
             return
         self.paused = stop
@@ -385,19 +472,13 @@
         if self.streaming is not None:
             self.streaming.resume()
         self.settle()
-        self.throttle()
         self.book()
+        self.throttle()
 
     def readable(self) -> bool:
         """Whether bytes, or the end, have come from the other side and wait in the machine."""
         return self.transport is not None and happened(self.transport.get_extra_info("socket"), select.POLLIN)
 
-    def gone(self) -> bool:
-        """Whether the other side has closed, though bytes of it may still wait to be read."""
-        return self.transport is not None and happened(
-            self.transport.get_extra_info("socket"), select.POLLRDHUP
-        )
-
     def finish(self) -> None:
         """Closes once all that was taken is answered."""
         self.closing = True
@@ -443,6 +524,7 @@
         self.places: Places[Client] = Places(made.clients, made.requesting, made.spare)
         self.open_ids: set[bytes] = set()
         self.release = False  # an unfinished read may be given up for the finished replies behind it
+        self.ends = Ends()
         self.looks: dict[Client, asyncio.TimerHandle] = {}  # when such connections are looked at again
         self.server: asyncio.Server | None = None
         self.accepted = self.taken = 0  # connections; requests that reached the decisions
@@ -486,7 +568,8 @@
     def look(self) -> None:
         """Ends those whose clients have gone: what they wait for must not be sent on any more."""
         self.looker = None
-        for client in [one for one in self.left_unread if one.gone()]:
+        self.ends.look()
+        for client in [one for one in self.left_unread if one.gone]:
             if client.transport is not None:
                 client.transport.abort()
         if self.left_unread:
@@ -597,3 +680,4 @@
         for client in list(self.clients):
             if client.transport is not None:
                 client.transport.close()
+        self.ends.close()
