--- a/glenchute/backends/resp2.py
+++ b/glenchute/backends/resp2.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 from glenchute.core.types import About, Address, Result, Source
+from glenchute.deciders.connecting import Budget, Usual
 from glenchute.deciders.turns import Turns
 from glenchute.wire import resp
 from glenchute.wire.long import LongReply
@@ -158,13 +159,14 @@
 class Pool:
     """The connections to one server."""
 
-    __slots__ = ("address", "idle", "open", "servers", "stop_at")
+    __slots__ = ("address", "beside", "idle", "open", "servers", "stop_at")
 
     def __init__(self, servers: Servers, address: Address) -> None:
         self.servers = servers
         self.address = address
         self.idle: list[Connection] = []  # the most recently used one last
         self.open: set[Connection] = set()
+        self.beside = Budget()
         self.stop_at: float | None = None  # nothing may be written from then on: it drains or is gone
 
     def take(self) -> Connection | None:
@@ -261,7 +263,7 @@
 class Attempt(Underway):
     """One request on a connection of its own."""
 
-    __slots__ = ("conn", "connect_timer", "pool", "result", "task")
+    __slots__ = ("conn", "connect_timer", "late_timer", "opening", "pool", "result")
 
     def __init__(
         self,
@@ -275,11 +277,12 @@
         self.pool = pool
         self.result: Result | None = None  # set while the connection closes for a reason of ours
         self.conn: Connection | None = None
-        self.task: asyncio.Task[None] | None = None
+        self.opening: set[asyncio.Task[None]] = set()  # connections coming up: one, or two if that is late
         self.connect_timer: asyncio.TimerHandle | None = None
+        self.late_timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
-        """Writes at once on an idle connection, else opens one."""
+        """Writes at once on an idle connection, else opens one, and another beside it if that is late."""
         servers = self.pool.servers
         self.timer = servers.loop.call_at(self.until, self.stop, Ending.TIMEOUT)
         conn = self.pool.take()
@@ -288,26 +291,54 @@
         elif not servers.make_room():
             self.finish(Result(Ending.UNREACHABLE))
         else:
-            servers.connecting += 1
-            self.task = servers.loop.create_task(self.connect())
+            self.open()
             self.connect_timer = servers.loop.call_later(servers.limits.connect_s, self.no_connection)
+            late_s = servers.usual.late_after(self.until - self.started)
+            if late_s is not None:
+                self.late_timer = servers.loop.call_later(late_s, self.late)
+
+    def open(self) -> None:
+        """Begins to open a connection; a task, but only where none is there to reuse."""
+        servers = self.pool.servers
+        servers.connecting += 1
+        task = servers.loop.create_task(self.connect())
+        self.opening.add(task)
+        # Not in the task's own `finally`: one that is cancelled before its first step never runs any of it.
+        task.add_done_callback(servers.connected)
+
+    def late(self) -> None:
+        """The connection has not come up: one that has come free carries the request, else a second is opened
+        beside it. The server that drains is asked for no more, and no idle connection is closed for it."""
+        pool, servers = self.pool, self.pool.servers
+        self.late_timer = None
+        conn = pool.take() if pool.stop_at is None else None
+        if conn is not None:
+            self.write(conn)
+        elif pool.stop_at is None and servers.count() < servers.most() and pool.beside.spend():
+            servers.beside += 1
+            self.open()
 
     async def connect(self) -> None:
-        """Opens a connection; a task, but only where no connection is there to reuse."""
+        """Opens a connection. The first that comes up carries the request."""
         servers, pool = self.pool.servers, self.pool
         host, port = pool.address
-        conn = Connection(pool)
+        conn, task, began = Connection(pool), asyncio.current_task(), servers.loop.time()
+        assert task is not None
         try:
             await servers.loop.create_connection(lambda: conn, host, port)
         except OSError:
-            self.no_connection()
+            self.opening.discard(task)
+            if not self.opening and not self.written:
+                self.no_connection()
             return
-        finally:
-            servers.connecting -= 1
-        self.task = None
-        if self.ended:
-            conn.abort()  # came up too late: its request has an ending already and must not be written
-        elif pool.stop_at is not None and servers.loop.time() > pool.stop_at:
+        except asyncio.CancelledError:
+            pool.forget(conn)  # cancelled as it came up, it is closed without a `connection_lost`
+            servers.usual.took(servers.loop.time() - began)
+            raise
+        self.opening.discard(task)
+        servers.usual.took(servers.loop.time() - began)
+        pool.beside.came_up()
+        if pool.stop_at is not None and servers.loop.time() > pool.stop_at:
             conn.abort()  # the drain's grace ended while this connection came up
             self.finish(Result(Ending.UNREACHABLE))
         else:
@@ -315,8 +346,7 @@
 
     def write(self, conn: Connection) -> None:
         """Writes the request; from here on it may have run."""
-        if self.connect_timer is not None:
-            self.connect_timer.cancel()
+        self.drop_connects()
         now = self.pool.servers.loop.time()
         left = int(1000.0 * (self.until - now))
         if left < 1 or now > self.write_by or conn.transport is None or conn.transport.is_closing():
@@ -329,21 +359,23 @@
 
     def no_connection(self) -> None:
         """The connection was refused or did not come up in time."""
-        self.drop_connect()
         self.finish(Result(Ending.UNREACHABLE))
 
-    def drop_connect(self) -> None:
-        """Gives up a connection that is coming up."""
-        if self.task is not None and self.task is not asyncio.current_task(self.pool.servers.loop):
-            self.task.cancel()
-        self.task = None
+    def drop_connects(self) -> None:
+        """Gives up what is coming up, but for the one that has just come."""
+        for timer in (self.connect_timer, self.late_timer):
+            if timer is not None:
+                timer.cancel()
+        self.connect_timer = self.late_timer = None
+        opening, self.opening = self.opening, set()
+        for task in opening:
+            task.cancel()
 
     def stop(self, ending: Ending) -> None:
         """A time-out or a cancel. The ending is told once the connection is closed."""
         if self.ended or self.result is not None:
             return
         if self.conn is None:
-            self.drop_connect()
             # Nothing was written: it can't have run. Called off, it says nothing of the server either.
             self.finish(Result(Ending.UNREACHABLE if ending is Ending.TIMEOUT else Ending.UNSENT))
         else:
@@ -357,9 +389,7 @@
 
     def let_go(self) -> None:
         super().let_go()
-        if self.connect_timer is not None:
-            self.connect_timer.cancel()
-            self.connect_timer = None
+        self.drop_connects()
         self.conn = None
 
 
@@ -373,6 +403,8 @@
         self.pools: dict[str, Pool] = {}
         self.leaving: set[Pool] = set()  # no longer listed, with connections open
         self.connecting = 0
+        self.beside = 0  # of these and all before: opened beside a late one
+        self.usual = Usual(limits.connect_s)
         self.turns: Turns[LongAnswer] = Turns(limits.long_values)
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
 
@@ -422,6 +454,10 @@
         pools = [*self.pools.values(), *self.leaving]
         return self.connecting + sum(len(pool.open) for pool in pools)
 
+    def connected(self, task: asyncio.Task[None]) -> None:
+        """A connection has come up or was given up."""
+        self.connecting -= 1
+
     def has_room(self) -> bool:
         """Whether `make_room` would succeed."""
         return self.count() < self.most() or any(pool.idle for pool in self.pools.values())
--- /dev/null
+++ b/tests/test_connecting.py
@@ -0,0 +1,312 @@
+"""A second connection beside a late one: when, how often, and what crosses it, on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+import uvloop
+from hypothesis import given
+from hypothesis import strategies as st
+
+from glenchute.backends.resp2 import Connection, Limits, Pool, Servers
+from glenchute.core.types import Result
+from glenchute.deciders.connecting import LATE_TIMES, MOST_KEPT, SHARE, SHORTEST_S, Budget, Usual
+from heathglade.interface import Ending
+from lab.peers import RespPeer, always, until
+from tests.loopback import SERVED
+
+COMMAND = b"*1\r\n$8\r\nCALL.GET\r\n"
+CONNECT_S = 0.4
+
+
+# --- the choice ------------------------------------------------------------------------------------------
+
+
+@given(st.lists(st.floats(0.0, 10.0)), st.floats(0.0, 30.0))
+def test_a_second_comes_late_enough_and_while_it_is_of_use(took: list[float], left_s: float) -> None:
+    usual = Usual(CONNECT_S)
+    for seconds in took:
+        usual.took(seconds)
+    wait = usual.late_after(left_s)
+    assert wait is None or SHORTEST_S <= wait <= min(left_s, CONNECT_S) / 2.0
+
+
+@pytest.mark.parametrize("late", [0.0, 1 / 3])
+def test_what_is_late_follows_what_connections_take_and_not_the_late_ones(late: float) -> None:
+    usual = Usual(CONNECT_S)
+    for number in range(300):
+        usual.took(CONNECT_S if number % 3 < 3 * late else 0.005)
+    wait = usual.late_after(1.0)
+    assert wait is not None and LATE_TIMES * 0.004 < wait < LATE_TIMES * 0.008
+
+
+@given(st.lists(st.booleans()))
+def test_seconds_are_at_most_a_share_of_the_connections_that_came_up(events: list[bool]) -> None:
+    budget, spent, came = Budget(), 0, 0
+    for came_up in events:
+        if came_up:
+            budget.came_up()
+            came += 1
+        else:
+            spent += budget.spend()
+        assert spent <= 1 + SHARE * came and budget.seconds <= MOST_KEPT
+
+
+# --- sockets ---------------------------------------------------------------------------------------------
+
+
+class HeldLoop(uvloop.Loop):
+    """Lets each connect to a server go on when the test says so."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.gates: list[asyncio.Future[None]] = []
+        self.port = 0
+
+    async def create_connection(  # type: ignore[override]
+        self, factory: Any, host: Any = None, port: Any = None, **more: Any
+    ) -> Any:
+        if port == self.port and factory is not None:
+            gate: asyncio.Future[None] = self.create_future()
+            self.gates.append(gate)
+            await gate
+        return await super().create_connection(factory, host, port, **more)
+
+
+class Scene:
+    """One server, one pool, one attempt whose connects the test lets go on."""
+
+    def __init__(self, loop: HeldLoop, server: RespPeer, connections: int) -> None:
+        self.loop, self.server = loop, server
+        self.servers = Servers(loop, Limits(CONNECT_S, 15.0, 0.25, connections))
+        self.servers.listed("s0", ("127.0.0.1", server.port), False)
+        self.results: list[Result] = []
+        self.attempt = self.begin()
+
+    @property
+    def pool(self) -> Pool:
+        return self.servers.pools["s0"]
+
+    def begin(self, timeout_s: float = 20.0) -> Any:
+        made = self.servers.attempt("s0", lambda left: COMMAND, timeout_s, self.results.append)
+        assert made is not None
+        made.start()
+        return made
+
+    def go_on(self, number: int) -> None:
+        self.loop.gates[number].set_result(None)
+
+    def fail(self, number: int) -> None:
+        self.loop.gates[number].set_exception(ConnectionRefusedError())
+
+    async def second(self) -> None:
+        await until(lambda: len(self.loop.gates) == 2)
+
+    async def ended(self, ending: Ending, calls: int) -> None:
+        """One ending, so many commands at the server, nothing left behind."""
+        await until(lambda: self.results)
+        await until(lambda: not self.servers.connecting)
+        await until(lambda: self.servers.count() == len(self.pool.idle))
+        assert [result.ending for result in self.results] == [ending]
+        assert len(self.server.calls()) == calls
+
+
+Act = Callable[[Scene], Awaitable[None]]
+
+
+async def first_with_second(scene: Scene) -> None:
+    """Both come up in one moment: one carries the request, the other is closed unwritten."""
+    scene.go_on(0)
+    scene.go_on(1)
+    await scene.ended(Ending.OK, 1)
+    assert len({number for what, number, _ in scene.server.log if what == "command"}) == 1
+
+
+async def second_first(scene: Scene) -> None:
+    """The second comes up: the first is given up, its wait is over, and nothing goes out on it later."""
+    scene.go_on(1)
+    await scene.ended(Ending.OK, 1)
+    assert scene.loop.gates[0].cancelled()
+
+
+async def first_after_all(scene: Scene) -> None:
+    """The first comes up while the second does: the second is given up."""
+    scene.go_on(0)
+    await scene.ended(Ending.OK, 1)
+    assert scene.loop.gates[1].cancelled()
+
+
+async def first_fails(scene: Scene) -> None:
+    """The other may yet carry the request."""
+    scene.fail(0)
+    await until(lambda: scene.servers.connecting == 1)
+    assert not scene.results
+    scene.go_on(1)
+    await scene.ended(Ending.OK, 1)
+
+
+async def second_fails(scene: Scene) -> None:
+    """The same the other way round."""
+    scene.fail(1)
+    await until(lambda: scene.servers.connecting == 1)
+    assert not scene.results
+    scene.go_on(0)
+    await scene.ended(Ending.OK, 1)
+
+
+async def both_fail(scene: Scene) -> None:
+    """One ending, by which nothing has run."""
+    scene.fail(0)
+    scene.fail(1)
+    await scene.ended(Ending.UNREACHABLE, 0)
+
+
+async def neither_in_time(scene: Scene) -> None:
+    """The time-out counts from the first: a second does not make it longer."""
+    await scene.ended(Ending.UNREACHABLE, 0)
+    assert all(gate.cancelled() for gate in scene.loop.gates)
+    assert scene.loop.time() - scene.attempt.started < 1.5 * CONNECT_S
+
+
+async def client_leaves(scene: Scene) -> None:
+    """Both are given up."""
+    scene.attempt.stop(Ending.UNSENT)
+    await scene.ended(Ending.UNSENT, 0)
+    assert all(gate.cancelled() for gate in scene.loop.gates)
+
+
+async def client_leaves_as_one_comes_up(scene: Scene) -> None:
+    """The connection is up, its task has not gone on yet: nothing is written on it, and it counts no more."""
+
+    class Trip(set[Connection]):
+        def add(self, conn: Connection) -> None:
+            super().add(conn)
+            scene.attempt.stop(Ending.UNSENT)
+
+    scene.pool.open = Trip()
+    scene.go_on(0)
+    await scene.ended(Ending.UNSENT, 0)
+
+
+async def grace_over(scene: Scene) -> None:
+    """The server drains meanwhile, and its grace ends: nothing is written on what comes up."""
+    scene.pool.stop()
+    scene.pool.stop_at = scene.loop.time() - 0.001
+    scene.go_on(0)
+    scene.go_on(1)
+    await scene.ended(Ending.UNREACHABLE, 0)
+
+
+CROSSINGS: tuple[Act, ...] = (
+    first_with_second, second_first, first_after_all, first_fails, second_fails, both_fail, neither_in_time,
+    client_leaves, client_leaves_as_one_comes_up, grace_over,
+)  # fmt: skip
+
+
+@asynccontextmanager
+async def scene(loop: HeldLoop, connections: int = 100) -> AsyncIterator[Scene]:
+    server = RespPeer(always(SERVED))
+    await server.start()
+    loop.port = server.port
+    made = Scene(loop, server, connections)
+    try:
+        yield made
+    finally:
+        made.servers.close()
+        await server.stop()
+
+
+def played(act: Act, connections: int = 100) -> None:
+    """An act on a fresh scene; the limit only keeps a broken test from hanging."""
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, HeldLoop)
+        async with scene(loop, connections) as made:
+            await act(made)
+
+    with asyncio.Runner(loop_factory=HeldLoop) as runner:
+        runner.run(asyncio.wait_for(scenario(), 30.0))
+
+
+@pytest.mark.parametrize("act", CROSSINGS, ids=lambda act: act.__name__)
+def test_what_crosses_a_second_connection(act: Act) -> None:
+    async def both(made: Scene) -> None:
+        await made.second()
+        await act(made)
+
+    played(both)
+
+
+def test_no_second_without_room() -> None:
+    """The descriptors are used up: the attempt waits on alone."""
+
+    async def act(made: Scene) -> None:
+        await until(lambda: made.attempt.late_timer is None)
+        assert len(made.loop.gates) == 1 and made.servers.count() == 1
+        made.go_on(0)
+        await made.ended(Ending.OK, 1)
+
+    played(act, connections=1)
+
+
+def test_a_server_on_which_nothing_comes_up_is_not_asked_for_more() -> None:
+    """Its one second is spent; after a connection came up, every other one may be late."""
+
+    async def act(made: Scene) -> None:
+        await made.second()
+        for _ in range(3):
+            await until(lambda: made.results)
+            made.results.clear()
+            asked = len(made.loop.gates)
+            made.attempt = made.begin()
+            await until(lambda: made.results)
+            assert len(made.loop.gates) == asked + 1
+        assert made.servers.beside == 1
+
+    played(act)
+
+
+def test_a_drain_ends_seconds() -> None:
+    """The server drains while the first comes up: it may still carry the request, no other is opened."""
+
+    async def act(made: Scene) -> None:
+        made.pool.stop()
+        made.pool.stop_at = math.inf
+        await until(lambda: made.attempt.late_timer is None)
+        assert len(made.loop.gates) == 1
+        made.go_on(0)
+        await made.ended(Ending.OK, 1)
+
+    played(act)
+
+
+def test_one_that_has_come_free_carries_the_request_of_a_late_one() -> None:
+    """No second is opened then."""
+
+    async def act(made: Scene) -> None:
+        conn = Connection(made.pool)
+        await uvloop.Loop.create_connection(made.loop, lambda: conn, *made.pool.address)
+        made.pool.give_back(conn)
+        await made.ended(Ending.OK, 1)
+        assert len(made.loop.gates) == 1 and made.servers.beside == 0
+
+    played(act)
+
+
+def test_given_up_before_its_first_step_a_connect_is_not_counted_for_good() -> None:
+    """The client leaves in the turn in which its request came: the task never runs any of its code."""
+
+    async def act(made: Scene) -> None:
+        made.begin().stop(Ending.UNSENT)
+        await until(lambda: made.loop.gates)
+        made.go_on(0)
+        await until(lambda: len(made.results) == 2)
+        await until(lambda: made.servers.connecting == 0)
+
+    played(act)
