--- a/glenchute/backends/resp2.py
+++ b/glenchute/backends/resp2.py
@@ -28,6 +28,7 @@
 SWEEP_S = 1.0
 
 SETTLE_S = 0.03  # an answered connection is not used again before this: see `Pool.take`
+CONNECT_SHARE = 0.5  # of its time an attempt waits for a connection: another server may yet serve the request
 STALL_S = 0.25  # an answer that has begun and stops for this long does not go on
 LOAD = re.compile(r"[a-z_0-9]+=[0-9.]+(,[a-z_0-9]+=[0-9.]+)*")
 
@@ -292,8 +293,9 @@
             self.finish(Result(Ending.UNREACHABLE))
         else:
             self.open()
-            self.connect_timer = servers.loop.call_later(servers.limits.connect_s, self.no_connection)
-            late_s = servers.usual.late_after(self.until - self.started)
+            connect_s = min(servers.limits.connect_s, CONNECT_SHARE * (self.until - self.started))
+            self.connect_timer = servers.loop.call_later(connect_s, self.no_connection)
+            late_s = servers.usual.late_after(connect_s)
             if late_s is not None:
                 self.late_timer = servers.loop.call_later(late_s, self.late)
 
--- a/glenchute/deciders/connecting.py
+++ b/glenchute/deciders/connecting.py
@@ -30,11 +30,11 @@
         longer = seconds > self.median_s
         self.median_s = min(self.connect_s / LATE_TIMES, self.median_s * (STEP if longer else 1.0 / STEP))
 
-    def late_after(self, left_s: float) -> float | None:
-        """The wait before a second connection, for an attempt with so much time; None: it has too little left
-        for one, or the time-out comes first."""
+    def late_after(self, connect_s: float) -> float | None:
+        """The wait before a second connection, for an attempt that waits so long for one; None: a second has no
+        more time than the first had had."""
         wait = max(SHORTEST_S, LATE_TIMES * self.median_s)
-        return wait if 2.0 * wait <= min(left_s, self.connect_s) else None
+        return wait if 2.0 * wait <= connect_s else None
 
 
 class Budget:
