--- a/glenchute/backends/resp2.py
+++ b/glenchute/backends/resp2.py
@@ -28,7 +28,6 @@
 SWEEP_S = 1.0
 
 SETTLE_S = 0.03  # an answered connection is not used again before this: see `Pool.take`
-CONNECT_SHARE = 0.5  # of its time an attempt waits for a connection: another server may yet serve the request
 STALL_S = 0.25  # an answer that has begun and stops for this long does not go on
 LOAD = re.compile(r"[a-z_0-9]+=[0-9.]+(,[a-z_0-9]+=[0-9.]+)*")
 
@@ -293,9 +292,9 @@
             self.finish(Result(Ending.UNREACHABLE))
         else:
             self.open()
-            connect_s = min(servers.limits.connect_s, CONNECT_SHARE * (self.until - self.started))
+            connect_s = servers.limits.connect_s
             self.connect_timer = servers.loop.call_later(connect_s, self.no_connection)
-            late_s = servers.usual.late_after(connect_s)
+            late_s = servers.usual.late_after(min(connect_s, self.until - self.started))
             if late_s is not None:
                 self.late_timer = servers.loop.call_later(late_s, self.late)
 
@@ -335,7 +334,7 @@
             return
         except asyncio.CancelledError:
             pool.forget(conn)  # cancelled as it came up, it is closed without a `connection_lost`
-            servers.usual.took(servers.loop.time() - began)
+            servers.usual.given_up(servers.loop.time() - began)
             raise
         self.opening.discard(task)
         servers.usual.took(servers.loop.time() - began)
--- a/glenchute/deciders/connecting.py
+++ b/glenchute/deciders/connecting.py
@@ -26,13 +26,18 @@
         self.median_s = connect_s / LATE_TIMES / LATE_TIMES
 
     def took(self, seconds: float) -> None:
-        """A connection came up after so long, or was given up then, still coming up."""
+        """A connection came up after so long."""
         longer = seconds > self.median_s
         self.median_s = min(self.connect_s / LATE_TIMES, self.median_s * (STEP if longer else 1.0 / STEP))
 
+    def given_up(self, seconds: float) -> None:
+        """One was given up after so long, still coming up: that tells something only if it is long."""
+        if seconds > self.median_s:
+            self.took(seconds)
+
     def late_after(self, connect_s: float) -> float | None:
-        """The wait before a second connection, for an attempt that waits so long for one; None: a second has no
-        more time than the first had had."""
+        """The wait before a second connection, for an attempt that can wait so long for one; None: the second
+        would have less time than the first had."""
         wait = max(SHORTEST_S, LATE_TIMES * self.median_s)
         return wait if 2.0 * wait <= connect_s else None
 
