A long list is used in part by default, sized from the settings; rings kept in order by news

The subset now comes in by itself where a list is longer than a gateway can use whole (256), at a place on the ring that the gateway's number alone tells. Rings are kept sorted by bisection; settling walks what is in use.

--- a/benchmarks/subsets.py
+++ b/benchmarks/subsets.py
@@ -13,10 +13,11 @@
 from collections import Counter
 from collections.abc import Callable
 from hashlib import blake2b
+from itertools import islice
 from pathlib import Path
 
-from glenchute.deciders.subset import DRIFT_MS, Subset, Terms, ring
-from heathglade.interface import Safety, ServerEntry
+from glenchute.deciders.subset import DRIFT_MS, Subset, Terms, spot, walk
+from heathglade.interface import Safety, ServerEntry, ServerState
 from lab.coldstart import Herd
 from lab.load import Account, Kind, Load
 
@@ -31,7 +32,7 @@
     chosen = []
     for number in range(gateways):
         subset = Subset(Terms(gateways, number, used), Safety())
-        subset.listed = {server: ServerEntry(server, "a") for server in servers}
+        subset.whole([ServerEntry(server, "a") for server in servers])
         subset.held = dict.fromkeys(sorted(before[number]) if before is not None else ())
         subset.settle(0.0)
         chosen.append(set(subset.held))
@@ -39,7 +40,18 @@
 
 
 def alone(gateways: int, servers: list[str], used: int, before: Chosen | None) -> Chosen:
-    return [set(ring(Terms(gateways, number, used), servers)[:used]) for number in range(gateways)]
+    row = sorted(map(spot, servers))
+    return [set(islice(walk(row, number), used)) for number in range(gateways)]
+
+
+def by_part(gateways: int, servers: list[str], used: int, before: Chosen | None) -> Chosen:
+    """Gateway i of N begins at the part i / N of the ring, as it did until the number alone decided."""
+    row = [server for _, server in sorted(map(spot, servers))]
+    chosen = []
+    for number in range(gateways):
+        first = number * len(row) // gateways
+        chosen.append(set((row[first:] + row[:first])[:used]))
+    return chosen
 
 
 def rendezvous(gateways: int, servers: list[str], used: int, before: Chosen | None) -> Chosen:
@@ -62,7 +74,9 @@
     return chosen
 
 
-SCHEMES: dict[str, Scheme] = {"kept ring": kept, "ring": alone, "rendezvous": rendezvous, "drawn": drawn}
+SCHEMES: dict[str, Scheme] = {
+    "kept ring": kept, "ring": alone, "ring by parts": by_part, "rendezvous": rendezvous, "drawn": drawn,
+}  # fmt: skip
 
 
 def names(count: int) -> list[str]:
@@ -95,14 +109,13 @@
     subsets = []
     for number in range(gateways):
         subset = Subset(Terms(gateways, number, used), Safety())
-        subset.listed = {server: ServerEntry(server, "a") for server in now}
+        subset.whole([ServerEntry(server, "a") for server in now])
         subset.settle(0.0)
         subsets.append(subset)
     for at in range(servers * 6 // 10):
         gone, new = row[at], row[servers + at]
         for subset in subsets:
-            del subset.listed[gone]
-            subset.listed[new] = ServerEntry(new, "a")
+            subset.change((ServerEntry(gone, "a", state=ServerState.GONE), ServerEntry(new, "a")))
             subset.settle(0.0)
     found = []
     for hour in (0, 1):
--- a/glenchute/backends/resp2.py
+++ b/glenchute/backends/resp2.py
@@ -404,6 +404,11 @@
             pool.stop()
             self.leaving.add(pool)
 
+    def stops(self, server: str) -> bool:
+        """Whether a server is known to take nothing new."""
+        pool = self.pools.get(server)
+        return pool is None or pool.stop_at is not None
+
     def known(self) -> list[str]:
         """All that are listed or drain."""
         return list(self.pools)
--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -19,6 +19,7 @@
 from glenchute.core.types import Decisions, News
 from glenchute.deciders.lifecycle import ACCEPT_S
 from glenchute.deciders.pacing import Doubt, Terms
+from glenchute.deciders.sizing import WHOLE
 from glenchute.fronts.resp2.clients import Listener
 from glenchute.fronts.resp2.commands import Catalogue
 from glenchute.peers.counter import Counter
@@ -26,12 +27,15 @@
 from heathglade import Gateway as Policy
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from glenchute.capture.recorder import Recorder
     from glenchute.config.operator import Operator
     from glenchute.control.server import ControlServer
     from glenchute.fronts.extproc.server import Server as ExtProc
     from glenchute.fronts.operations import OperationsServer
     from glenchute.peers.fleet.node import Fleet
+    from heathglade.interface import ServerEntry
 
     from .succession import Succession
 
@@ -84,14 +88,17 @@
         self.recorder: Recorder | None = None
         if operator is not None and operator.capture is not None:
             decisions = self.recorder = self.recording(decisions, operator.capture)
-        if operator is not None and operator.subset is not None:
-            decisions = self.narrowed(decisions, operator.subset)
+        raw = operator.subset if operator is not None else None
+        if raw is not None:
+            decisions = self.narrowed(decisions, raw)
         self.fleet: Fleet | None = None
         self.control: ControlServer | None = None
         if operator is not None and operator.fleet is not None:
             decisions = self.among_members(decisions, operator.fleet)
         self.gateway = Gateway(loop, decisions, self.servers, self.counter)
         self.gateway.overlap = made.overlap
+        if raw is None:
+            self.gateway.most_listed, self.gateway.narrow = WHOLE, self.narrow
         if operator is not None:
             self.bind(operator)
         self.listener = Listener(loop, self.gateway, Catalogue(made, config.bounds), config.sockets)
@@ -135,14 +142,28 @@
 
         return backend(shared, self.config, self.loop)
 
-    def narrowed(self, decisions: Decisions, raw: dict[str, Any]) -> Decisions:
+    def narrowed(
+        self, decisions: Decisions, raw: dict[str, Any], listed: Iterable[ServerEntry] = ()
+    ) -> Decisions:
         """The module that is told of some of the servers only; imported only where the operator's file says
-        so. A gateway that does not know its number takes one by its seed: balanced by chance alone."""
+        so, or a list is that long. A gateway that does not know its number takes one by its seed: balanced by
+        chance alone."""
         from glenchute.deciders.subset import Aperture, Terms
 
-        made, number = self.config.settings, self.config.number
-        number = number if number is not None else self.config.seed % max(1, made.gateways)
-        return Aperture(decisions, made, Terms(gateways=made.gateways, number=number, **raw))
+        made, number = self.config.settings, self.config.place
+        number = number if number is not None else self.config.seed
+        return Aperture(decisions, made, Terms(gateways=made.gateways, number=number, **raw), listed)
+
+    def narrow(self) -> None:
+        """The list has become longer than a gateway can use whole: from the next word of it on the module is
+        told of some servers. It stands as with `[subset]`: behind members' words, before the recorder."""
+        rows, stopped = self.discovery.held.rows.values(), self.servers.stops
+        listed = [one for one, _ in rows if not stopped(one.server)]
+        if self.fleet is not None:
+            self.fleet.telling.module = self.narrowed(self.fleet.telling.module, {}, listed)
+        else:
+            self.gateway.decisions = self.narrowed(self.gateway.decisions, {}, listed)
+        log.info("more than %d servers are listed: from now on a part of them is used", WHOLE)
 
     def recording(self, decisions: Decisions, raw: dict[str, Any]) -> Recorder:
         """The module behind a recorder; imported only where the operator's file asks for one."""
--- a/glenchute/config/platform.py
+++ b/glenchute/config/platform.py
@@ -19,6 +19,7 @@
 OPERATOR = "GLENCHUTE_OPERATOR"  # the variable that names the operator's file
 
 
+MOST_GATEWAYS = 1_000_000  # a gateway's number is under this, or is none
 LONG_SHARE = 0.25  # of the memory that long values may take on their way through
 LONG_COST = 192 * 1024  # bytes of one: what waits for the client, and what comes in one read
 
@@ -42,6 +43,7 @@
     passed: int | None  # the descriptor of the clients' listening socket, where the platform holds that
     settings: Settings
     number: int | None  # of this gateway among `settings.gateways`; None where the platform does not say
+    place: int | None  # the number that the platform gave, though it may not be one of `settings.gateways`
     limits: Limits
     bounds: Bounds
     facts: Facts
@@ -94,6 +96,7 @@
         passed=descriptor(environ.get("EDGE_PASSED_SOCKET")),
         settings=made,
         number=own_number(raw["settings"].get("me"), made.gateways),
+        place=own_number(raw["settings"].get("me"), MOST_GATEWAYS),
         limits=Limits(
             connect_s=num(limits.get("connect_timeout_ms"), 250.0) / 1000.0,
             idle_s=max(0.5, num(limits.get("conn_idle_ms"), 15_000.0) / 1000.0 - 2.0),
--- a/glenchute/core/gateway.py
+++ b/glenchute/core/gateway.py
@@ -121,6 +121,9 @@
         self.failed_at = -math.inf  # when an attempt last failed
         self.overlap = False  # a second copy may be out beside the first
         self.most_attempts = 0  # of a request; told where attempts are placed on shared connections, else 0
+        # Called once, before the module hears of more servers than so many.
+        self.most_listed: float = math.inf
+        self.narrow: Callable[[], None] = lambda: None
         self.tells_places = False  # the module is recorded, and is told where attempts went
         self.events: deque[api.Event] = deque()
         self.draining = False
@@ -210,6 +213,9 @@
             for server in [name for name in self.servers.known() if name not in listed]:
                 self.servers.gone(server)
             self.started_ms = {k: v for k, v in self.started_ms.items() if k in listed}
+        if len(self.started_ms) > self.most_listed:
+            self.most_listed = math.inf
+            self.narrow()
         self.post(event)
 
     # --- actions out -------------------------------------------------------------------------------------
--- a/glenchute/deciders/subset.py
+++ b/glenchute/deciders/subset.py
@@ -1,36 +1,48 @@
-"""Which of the servers one gateway uses, so that each server is met by few gateways. No I/O; milliseconds.
+"""Which of the servers one gateway uses, so that a choice costs by what is used, not by what is listed, and
+each server is met by few gateways. No I/O; milliseconds.
 
-N gateways that each use all of M servers open N M connections after a start, and each server is met by N.
-Here each uses `servers` of them, more as its load needs it (Finagle's aperture; "Reinventing Backend
+N gateways that each use all of M servers look at M servers for each request, open N M connections after a
+start, and each server is met by N. Here each uses as many as `size` has it from the settings and the list, or
+as the operator's file names, and more as its load needs it (Finagle's aperture; "Reinventing Backend
 Subsetting at Google", ACM Queue 2022, for what such subsets have to do). All servers of a zone stand on a
-ring in the order of their hashed names, and gateway i of N begins at the part i / N of it: so all are met by
-equally many, without a word between gateways. What this gateway holds is *kept* while it is listed, and one
-place every `DRIFT_MS` moves towards where the ring has it by now: on the ring alone each change of the list
-would move a place at half of the gateways, each of them a handshake.
+ring in the order of their hashed names, and each gateway begins at a part of it that its number alone tells,
+evenly spread however many gateways there are: no word passes between them, and nobody has to know how many
+there are. What this gateway holds is *kept* while it is listed, and one place every `DRIFT_MS` moves towards
+where the ring has it by now: on the ring alone each change of the list would move a place at half of the
+gateways, each of them a handshake.
 
 `Aperture` stands before the decision module, which then knows of the servers in use and decides among these
-as ever. What holds: the module is told of no server that the list does not have as in service, and of each
-drain and end at the moment that it comes; no zone that has servers is without one; with nobody to send to,
-or all in use busy, more come in within `STEP_MS`.
+as ever. A list that one gateway can use whole (`WHOLE`) is passed on as it comes. What holds: the module is
+told of no server that the list does not have as in service, and of each drain and end at the moment that it
+comes; no zone that has servers is without one; with nobody to send to, or all in use busy, more come in
+within `STEP_MS`. Cost: a changed row is put into its ring by bisection; all else walks what is in use.
 """
 
 from __future__ import annotations
 
-import functools
 import math
-from collections.abc import Iterable
+from bisect import bisect_left, insort
+from collections.abc import Iterable, Iterator
+from dataclasses import replace
 from hashlib import blake2b
 from typing import NamedTuple, Protocol
 
 from heathglade import interface as api
 from heathglade.interface import ListKind, ServerEntry, ServerList, ServerState
 
+from .sizing import AGAIN, WHOLE, size
+
+FAINT = 0.125  # what a server counts at least in how far the ring is walked, however cold or lost
 STEP_MS = 250.0  # between two steps wider
 GROWTH = 0.25  # of the servers in use that come in with a step
-CALM_MS = 10_000.0  # so long calm before one goes out again
+CALM_MS = 10_000.0  # so long calm before some go out again
 DRIFT_MS = 10_000.0
+SHRINK = 0.125  # of what is too much that goes out at a time
 LOST_MS = 5_000.0  # one that could not be reached does not count as in use for so long
 MOST_LOST = 5_000
+FEW_ROWS = 16  # changes of one ring up to which each is put in by itself; more are sorted in together
+
+Spot = tuple[bytes, str]  # a server's place on its ring
 
 
 class Module(Protocol):
@@ -43,23 +55,32 @@
     """Who this gateway is among the others, and what it may use."""
 
     gateways: int
-    number: int
-    servers: int  # in use at least, counted by their warmth
+    number: int  # from 0; any number will do that no other gateway has
+    servers: int = 0  # in use at least, counted by their warmth; 0: as `size` has it, of long lists only
     busy: float = 2.0  # attempts out at a server in use, on average, from which on more come in
     calm: float = 0.5  # ... and below which some go out
 
 
-@functools.lru_cache(maxsize=16_384)
-def place_of(server: str) -> bytes:
-    """Where a server stands on the ring."""
-    return blake2b(server.encode(), digest_size=8).digest()
+def position(number: int) -> float:
+    """Where on a ring, from 0 to 1, the gateway of this number begins: its bits behind the point in reverse
+    order (van der Corput's sequence). The first n of them lie evenly for any n."""
+    at, part = 0.0, 0.5
+    while number > 0 and part > 1e-15:
+        at += part * (number & 1)
+        number, part = number >> 1, part / 2.0
+    return at
+
+
+def spot(server: str) -> Spot:
+    """Where a server stands on its ring."""
+    return blake2b(server.encode(), digest_size=8).digest(), server
 
 
-def ring(terms: Terms, servers: list[str]) -> list[str]:
-    """The servers in the order in which this gateway takes them."""
-    row = sorted(servers, key=place_of)
-    first = terms.number * len(row) // max(1, terms.gateways) if row else 0
-    return row[first:] + row[:first]
+def walk(row: list[Spot], number: int) -> Iterator[str]:
+    """The servers of a ring in the order in which the gateway of this number takes them."""
+    first = int(position(number) * len(row))
+    for at in range(len(row)):
+        yield row[(first + at) % len(row)][1]
 
 
 class Subset:
@@ -68,12 +89,75 @@
     def __init__(self, terms: Terms, safety: api.Safety) -> None:
         self.terms, self.safety = terms, safety
         self.listed: dict[str, ServerEntry] = {}
+        self.rings: dict[str, list[Spot]] = {}  # by zone, in order
         self.held: dict[str, None] = {}  # in the order in which they came in
         self.lost: dict[str, float] = {}  # could not be reached, until then
         self.wider = 0  # places beyond `servers`, by the load
+        self.stale = True  # something has changed since all was brought up to date
         self.stepped_at = self.drifted_at = self.calm_since = -1e12
         self.moved = 0  # places that changed though their server was listed
 
+    @property
+    def servers(self) -> int:
+        """How many are in use at least."""
+        return self.terms.servers or size(len(self.listed), self.terms.gateways)
+
+    # --- the list ----------------------------------------------------------------------------------------
+
+    def whole(self, entries: Iterable[ServerEntry]) -> None:
+        """These are all there are. Those that stand where they stood are not placed anew."""
+        before, self.listed = self.listed, {entry.server: entry for entry in entries}
+        gone = [one for one in before.values() if one.server not in self.listed]
+        came = []
+        for entry in self.listed.values():
+            old = before.get(entry.server)
+            if old is not entry and (old is None or old.zone != entry.zone):
+                came.append(entry)
+                if old is not None:
+                    gone.append(old)
+        self.place(came, gone)
+
+    def change(self, entries: Iterable[ServerEntry]) -> None:
+        """These have changed."""
+        came: dict[str, ServerEntry] = {}
+        gone: dict[str, ServerEntry] = {}
+        for entry in entries:
+            old = self.listed.pop(entry.server, None)
+            active = entry.state is ServerState.ACTIVE
+            if active:
+                self.listed[entry.server] = entry
+            if old is not None and active and old.zone == entry.zone:
+                continue
+            if came.pop(entry.server, None) is None and old is not None:
+                gone[entry.server] = old
+            if active:
+                came[entry.server] = entry
+        self.place(came.values(), gone.values())
+
+    def place(self, came: Iterable[ServerEntry], gone: Iterable[ServerEntry]) -> None:
+        """Brings the rings up to date, each by one sort where much has changed."""
+        zones: dict[str, tuple[list[Spot], list[Spot]]] = {}
+        for at, entries in enumerate((came, gone)):
+            for entry in entries:
+                zones.setdefault(entry.zone, ([], []))[at].append(spot(entry.server))
+        for zone, (new, old) in zones.items():
+            row = self.rings.setdefault(zone, [])
+            if len(new) + len(old) > FEW_ROWS:
+                left = set(old)
+                row[:] = [one for one in row if one not in left]
+                row += new
+                row.sort()
+            else:
+                for one in old:
+                    del row[bisect_left(row, one)]
+                for one in new:
+                    insort(row, one)
+            if not row:
+                del self.rings[zone]
+        self.stale = True
+
+    # --- what is in use ----------------------------------------------------------------------------------
+
     def weight(self, now: float, server: str) -> float:
         """What a server in use counts: a cold one by its warmth, one that can't be reached not at all."""
         if self.lost.get(server, -1e12) > now:
@@ -84,98 +168,112 @@
         share = self.safety.cold_share
         return min(1.0, share + (1.0 - share) * max(0.0, now - started) / max(1.0, self.safety.warm_ms))
 
-    def ideal(self, now: float) -> list[str]:
-        """Where the ring has this gateway now, zone by zone by their sizes."""
-        zones: dict[str, list[str]] = {}
-        for server, entry in self.listed.items():
-            zones.setdefault(entry.zone, []).append(server)
-        chosen = []
-        for servers in zones.values():
-            wanted = math.ceil((self.terms.servers + self.wider) * len(servers) / len(self.listed))
+    def ideal(self, now: float) -> dict[str, float]:
+        """Where the rings have this gateway now, zone by zone by their sizes, and what each server counts."""
+        chosen: dict[str, float] = {}
+        for row in self.rings.values():
+            wanted = math.ceil((self.servers + self.wider) * len(row) / len(self.listed))
             got = 0.0
-            for server in ring(self.terms, servers):
+            for server in walk(row, self.terms.number):
                 if got >= wanted:
                     break
-                chosen.append(server)
-                got += self.weight(now, server)
+                chosen[server] = self.weight(now, server)
+                got += max(FAINT, chosen[server])
         return chosen
 
-    def by_zone(self, now: float, servers: Iterable[str]) -> dict[str, float]:
+    def by_zone(self, weights: Iterable[tuple[str, float]]) -> dict[str, float]:
         """What these count together, in each zone."""
         sums: dict[str, float] = {}
-        for server in servers:
+        for server, weight in weights:
             zone = self.listed[server].zone
-            sums[zone] = sums.get(zone, 0.0) + self.weight(now, server)
+            sums[zone] = sums.get(zone, 0.0) + weight
         return sums
 
     def settle(self, now: float) -> tuple[list[str], list[str]]:
         """Brings what is held up to date: what came in, and what went out."""
+        self.stale = False
         out = [server for server in self.held if server not in self.listed]
         for server in out:
             del self.held[server]
         came, ideal = [], self.ideal(now)
-        by_zone, wanted = self.by_zone(now, self.held), self.by_zone(now, ideal)
-        for server in ideal:
+        by_zone = self.by_zone((server, self.weight(now, server)) for server in self.held)
+        wanted = self.by_zone(ideal.items())
+        for server, weight in ideal.items():
             zone = self.listed[server].zone
-            lacks = by_zone.get(zone, 0.0) < wanted[zone] or zone not in by_zone
+            lacks = zone not in by_zone or by_zone[zone] < wanted[zone]
             if server not in self.held and lacks:
                 self.held[server] = None
                 came.append(server)
-                by_zone[zone] = by_zone.get(zone, 0.0) + self.weight(now, server)
+                by_zone[zone] = by_zone.get(zone, 0.0) + weight
         return came, out
 
     def drift(self, now: float) -> tuple[list[str], list[str]]:
-        """One place nearer to the ring, and one fewer where more are held than are wanted."""
+        """One place nearer to the ring, and some fewer where more are held than are wanted."""
         if now - self.drifted_at < DRIFT_MS:
             return [], []
         self.drifted_at = now
-        ideal = set(self.ideal(now))
+        ideal = self.ideal(now)
         strangers = [server for server in self.held if server not in ideal]
-        lacking = [server for server in ideal if server not in self.held]
         if not strangers:
             return [], []
-        out = strangers[0]
-        zone = self.listed[out].zone
-        same = sorted(server for server in lacking if self.listed[server].zone == zone)
-        alone = sum(self.listed[server].zone == zone for server in self.held) < 2
-        if not same and (alone or len(self.held) <= len(ideal)):
-            return [], []
-        del self.held[out]
-        self.moved += 1
-        for server in same[:1]:
-            self.held[server] = None
-        return same[:1], [out]
+        held: dict[str, int] = {}
+        for server in self.held:
+            zone = self.listed[server].zone
+            held[zone] = held.get(zone, 0) + 1
+        zone = self.listed[strangers[0]].zone
+        same = [one for one in ideal if one not in self.held and self.listed[one].zone == zone][:1]
+        if same:
+            out = strangers[:1]
+        else:
+            out = []
+            for server in strangers[: max(0, math.ceil(SHRINK * (len(self.held) - len(ideal))))]:
+                zone = self.listed[server].zone
+                if held[zone] > 1:
+                    held[zone] -= 1
+                    out.append(server)
+        for server in out:
+            del self.held[server]
+        self.moved += len(out)
+        self.held.update(dict.fromkeys(same))
+        return same, out
 
     def judge(self, now: float, out: int) -> None:
         """Wider or narrower by the attempts that are out at the servers in use."""
         able = sum(self.weight(now, server) for server in self.held)
-        most = max(0, len(self.listed) - self.terms.servers)
+        most = max(0, len(self.listed) - self.servers)
         if out >= self.terms.busy * able:
             self.calm_since = now
             if now - self.stepped_at >= STEP_MS and self.wider < most:
-                self.stepped_at = now
+                self.stepped_at, self.stale = now, True
                 self.wider = min(most, self.wider + max(1, round(GROWTH * len(self.held))))
         elif out >= self.terms.calm * able:
             self.calm_since = now
         elif self.wider and now - self.calm_since >= CALM_MS:
             self.calm_since = now
-            self.wider -= 1
+            self.wider -= math.ceil(SHRINK * self.wider)
 
 
 class Aperture:
-    """The decision module before which a subset stands; itself taken for a module."""
+    """The decision module before which a subset stands; itself taken for a module. `listed`: the servers of
+    which the module knows already."""
 
-    def __init__(self, module: Module, made: api.Settings, terms: Terms) -> None:
+    def __init__(
+        self, module: Module, made: api.Settings, terms: Terms, listed: Iterable[ServerEntry] = ()
+    ) -> None:
         self.module, self.subset = module, Subset(terms, made.safety)
+        self.narrow = terms.servers > 0  # whether some are in use only, else all that are listed
+        self.subset.listed = {entry.server: entry for entry in listed}
         self.out: dict[str, int] = {}  # attempts out, by server
         self.looked_at = -1e12
-        self.of = 0  # servers that the module was told there are
+        self.of = 0  # servers that the module was told there are; 0: it was never told of some only
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         """One event for the module."""
-        subset = self.subset
         if isinstance(event, ServerList):
             return self.listed(now_ms, event)
+        if not self.narrow:
+            return self.module.handle(now_ms, event)
+        subset = self.subset
         if isinstance(event, api.AttemptEnded):
             left = self.out.get(event.server, 0) - 1
             if left > 0:
@@ -184,6 +282,7 @@
                 self.out.pop(event.server, None)
             if event.ending is api.Ending.UNREACHABLE and len(subset.lost) < MOST_LOST:
                 subset.lost[event.server] = now_ms + LOST_MS
+                subset.stale = True
         actions = self.pass_on(now_ms, event)
         if now_ms - self.looked_at >= STEP_MS:
             self.looked_at = now_ms
@@ -203,34 +302,91 @@
         subset = self.subset
         subset.lost = {server: until for server, until in subset.lost.items() if until > now}
         subset.judge(now, sum(self.out.get(server, 0) for server in subset.held))
-        came, gone = subset.settle(now)
+        came, gone = subset.settle(now) if subset.stale else ([], [])
         if not came and not gone:
             came, gone = subset.drift(now)
         return self.change(now, came, gone, ())
 
+    # --- the list ----------------------------------------------------------------------------------------
+
     def listed(self, now: float, event: ServerList) -> list[api.Action]:
         """News of the list."""
-        subset, whole = self.subset, event.kind in (ListKind.FULL, ListKind.SAVED)
-        if whole:
-            subset.listed.clear()
-        told = []
-        for entry in event.entries:
-            if entry.state is ServerState.ACTIVE:
-                subset.listed[entry.server] = entry
-            else:
-                subset.listed.pop(entry.server, None)
-            if entry.server in subset.held:
-                told.append(entry)
-        came, gone = subset.settle(now)
-        if whole:
-            entries = tuple(subset.listed[server] for server in subset.held)
-            self.of = len(subset.listed)
-            return self.pass_on(now, ServerList(event.kind, entries, self.of))
         if event.kind is ListKind.FAILED:
             return self.pass_on(now, event)
+        subset, was = self.subset, self.narrow
+        whole = event.kind is not ListKind.CHANGES
+        known: Iterable[str] = ()  # to the module, and what may be
+        if not was and not whole and len(subset.listed) + len(event.entries) > WHOLE:
+            known = {*subset.listed, *(entry.server for entry in event.entries)}
+        self.follow(event, whole)
+        length = len(subset.listed)
+        self.narrow = subset.terms.servers > 0 or length > (AGAIN if was else WHOLE)
+        if not self.narrow:
+            return self.told_whole(now, event, whole or not was)
+        if not was:
+            subset.rings = {}
+            subset.place(subset.listed.values(), ())
+        if whole:
+            subset.settle(now)
+            self.of = length
+            entries = tuple(subset.listed[server] for server in subset.held)
+            return self.pass_on(now, ServerList(event.kind, entries, length))
+        if not was:
+            subset.settle(now)
+            gone = [server for server in known if server not in subset.held and server in subset.listed]
+            told = [entry for entry in event.entries if entry.state is not ServerState.ACTIVE]
+            return self.change(now, list(subset.held), gone, tuple(told))
+        told = [entry for entry in event.entries if entry.server in subset.held]
+        few = len(subset.held) < min(subset.servers, length)
+        if few or any(entry.state is not ServerState.ACTIVE for entry in told) or self.bare(event):
+            came, gone = subset.settle(now)
+        else:
+            came, gone = [], []  # the next look has time for it
         named = {entry.server for entry in told}
         return self.change(now, came, [server for server in gone if server not in named], tuple(told))
 
+    def follow(self, event: ServerList, whole: bool) -> None:
+        """The list as it is now; on rings only where some are in use."""
+        subset = self.subset
+        if whole:
+            active = [entry for entry in event.entries if entry.state is ServerState.ACTIVE]
+            if self.narrow:
+                subset.whole(active)
+            else:
+                subset.listed = {entry.server: entry for entry in active}
+        elif self.narrow:
+            subset.change(event.entries)
+        else:
+            for entry in event.entries:
+                subset.listed.pop(entry.server, None)
+                if entry.state is ServerState.ACTIVE:
+                    subset.listed[entry.server] = entry
+
+    def bare(self, event: ServerList) -> bool:
+        """Whether a zone that this names may be without a server in use."""
+        zones = {entry.zone for entry in event.entries}
+        for server in self.subset.held:
+            entry = self.subset.listed.get(server)
+            if entry is not None:
+                zones.discard(entry.zone)
+                if not zones:
+                    return False
+        return True
+
+    def told_whole(self, now: float, event: ServerList, enough: bool) -> list[api.Action]:
+        """All are in use. `enough`: the event itself tells the module of all that it does not know."""
+        subset, held = self.subset, self.subset.held
+        if not enough:
+            named = {entry.server for entry in event.entries}
+            rest = [e for e in subset.listed.values() if e.server not in held and e.server not in named]
+            event = replace(event, entries=(*event.entries, *rest))
+        subset.held, subset.rings, subset.lost, subset.wider = {}, {}, {}, 0
+        self.out.clear()
+        if self.of:  # once told of more than it knows, the module has to be told of each length
+            self.of = len(subset.listed)
+            event = replace(event, of=self.of)
+        return self.module.handle(now, event)
+
     def change(
         self, now: float, came: list[str], gone: list[str], told: tuple[ServerEntry, ...]
     ) -> list[api.Action]:
