Zones come out even in a subset; pools with connections are walked, not all listed

Zones are rounded by each gateway's number, so that a gateway uses as many as it should and no zone is met by fewer.

--- a/benchmarks/choosing.py
+++ b/benchmarks/choosing.py
@@ -1,8 +1,8 @@
-"""What a long list costs one real gateway without an operator's file: processor time a request, quiet, and for
-a changed row and a whole list; who was served, and when.
+"""What a long list costs one real gateway without an operator's file: processor time a request, while quiet,
+for a changed row and for a whole list; who was served, and when.
 
-``python -m benchmarks.choosing [LISTED ...]``. Twenty real servers stand behind all the names that are listed;
-what the gateway asks of each name is thus asked of fewer servers than a site of that size has.
+``python -m benchmarks.choosing [LISTED ...]``. Twenty real servers stand behind all the names that are
+listed, so that each does more than a server of a site of that size.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 import asyncio
 import sys
 import tempfile
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -17,7 +18,7 @@
 
 from lab.load import Account, Kind, Load, percentile
 from lab.nodes import Node, Trade
-from lab.peers import Client
+from lab.peers import Client, row
 from lab.services import DiscoveryService
 from lab.site import SETTINGS, GatewayProcess, LabSite
 
@@ -49,9 +50,8 @@
 def rows(site: LabSite, listed: int) -> list[dict[str, Any]]:
     """So many names in seven zones; the addresses are those of the real servers."""
     return [
-        {"id": f"10.{n // 2500}.{n // 250 % 10}.{n % 250}:80", "zone": "abcdefg"[n % 7], "kind": "m", "cell": 0,
-         "addr": f"127.0.0.1:{site.nodes[n % len(site.nodes)].port}", "state": "Ready", "weight": 1.0,
-         "started_ms": 0.0}
+        {**row(f"10.{n // 2500}.{n // 250 % 10}.{n % 250}:80", site.nodes[n % SERVERS].port),
+         "zone": "abcdefg"[n % 7]}
         for n in range(listed)
     ]  # fmt: skip
 
@@ -63,7 +63,7 @@
 
 
 async def pings(port: int, until: asyncio.Event) -> float:
-    """The longest that a PING waited meanwhile, ms: how long one turn of the gateway's loop held up all else."""
+    """The longest that a PING waited meanwhile, ms: how long a turn of the loop held up all else."""
     client, longest, loop = await Client.connect(port), 0.0, asyncio.get_running_loop()
     while not until.is_set():
         began = loop.time()
@@ -73,22 +73,24 @@
     return longest
 
 
-async def taken(discovery: DiscoveryService) -> None:
-    """Until the gateway has taken the list's last version: it then watches from there."""
-    async with asyncio.timeout(20.0):
-        while discovery.watched != discovery.version:
-            await asyncio.sleep(0.005)
-
-
 class Lists(DiscoveryService):
-    """Discovery that knows which version was asked from last, and can answer with whole lists."""
+    """Discovery that tells which version was asked from last, and can answer with whole lists only."""
 
-    watched = 0
-    whole = False
+    def __init__(self, rows: list[dict[str, Any]]) -> None:
+        super().__init__(rows)
+        self.watched = self.wholes = 0
+        self.whole = False
 
     def kept(self, since: int) -> bool:
         self.watched = since
-        return super().kept(since) and not (self.whole and since != self.version)
+        self.wholes += self.whole
+        return not self.whole and super().kept(since)
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Waits until something holds of what it was asked."""
+        async with asyncio.timeout(30.0):
+            while not condition():
+                await asyncio.sleep(0.002)
 
 
 async def measure(listed: int, folder: Path) -> Row:
@@ -105,7 +107,7 @@
         gateway.start()
         try:
             await gateway.ready()
-            await taken(lists)
+            await lists.until(lambda: lists.watched == lists.version)
             assert gateway.process is not None
             pid = gateway.process.pid
             accounts = [Account(b"%016x" % (1000 + i), "korporativni") for i in range(400)]
@@ -120,24 +122,24 @@
             quiet = (cpu_s(pid) - before) / QUIET_S
             before = cpu_s(pid)
             for number in range(ROWS):
-                row = all_rows[number * 7919 % listed]
-                lists.update({**row, "weight": 1.0 + number})
-                await taken(lists)
+                lists.update({**all_rows[number * 7919 % listed], "weight": 1.0 + number})
+                await lists.until(lambda: lists.watched == lists.version)
             row_ms = 1000.0 * (cpu_s(pid) - before) / ROWS
             done = asyncio.Event()
             watch = asyncio.create_task(pings(gateway.port, done))
-            await asyncio.sleep(1.0)
             lists.whole = True
+            lists.update(all_rows[0])  # ends the watch; whole lists follow
+            await lists.until(lambda: lists.wholes > 0)
             before = cpu_s(pid)
-            for _ in range(WHOLE):
-                lists.update(all_rows[0])
-                await taken(lists)
+            await lists.until(lambda: lists.wholes > WHOLE)
             whole_ms = 1000.0 * (cpu_s(pid) - before) / WHOLE
             done.set()
             took = [outcome.took_ms for outcome in load.outcomes if outcome.answer == "served"]
             told = [outcome.answer for outcome in load.outcomes]
-            return Row(request_ms, quiet, row_ms, whole_ms, await watch, memory_mb(pid), len(told),
-                       told.count("served"), told.count("lost"), percentile(took, 50), percentile(took, 99))  # fmt: skip
+            return Row(
+                request_ms, quiet, row_ms, whole_ms, await watch, memory_mb(pid), len(told),
+                told.count("served"), told.count("lost"), percentile(took, 50), percentile(took, 99),
+            )  # fmt: skip
         finally:
             await gateway.stop()
             await lists.stop()
@@ -147,7 +149,7 @@
     """A row for each size."""
     print(machine())
     print(f"one gateway of {GATEWAYS}, {SERVERS} real servers, {RATE:.0f} reads a second for {SECONDS:.0f} s")
-    print("listed  CPU/request  quiet   row CPU  whole CPU  PING waits  memory  served      no answer  p50, p99")
+    print("listed  CPU/request  quiet  row CPU  whole CPU  PING waits  memory  served  no answer  p50, p99")
     for listed in map(int, sys.argv[1:] or ("20", "570", "5700")):
         with tempfile.TemporaryDirectory() as folder:
             row: Row = uvloop.run(measure(listed, Path(folder)))
--- a/glenchute/backends/resp2.py
+++ b/glenchute/backends/resp2.py
@@ -74,7 +74,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport  # type: ignore[assignment]
-        self.pool.open.add(self)
+        self.pool.came_up(self)
 
     def data_received(self, data: bytes) -> None:
         attempt = self.attempt
@@ -192,9 +192,16 @@
         conn.idle_since = self.servers.loop.time()
         self.idle.append(conn)
 
+    def came_up(self, conn: Connection) -> None:
+        """Books a connection that is up."""
+        self.open.add(conn)
+        self.servers.used.add(self)
+
     def forget(self, conn: Connection) -> None:
         """Drops a connection that is closed."""
         self.open.discard(conn)
+        if not self.open:
+            self.servers.used.discard(self)
         if conn in self.idle:
             self.idle.remove(conn)
 
@@ -372,6 +379,7 @@
         self.part = 1.0  # of the limits that is this process's at the moment
         self.pools: dict[str, Pool] = {}
         self.leaving: set[Pool] = set()  # no longer listed, with connections open
+        self.used: set[Pool] = set()  # of both kinds, those with connections open: what is walked
         self.connecting = 0
         self.turns: Turns[LongAnswer] = Turns(limits.long_values)
         self.sweeper = loop.call_later(SWEEP_S, self.sweep)
@@ -424,18 +432,17 @@
 
     def count(self) -> int:
         """Sockets in use."""
-        pools = [*self.pools.values(), *self.leaving]
-        return self.connecting + sum(len(pool.open) for pool in pools)
+        return self.connecting + sum(len(pool.open) for pool in self.used)
 
     def has_room(self) -> bool:
         """Whether `make_room` would succeed."""
-        return self.count() < self.most() or any(pool.idle for pool in self.pools.values())
+        return self.count() < self.most() or any(pool.idle for pool in self.used)
 
     def make_room(self) -> bool:
         """Whether one more connection may be opened; the longest idle one is closed for it if need be."""
         if self.count() < self.most():
             return True
-        pools = [pool for pool in self.pools.values() if pool.idle]
+        pools = [pool for pool in self.used if pool.idle]
         if not pools:
             return False
         pool = min(pools, key=lambda p: p.idle[0].idle_since)
@@ -472,7 +479,7 @@
         """Closes what has stood idle before the server does, and forgets pools that have emptied."""
         self.sweeper = self.loop.call_later(SWEEP_S, self.sweep)
         before = self.loop.time() - self.limits.idle_s
-        for pool in self.pools.values():
+        for pool in [pool for pool in self.used if pool.idle]:
             pool.close_idle(before)
         self.leaving = {pool for pool in self.leaving if pool.open}
 
--- a/glenchute/deciders/sizing.py
+++ b/glenchute/deciders/sizing.py
@@ -3,10 +3,10 @@
 
 from __future__ import annotations
 
-LEAST = 64  # in use at least: each is heard of twice a second at 128 requests, and a look at so many is cheap
-WHOLE = 4 * LEAST  # a list up to so long is used whole, and so many are in use at most, before load asks more
-AGAIN = 3 * LEAST  # a list that was longer is used whole again from here down
-MET_BY = 5  # gateways that meet each server, where that takes more than LEAST
+LEAST = 48  # in use at least: fewer cost hardly less to look at, and each bears more of a gateway's surge
+WHOLE = 256  # a list up to so long is used whole, and so many are in use at most, before load asks for more
+AGAIN = 192  # a list that was longer is used whole again from here down
+MET_BY = 4  # gateways that meet each server, where that takes more than LEAST
 
 
 def size(listed: int, gateways: int) -> int:
--- a/glenchute/deciders/subset.py
+++ b/glenchute/deciders/subset.py
@@ -33,6 +33,7 @@
 from .sizing import AGAIN, WHOLE, size
 
 FAINT = 0.125  # what a server counts at least in how far the ring is walked, however cold or lost
+GOLDEN = 0.618034
 STEP_MS = 250.0  # between two steps wider
 GROWTH = 0.25  # of the servers in use that come in with a step
 CALM_MS = 10_000.0  # so long calm before some go out again
@@ -171,11 +172,17 @@
     def ideal(self, now: float) -> dict[str, float]:
         """Where the rings have this gateway now, zone by zone by their sizes, and what each server counts."""
         chosen: dict[str, float] = {}
-        for row in self.rings.values():
-            wanted = math.ceil((self.servers + self.wider) * len(row) / len(self.listed))
+        wanted, length, passed = self.servers + self.wider, len(self.listed), 0
+        # Of what does not come out even, each gateway rounds by its number, so that no zone is met by fewer.
+        luck = edge = int(length * (GOLDEN * self.terms.number % 1.0))
+        for zone in sorted(self.rings):
+            row = self.rings[zone]
+            passed += len(row)
+            before, edge = edge, luck + wanted * passed
+            part = max(1, edge // length - before // length)
             got = 0.0
             for server in walk(row, self.terms.number):
-                if got >= wanted:
+                if got >= part:
                     break
                 chosen[server] = self.weight(now, server)
                 got += max(FAINT, chosen[server])
