A subset grows by what is out, not without end; tests of long lists by counted steps

With nothing to be reached a subset widened by a quarter each 0.25 s up to all that are listed: 5,700 in 6 s, and each choice was then a walk over all of them (found by test_looks_cost_by_what_is_in_use: 570 of 570 in use). It now grows to what the attempts out have use for, or to twice its size.

--- a/glenchute/deciders/subset.py
+++ b/glenchute/deciders/subset.py
@@ -32,7 +32,7 @@
 
 from .sizing import AGAIN, WHOLE, size
 
-FAINT = 0.125  # what a server counts at least in how far the ring is walked, however cold or lost
+FAINT = 0.2  # what a server counts at least in how far the ring is walked, however cold or lost
 GOLDEN = 0.618034
 STEP_MS = 250.0  # between two steps wider
 GROWTH = 0.25  # of the servers in use that come in with a step
@@ -245,9 +245,12 @@
         return same, out
 
     def judge(self, now: float, out: int) -> None:
-        """Wider or narrower by the attempts that are out at the servers in use."""
+        """Wider or narrower by the attempts that are out at the servers in use. Never wider than what is out
+        has use for, or twice as wide: where none can be reached, taking all that are listed would help nobody
+        and leave each choice a walk over them."""
         able = sum(self.weight(now, server) for server in self.held)
-        most = max(0, len(self.listed) - self.servers)
+        use = max(self.servers, math.ceil(out / self.terms.busy))
+        most = max(0, min(len(self.listed) - self.servers, use))
         if out >= self.terms.busy * able:
             self.calm_since = now
             if now - self.stepped_at >= STEP_MS and self.wider < most:
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -5,8 +5,13 @@
 import asyncio
 import random
 import signal
+import subprocess
+import sys
 from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
 from hypothesis import settings
@@ -15,15 +20,18 @@
 
 from benchmarks.subsets import SCHEMES, balance, churn
 from glenchute.deciders import subset as subsets
-from glenchute.deciders.subset import LOST_MS, STEP_MS, Aperture, Terms
+from glenchute.deciders.sizing import AGAIN, LEAST, WHOLE, size
+from glenchute.deciders.subset import FAINT, LOST_MS, STEP_MS, Aperture, Subset, Terms, position
 from heathglade import interface as api
 from heathglade.interface import AttemptEnded, Ending, ListKind, Request, ServerEntry, ServerList, ServerState
-from heathglade.policy import Gateway
+from heathglade.policy import Fleet, Gateway
 from lab.coldstart import Herd
 from lab.load import Account, Kind, Load
-from lab.peers import play
+from lab.peers import DiscoveryPeer, listing, play, row, until
+from lab.sim.swarm import drawn, tried
 from lab.sim.world import World
 
+from .loopback import Script, site
 from .rig import SETTINGS
 
 READS = (Kind("report-read", 1.0, 2000),)
@@ -244,6 +252,315 @@
     play(scenario())
 
 
+# --- long lists, used in part by themselves ----------------------------------------------------------------
+
+
+def fleet_of(count: int, zones: int = 7, first: int = 0, **more: Any) -> list[ServerEntry]:
+    """So many servers, spread over the zones unevenly."""
+    return [
+        ServerEntry(f"n{n}", "abcdefg"[min(zones - 1, n % (zones + 3))], **more)
+        for n in range(first, first + count)
+    ]
+
+
+def by_itself(gateways: int = 520, number: int = 7) -> tuple[Aperture, Module]:
+    module = Module()
+    return Aperture(module, replace(SETTINGS, gateways=gateways), Terms(gateways, number)), module
+
+
+def news(entries: Sequence[ServerEntry], kind: ListKind = ListKind.CHANGES) -> ServerList:
+    return ServerList(kind, tuple(entries))
+
+
+def out_of(entries: Iterable[ServerEntry], state: ServerState = ServerState.GONE) -> list[ServerEntry]:
+    return [replace(entry, state=state) for entry in entries]
+
+
+class Steps:
+    """Counts what a subset walks, one by one."""
+
+    def __init__(self, patch: pytest.MonkeyPatch) -> None:
+        self.count = 0
+        for name in ("weight", "spot"):
+            owner: Any = subsets.Subset if name == "weight" else subsets
+            patch.setattr(owner, name, self.counted(getattr(owner, name)))
+
+    def counted(self, sound: Callable[..., Any]) -> Callable[..., Any]:
+        def one(*args: Any) -> Any:
+            self.count += 1
+            return sound(*args)
+
+        return one
+
+
+@pytest.mark.parametrize("count", [0, 1, 20, 200, WHOLE])
+def test_a_list_that_a_gateway_can_use_whole_is_passed_on_event_by_event(count: int) -> None:
+    told: list[api.Event] = []
+
+    class Told(Module):
+        def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
+            told.append(event)
+            return super().handle(now_ms, event)
+
+    aperture = Aperture(Told(), SETTINGS, Terms(2, 1))
+    fleet = fleet_of(count)
+    events: list[api.Event] = [news(fleet, ListKind.SAVED), news(fleet, ListKind.FULL)]
+    events += [Request(f"r{n}", "read", "wide", "c", 900.0) for n in range(20)]
+    events += [news(out_of(fleet[:3], ServerState.DRAINING)), news(out_of(fleet[:3]))]
+    events += [ServerList(ListKind.FAILED)]
+    events += [AttemptEnded(f"r{n}", 0, "n5", Ending.UNREACHABLE, 5.0, False) for n in range(20)]
+    events += [news(fleet[:2]), api.TimerFired(0), api.Beside(), api.RequestGone("r1")]
+    for at, event in enumerate(events):
+        aperture.handle(1e6 + 300.0 * at, event)
+    assert len(told) == len(events) and all(one is other for one, other in zip(told, events, strict=True))
+
+
+SIZES = [
+    # listed, gateways: how many are used, and how many gateways then meet a server at least and at most
+    (257, 520, LEAST, 94, 99),
+    (570, 520, LEAST, 41, 46),
+    (5_700, 520, LEAST, 3, 6),
+    (5_700, 384, 60, 3, 6),
+    (5_700, 200, 114, 3, 6),
+    (5_700, 40, WHOLE, 1, 3),
+    (5_700, 3, WHOLE, 0, 1),
+    (5_700, 0, WHOLE, 0, 0),
+    (5_700, 10**9, LEAST, 0, 0),
+]
+
+
+@pytest.mark.parametrize(("listed", "gateways", "used", "least", "most"), SIZES)
+def test_the_settings_alone_tell_how_many_are_used(
+    listed: int, gateways: int, used: int, least: int, most: int
+) -> None:
+    """And that all are met alike: over all zones, whatever the number of gateways."""
+    assert size(listed, gateways) == used
+    first = Subset(Terms(gateways, 0), api.Safety())
+    first.whole(fleet := fleet_of(listed))
+    met: Counter[str] = Counter()
+    for number in range(gateways if most else 0):
+        one = Subset(Terms(gateways, number), api.Safety())
+        one.listed, one.rings = first.listed, first.rings
+        one.settle(0.0)
+        assert len(one.held) == used
+        met.update(one.held.keys())
+    assert {met[entry.server] for entry in fleet} <= set(range(least, most + 1))
+
+
+@pytest.mark.parametrize("gateways", [1, 3, 40, 200, 384, 520, 999])
+def test_places_on_the_ring_are_spread_evenly_by_the_number_alone(gateways: int) -> None:
+    """No gap between neighbours is over twice the even one, nor under half of it; numbers too large for the
+    fleet, as of a seed, have a place as well."""
+    at = sorted(position(number) for number in range(gateways))
+    gaps = [b - a for a, b in zip(at, [*at[1:], 1.0 + at[0]], strict=True)]
+    assert 0.5 / gateways <= min(gaps) and max(gaps) <= 2.0 / gateways
+    assert all(0.0 <= position(number) < 1.0 for number in (0x8C1F30D27A5BE964, 10**40, 2**64 - 1))
+
+
+@pytest.mark.parametrize("number", [0, 7, 519, 520, 99_999, 2**63])
+@pytest.mark.parametrize("gateways", [0, 1, 52, 520, 100_000])
+def test_a_wrong_number_or_fleet_size_leaves_a_gateway_with_servers_of_each_zone(
+    number: int, gateways: int
+) -> None:
+    aperture, module = by_itself(gateways, number)
+    aperture.handle(1e6, news(fleet_of(5_700), ListKind.FULL))
+    assert LEAST <= len(module.known) <= WHOLE
+    assert {entry.zone for entry in module.known.values()} == set("abcdefg")
+
+
+@pytest.mark.parametrize("kind", [ListKind.FULL, ListKind.CHANGES])
+def test_a_list_that_grows_and_shrinks_in_one_answer(kind: ListKind) -> None:
+    """20, 5,700, 20 and 5,700 others: the module knows each time what it may use, in one event, and how many
+    there are."""
+    aperture, module = by_itself()
+    few, many, others = fleet_of(20), fleet_of(5_700), fleet_of(5_700, first=10_000)
+    aperture.handle(1e6, news(few, ListKind.FULL))
+    assert module.known == {entry.server: entry for entry in few} and module.of == 0
+    now = 1e6
+    turns = ((few, many, LEAST), (many, few, 20), (few, others, LEAST), (others, few, 20))
+    for before, after, count in turns:
+        names = {entry.server for entry in after}
+        change = [*(entry for entry in out_of(before) if entry.server not in names), *after]
+        aperture.handle(now := now + 10.0, news(after if kind is ListKind.FULL else change, kind))
+        assert len(module.known) == count and module.known.keys() <= names
+        assert module.of == len(after)
+    aperture.handle(now + 10.0, news(out_of(few[:1])))
+    assert module.of == len(module.known) == 19
+
+
+def test_a_list_round_the_limit_changes_sides_once() -> None:
+    aperture, module = by_itself()
+    fleet = fleet_of(WHOLE + 10)
+    aperture.handle(1e6, news(fleet[:WHOLE], ListKind.FULL))
+    sides = []
+    for step in range(20):
+        change = fleet[WHOLE:] if step % 2 == 0 else out_of(fleet[AGAIN + 4 :])
+        aperture.handle(1e6 + 1000.0 * step, news(change))
+        sides.append(aperture.narrow)
+    assert all(sides) and len(module.known) < AGAIN
+    aperture.handle(2e6, news(out_of(fleet[AGAIN - 4 :])))
+    assert not aperture.narrow and len(module.known) == AGAIN - 4
+
+
+def test_all_names_new() -> None:
+    """As after a restart of the list service: none of the old is known from this event on."""
+    aperture, module = by_itself()
+    aperture.handle(1e6, news(fleet_of(5_700), ListKind.FULL))
+    aperture.handle(2e6, news(fresh := fleet_of(5_700, first=6_000), ListKind.FULL))
+    assert len(module.known) == LEAST and module.known.keys() <= {entry.server for entry in fresh}
+
+
+def test_most_of_the_subset_drains_together() -> None:
+    """One answer takes all but one of those in use: as many others are in use with the same event."""
+    aperture, module = by_itself()
+    aperture.handle(1e6, news(fleet_of(5_700), ListKind.FULL))
+    used = list(module.known.values())
+    aperture.handle(2e6, news(out_of(used[1:], ServerState.DRAINING)))
+    assert len(module.known) == LEAST and module.known.keys().isdisjoint(entry.server for entry in used[1:])
+
+
+def test_a_zone_goes_at_once_and_comes_back_cold() -> None:
+    """With some of its servers listed the zone is never without one in use, and its cold ones are as many as
+    their warmth asks for, with a bound; warm again, they are no more than before."""
+    aperture, module = by_itself()
+    rest, zone = fleet_of(4_900, 6), [ServerEntry(f"z{n}", "z") for n in range(800)]
+    aperture.handle(1e6, news([*rest, *zone], ListKind.FULL))
+
+    def used() -> int:
+        return sum(entry.zone == "z" for entry in module.known.values())
+
+    before = used()
+    assert before in (6, 7)
+    aperture.handle(2e6, news(out_of(zone)))
+    assert used() == 0 and len(module.known) >= LEAST - before
+    aperture.handle(2e6 + STEP_MS, api.TimerFired(0))
+    assert len(module.known) >= LEAST
+    cold = [replace(entry, started_ms=3e6) for entry in zone]
+    for entry in cold[:5]:
+        aperture.handle(3e6, news([entry]))
+        assert used() >= 1
+    aperture.handle(3e6, news(cold[5:]))
+    aperture.handle(3e6 + STEP_MS, api.TimerFired(0))
+    assert before < used() <= (before + 1) / SETTINGS.safety.cold_share
+    for step in range(200):
+        aperture.handle(3e6 + 20_000.0 * step, api.TimerFired(0))
+    assert used() <= before + 1 and len(module.known) <= LEAST + 1
+
+
+def test_a_changed_row_costs_by_what_is_in_use(monkeypatch: pytest.MonkeyPatch) -> None:
+    """2,000 rows in one second, each an answer of its own, at 5,700 listed: so many steps a row, the looks of
+    that second among them. All rows in one answer cost a few steps each."""
+    aperture, module = by_itself()
+    fleet = fleet_of(5_700)
+    aperture.handle(1e6, news(fleet, ListKind.FULL))
+    rng, steps = random.Random(1), Steps(monkeypatch)
+    rows = [replace(one, size=2.0, started_ms=rng.choice((0.0, 9e5))) for one in rng.sample(fleet, 2_000)]
+    for at, entry in enumerate(rows):
+        aperture.handle(1e6 + 0.5 * at, news([replace(entry, zone=rng.choice("abcdefg"))]))
+        aperture.handle(1e6 + 0.5 * at, api.TimerFired(0))
+    assert steps.count <= 12 * len(rows)
+    assert module.known.keys() == aperture.subset.held.keys()
+    steps.count = 0
+    aperture.handle(2e6, news(rows))
+    assert steps.count <= 3 * len(rows)
+
+
+def test_looks_cost_by_what_is_in_use(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Looks without news, and then with all unreachable: the same steps at 2,000 and at 5,700 listed."""
+    counts = []
+    for listed in (2_000, 5_700):
+        with monkeypatch.context() as patch:
+            aperture, module = by_itself()
+            aperture.handle(1e6, news(fleet_of(listed), ListKind.FULL))
+            steps = Steps(patch)
+            for at in range(400):
+                now = 1e6 + at * STEP_MS
+                for server in list(module.known) if at > 200 else ():
+                    aperture.handle(now, AttemptEnded("r", 0, server, Ending.UNREACHABLE, 1.0, False))
+                aperture.handle(now, api.TimerFired(0))
+            counts.append(steps.count)
+            assert len(module.known) <= 2 * LEAST / FAINT + 7  # one more a zone, as weights add up
+    assert counts[1] <= 1.1 * counts[0]
+
+
+def test_a_pick_looks_at_as_many_servers_at_5700_as_at_100(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The decision module itself behind the subset, counted by its looks at a server."""
+    looks = 0
+    sound = Fleet.delay
+
+    def delay(*args: Any) -> float:
+        nonlocal looks
+        looks += 1
+        return sound(*args)
+
+    monkeypatch.setattr(Fleet, "delay", delay)
+    found = {}
+    for listed in (20, 5_700):
+        made = replace(SETTINGS, gateways=520)
+        aperture = Aperture(Gateway(made, 1), made, Terms(520, 7))
+        aperture.handle(1e6, news(fleet_of(listed), ListKind.FULL))
+        looks = sent = 0
+        for n in range(500):
+            for action in aperture.handle(1e6 + 6.0 * n, Request(f"r{n}", "read", "wide", "c", 900.0)):
+                if isinstance(action, api.Send):
+                    sent += 1
+                    ended = AttemptEnded(f"r{n}", 0, action.server, Ending.OK, 5.0, True, active=1.0)
+                    aperture.handle(1e6 + 6.0 * n + 5.0, ended)
+        found[listed] = looks / sent
+    assert found[20] == 20 and found[5_700] <= LEAST
+
+
+def test_the_rules_hold_in_swarm_runs_with_many_servers() -> None:
+    """The simulated site with more servers than a gateway uses whole, so that each gateway uses some of them;
+    without its cold turns or its drains this is found."""
+    parts: list[_Behind] = []
+
+    def make(made: api.Settings, given: int) -> _Behind:
+        parts.append(_Behind(Gateway(made, given), made, Terms(520, len(parts))))
+        return parts[-1]
+
+    def large(
+        seed: int, gateways: int, nodes: int, make: Any, watch: Any = None
+    ) -> World:
+        return World(seed, gateways, WHOLE + 44, make, watch)
+
+    for seed in range(6):
+        failure = tried(drawn(seed), make, large)
+        assert failure is None, failure
+    used = [len(part.inner.fleet.servers) for part in parts]
+    assert all(part.aperture.narrow for part in parts) and max(used) < WHOLE
+
+
+def test_a_gateway_without_a_file_uses_a_part_of_a_long_list() -> None:
+    """A process's own parts: as the list grows past the limit the module is told of some, and drains of these
+    come at once. A short list is told as it is."""
+    module = Script(lambda event: [])
+
+    async def scenario() -> None:
+        rows = [{**row(f"n{n}", 9), "zone": "ab"[n % 2]} for n in range(WHOLE + 40)]
+        answers = DiscoveryPeer(listing(2, rows[:20]), listing(3, rows[20:], full=False))
+        async with site(decisions=module, discovery=answers) as one:
+            await until(lambda: one.program.discovery.since == 3)
+            lists = module.of(ServerList)
+            assert [event.of for event in lists] == [0, 0, WHOLE + 40]
+            assert len(lists[1].entries) == 20
+            aperture: Any = one.program.gateway.decisions
+            used = aperture.subset.held
+            assert len(used) == size(WHOLE + 40, SETTINGS.gateways)
+            gone = next(iter(used))
+            answers.answers.append(listing(4, [row(gone, 9, "Terminating")], full=False))
+            await until(lambda: one.program.discovery.since == 4)
+            assert gone not in used and len(used) == WHOLE
+            assert gone in {entry.server for entry in module.of(ServerList)[-1].entries}
+
+    play(scenario())
+
+
+def test_a_start_does_not_read_the_subset() -> None:
+    code = "import sys, glenchute.cli.run; sys.exit('glenchute.deciders.subset' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
+
+
 def test_without_its_parts_the_checks_fail(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(subsets, "GROWTH", 0.0)
     monkeypatch.setattr(subsets.Subset, "judge", lambda self, now, out: None)
