A long list is read in parts between which requests have their turn

json.loads and the rows of 5,700 servers stood in the way of all else for as long as they took. A body over 64 KB is now read 64 rows a turn, in force once it is whole; closed lines, another address and a newer answer end it.

--- a/glenchute/peers/discovery.py
+++ b/glenchute/peers/discovery.py
@@ -13,7 +13,8 @@
 import json
 import logging
 import random
-from collections.abc import Callable
+import re
+from collections.abc import Callable, Generator
 from typing import Any
 
 from glenchute.core.types import Address, News
@@ -26,6 +27,11 @@
 BUSY = 503
 IDLE_GAP_S = 0.1  # pause after an answer with no news that came at once; a watch lasts over 0.2 s
 MOST_BODY = 4 * 1024 * 1024
+PART_BODY = 64 * 1024  # a body over this is read in parts, between which requests have their turn
+PART_ROWS = 64
+JSON = json.JSONDecoder()
+SPACE = re.compile(r"[ \t\n\r]*")
+HEAD = re.compile(r'\s*\{[^][{}]*"servers"\s*:\s*\[')  # not nested, as nothing has been opened before it
 
 STATES = {
     "Ready": ServerState.ACTIVE,
@@ -92,30 +98,91 @@
     return made, where
 
 
+class Rows:
+    """The rows of a list, read one by one. A row that can't be read is a ListError where no list is `held`;
+    else its server stays as it was, so that a bad row hides nothing of the others."""
+
+    def __init__(self, held: Held | None) -> None:
+        self.held = held
+        self.read: list[tuple[ServerEntry, Address | None]] = []
+        self.unreadable: list[Any] = []
+
+    def take(self, row: Any) -> None:
+        """One more."""
+        try:
+            self.read.append(read_row(row))
+        except (KeyError, TypeError, ValueError, AttributeError):
+            if self.held is None:
+                raise
+            self.unreadable.append(row)
+
+    def news(self, raw: Any, saved: bool = False) -> News:
+        """The list that they make, with what else its text says."""
+        kind = ListKind.SAVED if saved else ListKind.FULL if raw["full"] else ListKind.CHANGES
+        version, read, unreadable = int(raw["version"]), self.read, self.unreadable
+        if unreadable and self.held is not None:
+            if not read:
+                raise ListError(f"none of {len(unreadable)} rows can be read")
+            log.warning("%d of %d rows of the list can't be read: their servers stay as they were",
+                        len(unreadable), len(unreadable) + len(read))  # fmt: skip
+            if kind is ListKind.FULL:
+                read += self.held.instead({one.server for one, _ in read}, unreadable)
+        entries = tuple(one for one, _ in read)
+        return News(version, ServerList(kind, entries), {e.server: at for e, at in read if at is not None})
+
+
 def read_list(raw: Any, saved: bool = False, held: Held | None = None) -> News:
-    """Discovery's form of the list, in the module's terms. A row that can't be read is a ListError where no
-    list is `held`; else its server stays as it was, so that a bad row hides nothing of the others."""
+    """Discovery's form of the list, in the module's terms; ListError if it is none. `Rows` tells what becomes
+    of single rows that can't be read."""
     try:
-        kind = ListKind.SAVED if saved else ListKind.FULL if raw["full"] else ListKind.CHANGES
-        version, rows, read, unreadable = int(raw["version"]), raw["servers"], [], []
-        for row in rows:
-            try:
-                read.append(read_row(row))
-            except (KeyError, TypeError, ValueError, AttributeError):
-                if held is None:
-                    raise
-                unreadable.append(row)
+        rows = Rows(held)
+        for row in raw["servers"]:
+            rows.take(row)
+        return rows.news(raw, saved)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
+        if isinstance(error, ListError):
+            raise
         raise ListError(f"not a list of servers ({error!r})") from None
-    if unreadable and held is not None:
-        if not read:
-            raise ListError(f"none of {len(unreadable)} rows can be read")
-        log.warning("%d of %d rows of the list can't be read: their servers stay as they were",
-                    len(unreadable), len(rows))  # fmt: skip
-        if kind is ListKind.FULL:
-            read += held.instead({one.server for one, _ in read}, unreadable)
-    entries = tuple(one for one, _ in read)
-    return News(version, ServerList(kind, entries), {e.server: at for e, at in read if at is not None})
+
+
+def read_in_parts(body: bytes, held: Held | None) -> Generator[None, None, News]:
+    """What `read_list` makes of an answer's body, `PART_ROWS` at a time: to read thousands of rows at once
+    would hold up all requests. The rows are taken out of the text one by one; what is left is read whole."""
+    text = body.decode(json.detect_encoding(body), "surrogatepass")
+    head = HEAD.match(text)
+    if head is None:
+        return read_list(json.loads(text), held=held)
+    rows, at = Rows(held), skipped(text, head.end())
+    more = not text.startswith("]", at)
+    try:
+        while more:
+            row, at = JSON.raw_decode(text, at)
+            rows.take(row)
+            at = skipped(text, at)
+            more = text.startswith(",", at)
+            if more:
+                at = skipped(text, at + 1)
+            if (len(rows.read) + len(rows.unreadable)) % PART_ROWS == 0:
+                yield
+        raw = json.loads(text[: head.end()] + text[at:])
+        return rows.news(raw) if not raw["servers"] else read_list(json.loads(text), held=held)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        if isinstance(error, ListError):
+            raise
+        raise ListError(f"not a list of servers ({error!r})") from None
+
+
+def raised(found: News | Exception) -> News:
+    """A list, or what reading it raised."""
+    if isinstance(found, Exception):
+        raise found
+    return found
+
+
+def skipped(text: str, at: int) -> int:
+    """Where the next character stands that is no space."""
+    found = SPACE.match(text, at)
+    return found.end() if found is not None else at
 
 
 def seconds(text: bytes) -> float | None:
@@ -210,6 +277,14 @@
             self.transport.abort()
 
 
+class Reading:
+    """An answer that has come whole and is read in parts."""
+
+    def __init__(self, line: int, parts: Generator[None, None, News]) -> None:
+        self.line, self.parts = line, parts
+        self.lost = False  # the connection has ended since
+
+
 class Discovery:
     """Fetches the list, then watches it for as long as the process runs. Which calls are out, and when the
     next one goes, is decided in `deciders/watch.py`."""
@@ -233,6 +308,7 @@
         self.held = Held()  # the list itself, for rows that can't be read
         self.lines: dict[int, Exchange] = {}
         self.opening: dict[int, asyncio.Task[None]] = {}
+        self.reading: Reading | None = None  # an answer that is read in parts; its line is still out
         self.timer: asyncio.TimerHandle | None = None
         self.turns = Pacing(terms, random.Random(seed))
         # Members may ask for this gateway: how long it is to leave the service alone.
@@ -334,20 +410,52 @@
     def end(self, line: int) -> None:
         """Closes a connection; nothing that comes on it counts any more."""
         task, exchange = self.opening.pop(line, None), self.lines.pop(line, None)
+        if self.reading is not None and self.reading.line == line:
+            self.reading = None
         if task is not None:
             task.cancel()
         if exchange is not None:
             exchange.abort()
 
     def answered(self, line: int, status: int, body: bytes, retry_after: float | None = None) -> None:
-        """An answer: told on if it is a list, else asked for anew after a pause."""
+        """An answer has come. Changes, in which drains come, are in force with it; a list that is long enough
+        to hold up requests is read in parts, and in force once it is whole, unless its line is closed before:
+        as it is where another answer has been taken, at another address, and at the end."""
         if line not in self.watch.out or line not in self.lines:
             return
+        if status == 200 and len(body) > PART_BODY:
+            self.reading = Reading(line, read_in_parts(body, self.held))
+            self.read_on(self.reading)
+            return
+        self.take(line, status, lambda: read_list(json.loads(body), held=self.held), retry_after)
+
+    def read_on(self, reading: Reading) -> None:
+        """The next part, if the answer still counts."""
+        if self.reading is not reading:
+            return
+        try:
+            next(reading.parts)
+        except StopIteration as end:
+            found: News | Exception = end.value
+        except (ValueError, RecursionError) as error:
+            found = error
+        else:
+            self.loop.call_soon(self.read_on, reading)
+            return
+        self.reading = None
+        self.take(reading.line, 200, lambda: raised(found))
+        if reading.lost:
+            self.lost(reading.line)
+
+    def take(
+        self, line: int, status: int, read: Callable[[], News], retry_after: float | None = None
+    ) -> None:
+        """An answer: told on if it is a list, else asked for anew after a pause."""
         now = self.loop.time()
         try:
             if status != 200:
                 raise ListError(f"status {status}")
-            news = read_list(json.loads(body), held=self.held)
+            news = read()
             if self.since is None and news.event.kind is not ListKind.FULL:
                 raise ListError("changes to no list")
             if self.since is not None and news.version < self.since and news.event.kind is not ListKind.FULL:
@@ -390,6 +498,9 @@
 
     def lost(self, line: int) -> None:
         """A connection is gone or never came up."""
+        if self.reading is not None and self.reading.line == line:
+            self.reading.lost = True  # after its answer had come whole, which still counts
+            return
         if self.closed or self.lines.pop(line, None) is None:
             return
         self.called.set()
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -19,6 +19,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from benchmarks.subsets import SCHEMES, balance, churn
+from glenchute.backends.resp2 import Connection, Limits, Pool, Servers
 from glenchute.deciders import subset as subsets
 from glenchute.deciders.sizing import AGAIN, LEAST, WHOLE, size
 from glenchute.deciders.subset import FAINT, LOST_MS, STEP_MS, Aperture, Subset, Terms, position
@@ -556,6 +557,50 @@
     play(scenario())
 
 
+def test_connections_cost_by_the_servers_that_have_any(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Sweeps, and the look for room before each new connection, walk no pool that has none."""
+    walked = 0
+
+    class Ends(asyncio.Transport):
+        """Tells its connection of its end at once."""
+
+        def __init__(self, conn: Connection) -> None:
+            super().__init__()
+            self.conn = conn
+
+        def abort(self) -> None:
+            self.conn.connection_lost(None)
+
+        def is_closing(self) -> bool:
+            return False
+
+    class Counted(Pool):
+        def close_idle(self, before: float | None = None) -> None:
+            nonlocal walked
+            walked += 1
+            super().close_idle(before)
+
+    async def scenario() -> None:
+        servers = Servers(asyncio.get_running_loop(), Limits(0.25, 13.0, 0.25, 3))
+        monkeypatch.setattr(servers, "pool", lambda server, address: Counted(servers, address))
+        for n in range(5_700):
+            servers.listed(f"n{n}", ("127.0.0.1", 9), False)
+        conns = []
+        for n in (5, 7, 7):
+            conns.append(Connection(servers.pools[f"n{n}"]))
+            conns[-1].connection_made(Ends(conns[-1]))
+        assert servers.count() == 3 and not servers.has_room() and not servers.make_room()
+        servers.pools["n7"].give_back(conns[1])
+        assert servers.has_room() and servers.make_room() and servers.count() == 2
+        servers.gone("n5")
+        servers.sweep()
+        assert walked <= 3 and servers.count() == 2 and len(servers.used) == 2
+        servers.close()
+        assert servers.count() == 0 and not servers.used
+
+    play(scenario())
+
+
 def test_a_start_does_not_read_the_subset() -> None:
     code = "import sys, glenchute.cli.run; sys.exit('glenchute.deciders.subset' in sys.modules)"
     assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
