--- a/glenchute/deciders/pacing.py
+++ b/glenchute/deciders/pacing.py
@@ -119,8 +119,7 @@
         return spread * (URGENT + (1.0 - URGENT) * at if listed else URGENT * at)
 
     def in_step(self) -> float:
-        """The pause before a call that all gateways would make now: their watches have told the same news,
-        or they were moved."""
+        """The pause before a call that all gateways would make now: their watches have told the same news."""
         return self.turn() * min(self.spread, self.calm) if self.gateways > 1 else 0.0
 
     def moved(self) -> float:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -15,7 +15,7 @@
 from hypothesis import strategies as st
 
 from glenchute.cli.run import LIST_WAIT_S
-from glenchute.deciders import told, watch
+from glenchute.deciders import pacing, told, watch
 from glenchute.deciders.pacing import Pacing, Terms
 from glenchute.deciders.watch import Ask, Close, Open, Watch
 from glenchute.peers.discovery import Discovery, ListError, read_list
@@ -160,6 +160,13 @@
     assert max(pauses) + told.ANSWER_S <= told.TOLD_S
 
 
+@pytest.mark.parametrize("retry_after_s", [None, 30.0])
+def test_an_agent_that_answers_503_is_asked_again_at_once(retry_after_s: float | None) -> None:
+    """Where lists are pushed, what the agent has counts as told, and its calls cost nobody else."""
+    turns = Pacing(Terms(200, 199, pushed=True), random.Random(1))
+    assert max(turns.busy(retry_after_s, True) for _ in range(10)) <= pacing.BACKOFF_S[0]
+
+
 # What becomes of a call to a service that is away: how long after it was made that is told, and whether the
 # connection ends with it.
 FATES = ("refused", "reset", "busy", "garbage", "hung")
