--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -17,8 +18,9 @@
 from glenchute.core.types import Result
 from glenchute.deciders.connecting import LATE_TIMES, MOST_KEPT, SHARE, SHORTEST_S, Budget, Usual
 from heathglade.interface import Ending
-from lab.peers import RespPeer, always, until
-from tests.loopback import SERVED
+from lab.peers import RespPeer, always, play, until
+from tests.loopback import CUSTOMER, GET, SERVED, Script, send_to, site
+from tests.test_crossings import packed
 
 COMMAND = b"*1\r\n$8\r\nCALL.GET\r\n"
 CONNECT_S = 0.4
@@ -321,3 +323,22 @@
         await until(lambda: made.servers.connecting == 0)
 
     played(act)
+
+
+def test_clients_that_leave_at_once_take_no_place_for_good() -> None:
+    """More of them than there are connections to servers; then one that waits for its answer gets it."""
+
+    async def scenario() -> None:
+        async with site(always(SERVED), decisions=Script(send_to("s0"))) as one:
+            servers = one.program.servers
+            for number in range(int(1.5 * servers.most())):
+                with socket.create_connection(("127.0.0.1", one.port)) as client:
+                    client.sendall(packed(b"CALL.GET", CUSTOMER, b"%d" % number, GET))
+                if number % 20 == 0:
+                    await asyncio.sleep(0)
+            await until(lambda: not one.program.listener.clients and not one.program.gateway.live)
+            asker = await one.client()
+            assert await asker.ask(b"CALL.GET", CUSTOMER, b"last", GET) == b"value"
+            await until(lambda: servers.count() == sum(len(pool.idle) for pool in servers.pools.values()))
+
+    play(scenario())
