Whether the client is still there is asked right before a request is written, too

Cause: a connection to a server that comes up while the loop is busy writes its request before the client's end, over 0.1 s old by then, has been read.

Change: an attempt carries `wanted`, asked before its bytes are handed over; False has ended it as unsent.

--- a/glenchute/backends/lines.py
+++ b/glenchute/backends/lines.py
@@ -232,6 +232,9 @@
             return
         if transport is None or transport.is_closing():
             return
+        for entry in list(self.line.waiting):
+            if entry.item.wanted is not None and not entry.item.ended:
+                entry.item.wanted()  # takes it back
         now = self.lines.loop.time()
         stop_at = self.pool.stop_at
         late: list[LineAttempt] = []
--- a/glenchute/backends/resp2.py
+++ b/glenchute/backends/resp2.py
@@ -216,7 +216,9 @@
 class Underway:
     """One request on its way to one server, from `Send` to its one ending, whatever carries it."""
 
-    __slots__ = ("began", "done", "ended", "payload", "started", "timer", "until", "write_by", "written")
+    __slots__ = (
+        "began", "done", "ended", "payload", "started", "timer", "until", "wanted", "write_by", "written",
+    )  # fmt: skip
 
     def __init__(
         self,
@@ -229,6 +231,7 @@
         self.payload = payload  # makes the command, given the milliseconds left
         self.done = done
         self.began: Callable[[Source], None] | None = None
+        self.wanted: Callable[[], bool] | None = None  # asked right before it is written; ends it if not
         self.started = loop.time()
         self.until = self.started + timeout_s
         self.write_by = write_by  # not a byte may leave after this
@@ -317,6 +320,9 @@
         """Writes the request; from here on it may have run."""
         if self.connect_timer is not None:
             self.connect_timer.cancel()
+        if self.wanted is not None and not self.wanted():
+            conn.abort()
+            return
         now = self.pool.servers.loop.time()
         left = int(1000.0 * (self.until - now))
         if left < 1 or now > self.write_by or conn.transport is None or conn.transport.is_closing():
--- a/glenchute/core/gateway.py
+++ b/glenchute/core/gateway.py
@@ -196,6 +196,14 @@
                 for attempt in [one for one in live.out if not one.written]:
                     attempt.stop(api.Ending.UNSENT)
 
+    def wanted(self, live: Live) -> bool:
+        """Whether the client is there yet. Where it has gone, and its end is yet to be read, what has not
+        been sent is over."""
+        if live.left is None or not live.left():
+            return True
+        self.client_left(live)
+        return False
+
     def overdue(self, ref: str) -> None:
         """The client's time is up and the module has not answered: the gateway does."""
         self.close_request(ref)
@@ -273,8 +281,7 @@
         number = live.attempts if live is not None else 0
         if live is not None:
             live.attempts += 1
-            if live.left is not None and live.left():
-                self.client_left(live)  # its end has come, and is yet to be read
+            if not self.wanted(live):
                 live = None
         if live is None or not self.may_start(live):
             # Over, or another attempt is still out where that is not allowed, or its route allows no more.
@@ -307,6 +314,7 @@
         live.out.append(attempt)
         if live.call.carrier is None:
             attempt.began = lambda source: self.began(live, number, source)
+            attempt.wanted = lambda: self.wanted(live)
         attempt.start()
 
     def about(self, live: Live, number: int) -> About:
--- a/glenchute/core/types.py
+++ b/glenchute/core/types.py
@@ -129,6 +129,7 @@
     started: float  # the loop's time
     written: bool  # a byte may have left: it may have run
     began: Callable[[Source], None] | None  # told of an answer too long to be held, before `done`
+    wanted: Callable[[], bool] | None  # asked right before it is written; False: it has ended, unsent
 
     def start(self) -> None:
         """Sends it, or begins to."""
--- a/glenchute/fronts/extproc/calls.py
+++ b/glenchute/fronts/extproc/calls.py
@@ -93,7 +93,7 @@
 
     __slots__ = (
         "address", "began", "done", "entry", "over", "server", "started", "stream", "timeout_s", "timer",
-        "until", "write_by", "written",
+        "until", "wanted", "write_by", "written",
     )  # fmt: skip
 
     def __init__(
@@ -107,6 +107,7 @@
         self.written = False  # the proxy was let through: it may have run
         self.over = False
         self.began: Callable[[Source], None] | None = None  # values go by the proxy, however long
+        self.wanted: Callable[[], bool] | None = None  # the proxy writes
         self.stream: Upstream | None = None
         self.timer: asyncio.TimerHandle | None = None
 
--- a/glenchute/fronts/extproc/ratelimit.py
+++ b/glenchute/fronts/extproc/ratelimit.py
@@ -57,6 +57,7 @@
         self.started = question.gateway.loop.time()
         self.written = False
         self.began: Callable[[Source], None] | None = None
+        self.wanted: Callable[[], bool] | None = None  # nothing is written
         self.over = False
 
     def start(self) -> None:
--- a/tests/simulated.py
+++ b/tests/simulated.py
@@ -126,6 +126,7 @@
         self.write_by = write_by
         self.written = False
         self.began: Callable[[Source], None] | None = None
+        self.wanted: Callable[[], bool] | None = None
         self.over = False
 
     def start(self) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -745,6 +745,37 @@
     play(scenario())
 
 
+@pytest.mark.parametrize("how", ENDS)
+@pytest.mark.parametrize(
+    "operator", [None, '[pipeline]\nclasses = ["read"]\ndepth = 2\n'], ids=["alone", "shared"]
+)
+@pytest.mark.parametrize("turns", range(5))
+def test_a_connection_that_came_up_while_the_loop_was_busy_writes_nothing_for_who_left(
+    how: str, operator: str | None, turns: int
+) -> None:
+    """The attempt has begun to connect so many turns of the loop before its client goes, and the loop stands
+    still: what was not written by then is not."""
+
+    async def scenario() -> None:
+        script = Script(send_to("s0"))
+        async with site(always(SERVED), decisions=script, operator=operator) as one:
+            sock = raw_client(one, *reads(MOST_PENDING))
+            while not one.program.servers.connecting:
+                await asyncio.sleep(0)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            out = one.program.gateway.out.values()
+            written = len(script.of(api.AttemptEnded)) + sum(attempt.written for attempt in out)
+            end_raw(sock, how)
+            time.sleep(BUSY_S)
+            await until(lambda: not one.program.listener.clients and not one.program.gateway.out)
+            assert await (await one.client()).ask(*READ, b"again", GET) == b"value"
+            assert len(one.servers[0].calls()) <= written + 1
+            sock.close()
+
+    play(scenario())
+
+
 def test_ends_are_told_by_one_call_for_all_and_cost_none_within_its_time() -> None:
     """Also more at once than one call tells; who stays is not taken for gone."""
 
