A connection to a server counts once while it comes up, and not after it was given up

A task cancelled before its first step never ran its `finally`, also in the lines' backend. Two parts had mended the second each in its way; this joins them: a set of those that come up, discarded as one is made, fails, is given up or its task ends.

Tests: counts_once ([2] == [1] without it), called_off (waits for ever without it); the tests that read the number ask the set, as strictly.

--- a/glenchute/backends/lines.py
+++ b/glenchute/backends/lines.py
@@ -177,8 +177,11 @@
         except OSError:
             self.no_connection()
             return
+        except asyncio.CancelledError:
+            self.pool.forget(self)  # cancelled as it came up: no `connection_lost` is told
+            raise
         finally:
-            servers.connecting -= 1
+            servers.coming.discard(self)
         self.task = None
         if self.connect_timer is not None:
             self.connect_timer.cancel()
@@ -453,8 +456,7 @@
         if not servers.make_room():
             return None
         conn = self.by_line[number] = LineConnection(self, number)
-        servers.connecting += 1
-        conn.task = servers.loop.create_task(conn.connect())
+        conn.task = servers.comes(conn, conn.connect())
         conn.connect_timer = servers.loop.call_later(servers.limits.connect_s, conn.no_connection)
         return conn
 
--- a/glenchute/backends/resp2.py
+++ b/glenchute/backends/resp2.py
@@ -9,7 +9,7 @@
 import asyncio
 import math
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any
 
 from glenchute.core.types import About, Address, Result, Source
@@ -196,6 +196,7 @@
 
     def came_up(self, conn: Connection) -> None:
         """Books a connection that is up."""
+        self.servers.coming.discard(conn)
         self.open.add(conn)
         self.servers.used.add(self)
 
@@ -310,12 +311,8 @@
 
     def open(self) -> None:
         """Begins to open a connection; a task, but only where none is there to reuse."""
-        servers = self.pool.servers
-        servers.connecting += 1
-        task = servers.loop.create_task(self.connect())
-        self.opening.add(task)
-        # Not in the task's own `finally`: one that is cancelled before its first step never runs any of it.
-        task.add_done_callback(servers.connected)
+        conn = Connection(self.pool)
+        self.opening.add(self.pool.servers.comes(conn, self.connect(conn)))
 
     def late(self) -> None:
         """The connection has not come up: one that has come free carries the request, else a second is opened
@@ -329,11 +326,11 @@
             servers.beside += 1
             self.open()
 
-    async def connect(self) -> None:
+    async def connect(self, conn: Connection) -> None:
         """Opens a connection. The first that comes up carries the request."""
         servers, pool = self.pool.servers, self.pool
         host, port = pool.address
-        conn, task, began = Connection(pool), asyncio.current_task(), servers.loop.time()
+        task, began = asyncio.current_task(), servers.loop.time()
         assert task is not None
         try:
             await servers.loop.create_connection(lambda: conn, host, port)
@@ -417,7 +414,7 @@
         self.pools: dict[str, Pool] = {}
         self.leaving: set[Pool] = set()  # no longer listed, with connections open
         self.used: set[Pool] = set()  # of both kinds, those with connections open: what is walked
-        self.connecting = 0
+        self.coming: set[Connection] = set()  # that are coming up, and not yet in their pools
         self.beside = 0  # of these and all before: opened beside a late one
         self.usual = Usual(limits.connect_s)
         self.turns: Turns[LongAnswer] = Turns(limits.long_values)
@@ -469,13 +466,17 @@
         """Connections that this process may have now."""
         return self.limits.connections * self.part
 
+    def comes(self, conn: Connection, opening: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """Opens a connection in a task, whose end is told by the loop: one that is cancelled before its first
+        step runs none of its own code."""
+        self.coming.add(conn)
+        task = self.loop.create_task(opening)
+        task.add_done_callback(lambda _: self.coming.discard(conn))
+        return task
+
     def count(self) -> int:
         """Sockets in use."""
-        return self.connecting + sum(len(pool.open) for pool in self.used)
-
-    def connected(self, task: asyncio.Task[None]) -> None:
-        """A connection has come up or was given up."""
-        self.connecting -= 1
+        return len(self.coming) + sum(len(pool.open) for pool in self.used)
 
     def has_room(self) -> bool:
         """Whether `make_room` would succeed."""
--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -122,7 +122,7 @@
     async def ended(self, ending: Ending, calls: int) -> None:
         """One ending, so many commands at the server, nothing left behind."""
         await until(lambda: self.results)
-        await until(lambda: not self.servers.connecting)
+        await until(lambda: not self.servers.coming)
         await until(lambda: self.servers.count() == len(self.pool.idle))
         assert [result.ending for result in self.results] == [ending]
         assert len(self.server.calls()) == calls
@@ -156,7 +156,7 @@
 async def first_fails(scene: Scene) -> None:
     """The other may yet carry the request."""
     scene.fail(0)
-    await until(lambda: scene.servers.connecting == 1)
+    await until(lambda: len(scene.servers.coming) == 1)
     assert not scene.results
     scene.go_on(1)
     await scene.ended(Ending.OK, 1)
@@ -165,7 +165,7 @@
 async def second_fails(scene: Scene) -> None:
     """The same the other way round."""
     scene.fail(1)
-    await until(lambda: scene.servers.connecting == 1)
+    await until(lambda: len(scene.servers.coming) == 1)
     assert not scene.results
     scene.go_on(0)
     await scene.ended(Ending.OK, 1)
@@ -320,7 +320,7 @@
         await until(lambda: made.loop.gates)
         made.go_on(0)
         await until(lambda: len(made.results) == 2)
-        await until(lambda: made.servers.connecting == 0)
+        await until(lambda: not made.servers.coming)
 
     played(act)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -355,11 +355,11 @@
             one.program.servers.listed("s0", ("127.0.0.1", port), False)
             client = await one.client()
             client.send(*READ, b"1", GET)
-            await until(lambda: one.program.servers.connecting == 1)
+            await until(lambda: len(one.program.servers.coming) == 1)
             end(client, how)
             await until(lambda: script.of(api.AttemptEnded))
             assert [(e.ending, e.final) for e in script.of(api.AttemptEnded)] == [(Ending.UNSENT, True)]
-            await until(lambda: one.program.servers.connecting == 0)
+            await until(lambda: not one.program.servers.coming)
 
     play(scenario())
 
@@ -580,7 +580,7 @@
             await until(lambda: one.program.servers.address("s0") == ("127.0.0.1", port))
             client = await one.client()
             client.send(*READ, b"1", GET)
-            await until(lambda: one.program.servers.connecting == 1)
+            await until(lambda: len(one.program.servers.coming) == 1)
             await agent.answer(2, listing(4, [row("s0", port, "Terminating")], full=False))
             await agent.answer(3, listing(5, [row("s0", port, "Gone")], full=False))
             await agent.answer(4, listing(6, [row("s0", new.port, started_ms=5.0)], full=False))
@@ -760,7 +760,7 @@
         script = Script(send_to("s0"))
         async with site(always(SERVED), decisions=script, operator=operator) as one:
             sock = raw_client(one, *reads(MOST_PENDING))
-            while not one.program.servers.connecting:
+            while not one.program.servers.coming:
                 await asyncio.sleep(0)
             for _ in range(turns):
                 await asyncio.sleep(0)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -11,9 +11,12 @@
 
 import pytest
 
+from glenchute.backends import resp2
+from glenchute.core.types import Result
 from glenchute.deciders import pacing
 from glenchute.deciders.places import OWN, budget
 from glenchute.peers import counter
+from heathglade.interface import Ending
 from lab.services import CounterService
 from lab.site import GatewayProcess, free_port
 
@@ -24,11 +27,15 @@
     Client,
     DiscoveryPeer,
     RespPeer,
+    Script,
+    always,
     listing,
     numbered,
     play,
     raw_config,
     row,
+    send_to,
+    site,
     until,
 )
 
@@ -51,6 +58,42 @@
     assert (made.clients, made.requesting, made.servers) == (sockets // 2, sockets // 3, sockets * 3 // 10)
 
 
+def test_a_connection_to_a_server_counts_once_while_it_comes_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """In the turn in which it is made it does not take a second place, for which an attempt would be turned
+    away as if the servers were at fault."""
+    counts: list[int] = []
+    made = resp2.Connection.connection_made
+
+    def counted(self: resp2.Connection, transport: asyncio.BaseTransport) -> None:
+        made(self, transport)
+        counts.append(self.pool.servers.count())
+
+    monkeypatch.setattr(resp2.Connection, "connection_made", counted)
+
+    async def scenario() -> None:
+        async with site(always(SERVED), decisions=Script(send_to("s0"))) as one:
+            client = await one.client()
+            assert await client.ask(b"CALL.GET", CUSTOMER, b"1", GET) == b"value"
+            assert counts == [1]
+
+    play(scenario())
+
+
+def test_an_attempt_called_off_before_its_connection_began_keeps_no_place() -> None:
+    async def scenario() -> None:
+        async with site(always(SERVED), decisions=Script(send_to("s0"))) as one:
+            servers = one.program.servers
+            ends: list[Result] = []
+            attempt = servers.attempt("s0", lambda left: b"", 1.0, ends.append)
+            assert attempt is not None
+            attempt.start()
+            attempt.stop(Ending.UNSENT)
+            assert [result.ending for result in ends] == [Ending.UNSENT]
+            await until(lambda: servers.count() == 0)
+
+    play(scenario())
+
+
 class Held:
     """A gateway in a process that may hold so many descriptors, three servers, discovery that is down."""
 
--- a/tests/test_lines_loopback.py
+++ b/tests/test_lines_loopback.py
@@ -476,7 +476,7 @@
             replies = [str(await client.reply()) for _ in range(3)]
             assert all(reply.startswith("ERR") for reply in replies)
             assert set(endings(script).values()) == {api.Ending.UNREACHABLE}
-            assert lines.connecting == 0 and not lines.pipeline.posts
+            assert not lines.coming and not lines.pipeline.posts
 
     play(scenario())
 
