Cold servers under 20, 30 and 200 gateways: a measure of what all send, and its test

lab/sim/cold.py plays whole modules before servers that join and return cold under a burst, told one after the other, some restarted, traffic uneven, work drawn; and, harder than any demand, a cold server to which every turn goes at once after lulls.

The policy is not touched.

--- a/lab/sim/world.py
+++ b/lab/sim/world.py
@@ -100,6 +100,7 @@
     may_have_run: bool = False
     units: float = 1.0
     came: float = 0.0
+    work: float = 1.0  # for sites that draw it
 
 
 class World:
@@ -112,10 +113,11 @@
         nodes: int = 5,
         make: Callable[[api.Settings, int], Any] = Gateway,
         watch: Callable[[int, float, api.Event, list[api.Action]], None] | None = None,
+        settings: api.Settings = SETTINGS,
     ) -> None:
         self.rng = random.Random(seed)
         self.make, self.watch = make, watch
-        self.settings = replace(SETTINGS, gateways=gateways)
+        self.settings = replace(settings, gateways=gateways)
         self.now = 1_700_000_000_000.0
         self.began = self.now
         self.order = itertools.count()
@@ -375,8 +377,11 @@
             asked.ran += 1
         if asked.cls.repeat is not api.Repeat.SAFE and asked.ran > 1:
             raise BrokenRule("nothing twice", f"{asked.ref} of class {asked.cls.name} ran {asked.ran} times")
-        took = self.rng.expovariate(1.0 / SERVICE_MS) * node.slow / self.warmth(node)
-        self.at(took, self.served, node, back, self.rng.random())
+        self.at(self.work(asked) * node.slow / self.warmth(node), self.served, node, back, self.rng.random())
+
+    def work(self, asked: Asked) -> float:
+        """What a command takes of a warm node's slot, in ms."""
+        return self.rng.expovariate(1.0 / SERVICE_MS)
 
     def served(self, node: Node, back: tuple[Any, ...], luck: float) -> None:
         """It is done; what the gateway hears of it."""
--- /dev/null
+++ b/tests/test_cold_fleet.py
@@ -0,0 +1,34 @@
+"""A cold server falls under the sum of what all gateways send it: N + 2 x root of N + 2 in a while."""
+
+from __future__ import annotations
+
+import pytest
+
+from lab.sim.cold import LENGTH_MS, SITES, Case, Cold, drawn, pressed
+
+SITE = SITES["zagreb, depot"]  # the least that a site of ours allows
+
+
+@pytest.mark.parametrize(("gateways", "seeds"), [(20, 4), (30, 4), (200, 1)])
+@pytest.mark.parametrize("uneven", [1.0, 10.0])
+def test_all_turns_together_stay_within_the_budget(gateways: int, seeds: int, uneven: float) -> None:
+    """Every gateway takes each turn, after lulls all at once; told at different moments, some restarted."""
+    for seed in range(seeds):
+        rows = pressed(seed, Case(gateways, 1, SITE, uneven=uneven))
+        assert max(row.ratio for row in rows) < 1.0, max(rows)
+        assert max(row.requests / row.allowed for row in rows) > 0.3  # and the share is used
+
+
+MILD = drawn(2, 30, 11, SITE)
+HARD = Case(20, 11, SITE, spread=0.2, load=0.7, burst=(2.0, 2.0))
+
+
+@pytest.mark.parametrize(("seed", "case"), [(2, MILD), (0, HARD)], ids=["mild", "full"])
+def test_servers_that_come_under_a_burst_do_not_fall(seed: int, case: Case) -> None:
+    """They join or come back cold; gateways are told one after the other, and others start anew."""
+    world = Cold(seed, case)
+    world.run(LENGTH_MS)
+    told, falls = world.judged()
+    assert not falls, falls
+    assert len(world.came) >= 4 and world.restarts
+    assert max(row.requests for row in told) >= 8  # they got work while cold
