--- a/benchmarks/cold_fleet.py
+++ b/benchmarks/cold_fleet.py
@@ -18,7 +18,9 @@
 
 
 def row(what: str, site: str, gateways: int, starts: int, told: Iterable[Most], falls: list[Most]) -> None:
-    """Prints one."""
+    """Prints one, where there is any."""
+    if not starts:
+        return
     told = list(told)
     work = max((found.ratio for found in told), default=0.0)
     requests = max((found.requests / found.allowed for found in told), default=0.0)
