--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -4,14 +4,14 @@
 prints a table a role; without a role all of them, and draws ``docs/capacity-calls.svg``. Each probe drives
 the real decider in this process. A slope is a least-squares line through the medians of its sizes; the
 forecast for the check point is printed before that size is run. CPU is `time.process_time`, so that other
-programs on the machine take no part in it but by caches and frequency.
+programs on the machine take no part in it but by caches, frequency and cores that share their parts. Probes
+stand here, in `capacity_gateway` and in `capacity_members`.
 """
 
 from __future__ import annotations
 
 import argparse
 import functools
-import gc
 import itertools
 import json
 import math
@@ -22,202 +22,40 @@
 from collections import Counter as Tally
 from collections.abc import Iterator, Sequence
 from types import SimpleNamespace
-from typing import Any, NamedTuple
+from typing import Any
 
 from glenchute.cli.fleet import table as text_table
 from glenchute.config.facts import ClassFacts, Facts
 from glenchute.config.operator import MOST_ROUTES, Operator, Reading, parse
-from glenchute.deciders.fleet.gossip import Gossip, Pace, Rows
-from glenchute.deciders.fleet.members import Members, Out, Rules, State
-from glenchute.deciders.fleet.replica import Kind, Replica, Row
+from glenchute.deciders.fleet.members import Members, Rules
 from glenchute.deciders.pacing import Pacing, Terms
 from glenchute.deciders.routes import Routes
-from glenchute.deciders.subset import Aperture
-from glenchute.deciders.subset import Terms as SubsetTerms
-from glenchute.peers.discovery import Held, read_list
 from glenchute.peers.fleet.node import Fleet as Node
-from glenchute.peers.fleet.wire import decode, encode
-from glenchute.wire import resp
 from heathglade import interface as api
-from heathglade.policy import Gateway
-from lab.fleet.holders import Swarm
-from lab.fleet.simulated import Net
 
+from .capacity_gateway import (
+    GATEWAYS,
+    PLAN,
+    RATE,
+    TENANTS,
+    changed,
+    choice,
+    counted,
+    customers_kib,
+    list_kib,
+    list_text,
+    quiet,
+    unreachable,
+    whole_list,
+)  # fmt: skip
+from .capacity_members import copying, lease_messages, members_kib, replica_kib, talk
 from .machine import machine
 from .slopes import Measure, Probe, cpu_ms, kib, table
 
-GATEWAYS, SERVERS, TENANTS, ROUTES, RATE = 520, 5_700, 41_000, 2_700, 163.0
+SERVERS, ROUTES = 5_700, 2_700
 NAMES_KEPT_S = 60.0  # a customer unseen for this long is forgotten, here and at the counter
 STATED = Terms(GATEWAYS, rate=20.0, list_age_s=17.0)  # `[discovery] calls_per_s = 20, list_age_s = 17`
 UNSTATED = Terms(GATEWAYS)
-PLAN = api.Plan("standard", rate=4.0, burst=12.0)
-READ = api.RequestClass("read", 400.0, 1.0, api.Repeat.SAFE)
-
-
-
-def settings(counter: bool = False, plan: api.Plan = PLAN) -> api.Settings:
-    return api.Settings("z0", GATEWAYS, (READ,), (plan, api.Plan("free")), api.Safety(), counter=counter)
-
-
-def rows_of(count: int) -> list[dict[str, Any]]:
-    """Discovery's rows, in seven zones."""
-    same = {"weight": 1.0, "state": "Ready", "started_ms": 0}
-    return [{"id": f"server-{n:05d}", "addr": f"10.0.{n >> 8}.{n & 255}:9000", "zone": f"z{n % 7}",
-             "cell": n % 4, **same} for n in range(count)]  # fmt: skip
-
-
-def list_text(count: int, full: bool = True) -> str:
-    return json.dumps({"version": 1, "full": full, "servers": rows_of(count)})
-
-
-def entries(count: int) -> tuple[api.ServerEntry, ...]:
-    return read_list(json.loads(list_text(count))).event.entries
-
-
-def module(listed: int, seed: int, subset: int = 0) -> Gateway | Aperture:
-    """A module that has heard the list; with a subset of so many where told."""
-    made = settings()
-    gateway: Gateway | Aperture = Gateway(made, seed)
-    if subset:
-        gateway = Aperture(gateway, made, SubsetTerms(GATEWAYS, seed * 37 % GATEWAYS, subset))
-    gateway.handle(0.0, api.ServerList(api.ListKind.FULL, entries(listed)))
-    return gateway
-
-
-def served(gateway: Gateway | Aperture, count: int, first: int = 0) -> None:
-    """So many requests at one gateway's share of the peak, each answered before the next comes."""
-    for number in range(first, first + count):
-        now, name = 1000.0 + number * 1000.0 / RATE, str(number)
-        for action in gateway.handle(now, api.Request(name, "read", "free", "c", 4000.0)):
-            if isinstance(action, api.Send):
-                ended = api.AttemptEnded(name, 0, action.server, api.Ending.OK, 4.0, True, 0.0, 1.0)
-                gateway.handle(now + 4.0, ended)
-
-
-def choice(subset: int) -> Measure:
-    def measure(listed: int, seed: int) -> float:
-        gateway, count = module(listed, seed, subset), 100 if listed > 1_000 and not subset else 400
-        served(gateway, 10)
-        return cpu_ms(lambda: served(gateway, count, 10)) / count
-
-    return measure
-
-
-def quiet(subset: int) -> Measure:
-    """Percent of a core: four ticks, and with a subset four looks, a second without requests."""
-    def measure(listed: int, seed: int) -> float:
-        gateway = module(listed, seed, subset)
-        at = iter(range(1, 10**6))
-        return cpu_ms(lambda: gateway.handle(250.0 * next(at), api.TimerFired(0)), 40) * 4.0 / 10.0
-
-    return measure
-
-
-def changed(listed: int, seed: int) -> float:
-    """A row whose server starts to drain, and later is back, under a subset of 20."""
-    gateway, rows, at = module(listed, seed, 20), entries(listed), iter(range(1, 10**6))
-
-    def change() -> None:
-        number = next(at)
-        state = api.ServerState.DRAINING if number % 2 else api.ServerState.ACTIVE
-        row = api.ServerEntry(rows[number // 2 % listed].server, "z1", state=state)
-        gateway.handle(0.01 * number, api.ServerList(api.ListKind.CHANGES, (row,)))
-
-    return cpu_ms(change, 40)
-
-
-def whole_list(count: int, seed: int) -> float:
-    """Reading and applying a whole list, without a subset."""
-    text, gateway, held = list_text(count), Gateway(settings(), seed), Held()
-
-    def take() -> None:
-        news = read_list(json.loads(text), held=held)
-        held.follow(news)
-        gateway.handle(0.0, news.event)
-
-    return cpu_ms(take, 3)
-
-
-def list_kib(count: int, seed: int) -> float:
-    """What a gateway keeps of a list: discovery's rows, addresses, the module's servers."""
-    text = list_text(count)
-
-    def keep() -> object:
-        news, held, gateway = read_list(json.loads(text)), Held(), Gateway(settings(), seed)
-        held.follow(news)
-        gateway.handle(0.0, news.event)
-        return news.addresses, held, gateway
-
-    return kib(keep)
-
-
-def customers_kib(count: int, seed: int) -> float:
-    """Customers that the module has seen within a minute."""
-    def keep() -> Gateway:
-        gateway = Gateway(settings(True), seed)
-        gateway.handle(0.0, api.ServerList(api.ListKind.FULL, entries(4)))
-        for n in range(count):
-            request = api.Request(str(n), "read", "standard", f"{n:016x}", 4e3, spread=GATEWAYS)
-            gateway.quota.customer(1.0, request)
-        return gateway
-
-    return kib(keep)
-
-
-def zipf(tenants: int) -> list[float]:
-    """Cumulated shares of tenants by a Zipf law of exponent 1."""
-    shares, total = [], 0.0
-    for rank in range(1, tenants + 1):
-        total += 1.0 / rank
-        shares.append(total)
-    return shares
-
-
-class Counted(NamedTuple):
-    """What one gateway's requests brought the counter, a second."""
-
-    calls: float
-    sent_kib: float
-    heard_kib: float
-    cpu_percent: float  # of the whole module, the calls' own bytes not among it
-
-
-@functools.cache
-def counted(tenants: int, rate: float, seed: int, seconds: float = 20.0) -> Counted:
-    """One gateway of 520 alone at its counter, which answers a millisecond later."""
-    rng, gateway, shares = random.Random(seed), Gateway(settings(True), seed), zipf(tenants)
-    totals: dict[int, float] = {}
-    calls = out = back = 0
-    gateway.handle(0.0, api.ServerList(api.ListKind.FULL, entries(20)))
-
-    def carry_out(now: float, actions: list[api.Action]) -> None:
-        nonlocal calls, out, back
-        for action in actions:
-            if isinstance(action, api.Count):
-                total = totals[action.name] = totals.get(action.name, 0.0) + action.amount
-                amount, ttl = b"%.3f" % action.amount, b"%d" % action.ttl_ms
-                calls += 1
-                out += len(resp.command(b"INCRTTL", b"%d" % action.name, amount, ttl))
-                text = b"%.3f" % total
-                back += len(b"$%d\r\n%s\r\n" % (len(text), text))
-                reply = api.CountReply(action.name, total, api.Ending.OK, 1.0)
-                carry_out(now + 1.0, gateway.handle(now + 1.0, reply))
-            elif isinstance(action, api.Send):
-                ended = api.AttemptEnded(action.request_id, 0, action.server, api.Ending.OK, 2.0, True)
-                carry_out(now + 2.0, gateway.handle(now + 2.0, ended))
-
-    names = rng.choices(range(tenants), cum_weights=shares, k=round(rate * seconds))
-    tick, began = 250.0, time.process_time()
-    for number, tenant in enumerate(names):
-        now = 1000.0 + number * 1000.0 / rate
-        while tick < now - 5.0:
-            carry_out(tick, gateway.handle(tick, api.TimerFired(0)))
-            tick += 250.0
-        request = api.Request(str(number), "read", "standard", f"{tenant:016x}", 4000.0, spread=GATEWAYS)
-        carry_out(now, gateway.handle(now, request))
-    spent = 100.0 * (time.process_time() - began) / seconds
-    return Counted(calls / seconds, out / seconds / 1024.0, back / seconds / 1024.0, spent)
-
 
 
 def pacings(count: int, seed: int, terms: Terms) -> Iterator[Pacing]:
@@ -258,106 +96,6 @@
     return lambda count, seed: worst_second([p.in_step() for p in pacings(count, seed, terms)])
 
 
-
-class Watched(Net):
-    """A network that books what each member sends, in bytes as they are on the wire."""
-
-    def __init__(self, count: int, seed: int) -> None:
-        self.bytes: Tally[tuple[str, int]] = Tally()  # by sender and second
-        super().__init__(count, seed)
-        for node in self.nodes.values():  # all have met long ago
-            node.news.clear()
-            for member in node.members.values():
-                member.state, member.incarnation, member.boot = State.ALIVE, 0, self.nodes[member.name].boot
-
-    def post(self, sender: str, outs: list[Out]) -> None:
-        for out in outs:
-            self.bytes[sender, int(self.now)] += len(encode("site", sender, 1 << 60, out.message))
-        super().post(sender, outs)
-
-
-class Talk(NamedTuple):
-    """What a member spends: percent of a core (with the simulation's own part), messages and bytes a second,
-    bytes in the worst second of any one."""
-
-    cpu_percent: float
-    messages: float
-    mean: float
-    worst: float
-
-
-@functools.cache
-def talk(count: int, seed: int, gone: bool) -> Talk:
-    """Eight seconds of a fleet; where told, a seventh of it stops dead in the first."""
-    net = Watched(count, seed)
-    if gone:
-        net.stopped = set(net.names[: count // 7])
-    there = [name for name in net.names if name not in net.stopped]
-    gc.collect()
-    began = time.process_time()
-    net.run(8.0)
-    spent = time.process_time() - began
-    per = 8.0 * len(there)
-    sent = sum(net.sent[name] for name in there)
-    total = sum(size for (name, _), size in net.bytes.items() if name in there)
-    worst = max(size for (name, _), size in net.bytes.items() if name in there)
-    return Talk(100.0 * spent / per, sent / per, total / per, worst)
-
-
-@functools.cache
-def copying(rows_s: int, seed: int) -> tuple[float, float, float]:
-    """One copy that hears so many rows of use a second, from 40 members: percent of a core, KiB a second that
-    it sends (as it books them), KiB that it keeps after 10 s."""
-    rng, replica = random.Random(seed), Replica()
-    gossip = Gossip(replica, Pace(), random.Random(seed))
-    gossip.known, names = True, [f"g{n}" for n in range(40)]
-    spent, at, number = 0.0, 0.0, 0
-    for step in range(1, 201):
-        at = step * 0.05
-        batch = []
-        while number < rows_s * at:
-            row = Row(Kind.USE, f"{rng.getrandbits(64):016x}/{number}", f"g{number % GATEWAYS}#1", 1, 1.0)
-            batch.append((row, 10))
-            number += 1
-        parts = [Rows(tuple(batch[i : i + 16])) for i in range(0, len(batch), 16)]
-        datagrams = [encode("site", "g1", 1, part) for part in parts]
-        began = time.process_time()
-        for data in datagrams:
-            gossip.heard(at, "g1", decode("site", data)[2], 40)  # type: ignore[arg-type]
-        gossip.taken()
-        for sent in gossip.tick(at, names):
-            encode("site", "g0", 1, sent.body)
-        replica.expire(at)
-        spent += time.process_time() - began
-    return 100.0 * spent / at, gossip.sent_bytes / at / 1024.0, float(len(replica.rows))
-
-
-def replica_kib(rows: int, seed: int) -> float:
-    """What so many rows of use take, each held for 20 s."""
-    def keep() -> Replica:
-        replica, rng = Replica(), random.Random(seed)
-        for n in range(rows):
-            replica.put(0.0, Row(Kind.USE, f"{rng.getrandbits(64):016x}/{n}", f"g{n % GATEWAYS}#1", 1, 1.0))
-        return replica
-
-    return kib(keep)
-
-
-def members_kib(count: int, seed: int) -> float:
-    names = [f"gateway-{n:03d}" for n in range(count)]
-    return kib(lambda: Members(names[0], 1, list(map(str, names)), Rules(), random.Random(seed)))
-
-
-@functools.cache
-def lease_messages(members: int, tasks: int, seed: int) -> float:
-    """Messages a second of all together, five voters, nothing wrong."""
-    swarm = Swarm(members, seed, tasks=tasks)
-    swarm.run(5.0)
-    before = swarm.sent
-    swarm.run(10.0)
-    return (swarm.sent - before) / 10.0
-
-
 def facts(plans: int) -> Facts:
     return Facts({f"class-{n}": ClassFacts(api.Repeat.SAFE, 4e3) for n in range(10)},
                  tuple(f"plan-{n}" for n in range(plans)), 5, False, 250.0)  # fmt: skip
@@ -435,6 +173,7 @@
         Probe(f"the same, {SOME}", LISTED, "ms", choice(20), *SERVERS_ARE, ADDED),
         Probe("quiet", LISTED, CORE, quiet(0), *SERVERS_ARE, CPU),
         Probe(f"the same, {SOME}", LISTED, CORE, quiet(20), *SERVERS_ARE, CPU),
+        Probe("an ending without a connection", LISTED, "us", unreachable, *SERVERS_ARE),
         Probe(f"a changed row, {SOME}", LISTED, "ms", changed, *SERVERS_ARE, 1.0),
         Probe("a whole list read and applied", LISTED, "ms", whole_list, *SERVERS_ARE, 5.0),
         Probe("memory of a list", LISTED, "KiB", list_kib, *SERVERS_ARE, MEMORY),
--- /dev/null
+++ b/benchmarks/capacity_gateway.py
@@ -0,0 +1,192 @@
+"""Probes of `benchmarks.capacity`: one gateway's choosing, lists, tenants, and its calls to the counter."""
+
+from __future__ import annotations
+
+import functools
+import json
+import random
+import time
+from typing import Any, NamedTuple
+
+from glenchute.deciders.subset import Aperture, Terms
+from glenchute.peers.discovery import Held, read_list
+from glenchute.wire import resp
+from heathglade import interface as api
+from heathglade.policy import Gateway
+
+from .slopes import Measure, cpu_ms, kib
+
+GATEWAYS, TENANTS, RATE = 520, 41_000, 163.0
+PLAN = api.Plan("standard", rate=4.0, burst=12.0)
+READ = api.RequestClass("read", 400.0, 1.0, api.Repeat.SAFE)
+
+def settings(counter: bool = False, plan: api.Plan = PLAN) -> api.Settings:
+    return api.Settings("z0", GATEWAYS, (READ,), (plan, api.Plan("free")), api.Safety(), counter=counter)
+
+
+def rows_of(count: int) -> list[dict[str, Any]]:
+    """Discovery's rows, in seven zones."""
+    same = {"weight": 1.0, "state": "Ready", "started_ms": 0}
+    return [{"id": f"server-{n:05d}", "addr": f"10.0.{n >> 8}.{n & 255}:9000", "zone": f"z{n % 7}",
+             "cell": n % 4, **same} for n in range(count)]  # fmt: skip
+
+
+def list_text(count: int, full: bool = True) -> str:
+    return json.dumps({"version": 1, "full": full, "servers": rows_of(count)})
+
+
+def entries(count: int) -> tuple[api.ServerEntry, ...]:
+    return read_list(json.loads(list_text(count))).event.entries
+
+
+def module(listed: int, seed: int, subset: int = 0) -> Gateway | Aperture:
+    """A module that has heard the list; with a subset of so many where told."""
+    made = settings()
+    gateway: Gateway | Aperture = Gateway(made, seed)
+    if subset:
+        gateway = Aperture(gateway, made, Terms(GATEWAYS, seed * 37 % GATEWAYS, subset))
+    gateway.handle(0.0, api.ServerList(api.ListKind.FULL, entries(listed)))
+    return gateway
+
+
+def served(gateway: Gateway | Aperture, count: int, first: int = 0) -> None:
+    """So many requests at one gateway's share of the peak, each answered before the next comes."""
+    for number in range(first, first + count):
+        now, name = 1000.0 + number * 1000.0 / RATE, str(number)
+        for action in gateway.handle(now, api.Request(name, "read", "free", "c", 4000.0)):
+            if isinstance(action, api.Send):
+                ended = api.AttemptEnded(name, 0, action.server, api.Ending.OK, 4.0, True, 0.0, 1.0)
+                gateway.handle(now + 4.0, ended)
+
+
+def choice(subset: int) -> Measure:
+    def measure(listed: int, seed: int) -> float:
+        gateway, count = module(listed, seed, subset), 100 if listed > 1_000 and not subset else 400
+        served(gateway, 10)
+        return cpu_ms(lambda: served(gateway, count, 10)) / count
+
+    return measure
+
+
+def quiet(subset: int) -> Measure:
+    """Percent of a core: four ticks, and with a subset four looks, a second without requests."""
+    def measure(listed: int, seed: int) -> float:
+        gateway = module(listed, seed, subset)
+        at = iter(range(1, 10**6))
+        return cpu_ms(lambda: gateway.handle(250.0 * next(at), api.TimerFired(0)), 40) * 4.0 / 10.0
+
+    return measure
+
+
+def unreachable(listed: int, seed: int) -> float:
+    """Microseconds of an ending without a connection, without a subset, beyond its choice."""
+    made, gateway = settings(), Gateway(settings(), seed)
+    gateway.handle(0.0, api.ServerList(api.ListKind.FULL, entries(listed)))
+    event = api.AttemptEnded("1", 0, "server-00001", api.Ending.UNREACHABLE, 1.0, False)
+    return 1e3 * cpu_ms(lambda: gateway.fleet.ended(1.0, event, made.classes[0], 1.0), 400)
+
+
+def changed(listed: int, seed: int) -> float:
+    """A row whose server starts to drain, and later is back, under a subset of 20."""
+    gateway, rows, at = module(listed, seed, 20), entries(listed), iter(range(1, 10**6))
+
+    def change() -> None:
+        number = next(at)
+        state = api.ServerState.DRAINING if number % 2 else api.ServerState.ACTIVE
+        row = api.ServerEntry(rows[number // 2 % listed].server, "z1", state=state)
+        gateway.handle(0.01 * number, api.ServerList(api.ListKind.CHANGES, (row,)))
+
+    return cpu_ms(change, 40)
+
+
+def whole_list(count: int, seed: int) -> float:
+    """Reading and applying a whole list, without a subset."""
+    text, gateway, held = list_text(count), Gateway(settings(), seed), Held()
+
+    def take() -> None:
+        news = read_list(json.loads(text), held=held)
+        held.follow(news)
+        gateway.handle(0.0, news.event)
+
+    return cpu_ms(take, 3)
+
+
+def list_kib(count: int, seed: int) -> float:
+    """What a gateway keeps of a list: discovery's rows, addresses, the module's servers."""
+    text = list_text(count)
+
+    def keep() -> object:
+        news, held, gateway = read_list(json.loads(text)), Held(), Gateway(settings(), seed)
+        held.follow(news)
+        gateway.handle(0.0, news.event)
+        return news.addresses, held, gateway
+
+    return kib(keep)
+
+
+def customers_kib(count: int, seed: int) -> float:
+    """Customers that the module has seen within a minute."""
+    def keep() -> Gateway:
+        gateway = Gateway(settings(True), seed)
+        gateway.handle(0.0, api.ServerList(api.ListKind.FULL, entries(4)))
+        for n in range(count):
+            request = api.Request(str(n), "read", "standard", f"{n:016x}", 4e3, spread=GATEWAYS)
+            gateway.quota.customer(1.0, request)
+        return gateway
+
+    return kib(keep)
+
+
+def zipf(tenants: int) -> list[float]:
+    """Cumulated shares of tenants by a Zipf law of exponent 1."""
+    shares, total = [], 0.0
+    for rank in range(1, tenants + 1):
+        total += 1.0 / rank
+        shares.append(total)
+    return shares
+
+
+class Counted(NamedTuple):
+    """What one gateway's requests brought the counter, a second."""
+
+    calls: float
+    sent_kib: float
+    heard_kib: float
+    cpu_percent: float  # of the whole module, the calls' own bytes not among it
+
+
+@functools.cache
+def counted(tenants: int, rate: float, seed: int, seconds: float = 20.0) -> Counted:
+    """One gateway of 520 alone at its counter, which answers a millisecond later."""
+    rng, gateway, shares = random.Random(seed), Gateway(settings(True), seed), zipf(tenants)
+    totals: dict[int, float] = {}
+    calls = out = back = 0
+    gateway.handle(0.0, api.ServerList(api.ListKind.FULL, entries(20)))
+
+    def carry_out(now: float, actions: list[api.Action]) -> None:
+        nonlocal calls, out, back
+        for action in actions:
+            if isinstance(action, api.Count):
+                total = totals[action.name] = totals.get(action.name, 0.0) + action.amount
+                amount, ttl = b"%.3f" % action.amount, b"%d" % action.ttl_ms
+                calls += 1
+                out += len(resp.command(b"INCRTTL", b"%d" % action.name, amount, ttl))
+                text = b"%.3f" % total
+                back += len(b"$%d\r\n%s\r\n" % (len(text), text))
+                reply = api.CountReply(action.name, total, api.Ending.OK, 1.0)
+                carry_out(now + 1.0, gateway.handle(now + 1.0, reply))
+            elif isinstance(action, api.Send):
+                ended = api.AttemptEnded(action.request_id, 0, action.server, api.Ending.OK, 2.0, True)
+                carry_out(now + 2.0, gateway.handle(now + 2.0, ended))
+
+    names = rng.choices(range(tenants), cum_weights=shares, k=round(rate * seconds))
+    tick, began = 250.0, time.process_time()
+    for number, tenant in enumerate(names):
+        now = 1000.0 + number * 1000.0 / rate
+        while tick < now - 5.0:
+            carry_out(tick, gateway.handle(tick, api.TimerFired(0)))
+            tick += 250.0
+        request = api.Request(str(number), "read", "standard", f"{tenant:016x}", 4000.0, spread=GATEWAYS)
+        carry_out(now, gateway.handle(now, request))
+    spent = 100.0 * (time.process_time() - began) / seconds
+    return Counted(calls / seconds, out / seconds / 1024.0, back / seconds / 1024.0, spent)
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -102,10 +102,13 @@
     return found
 
 
-def test_what_the_page_names_is_there() -> None:
+def test_what_the_page_names_is_there_and_each_probe_has_its_row() -> None:
     assert wrong(PAGE) == []
     assert sum(1 for rows in tables(PAGE) for row in rows if "command" in row) > len(capacity.ROLES)
-    assert all(f"`python -m benchmarks.capacity {role}`" in PAGE for role in capacity.ROLES)
+    missing = [(role, probe.what) for role, probes in capacity.ROLES.items() for probe in probes
+               if not re.search(rf"^\| {re.escape(f'{probe.what}, {probe.unit}, by {probe.by}')}.*"
+                                rf"`python -m benchmarks.capacity {role}` \|$", PAGE, re.M)]  # fmt: skip
+    assert missing == []
 
 
 @pytest.mark.parametrize("span", [
