--- a/benchmarks/capacity_gateway.py
+++ b/benchmarks/capacity_gateway.py
@@ -5,7 +5,6 @@
 import functools
 import json
 import random
-import time
 from typing import Any, NamedTuple
 
 from glenchute.deciders.subset import Aperture, Terms
@@ -180,13 +179,15 @@
                 carry_out(now + 2.0, gateway.handle(now + 2.0, ended))
 
     names = rng.choices(range(tenants), cum_weights=shares, k=round(rate * seconds))
-    tick, began = 250.0, time.process_time()
-    for number, tenant in enumerate(names):
-        now = 1000.0 + number * 1000.0 / rate
-        while tick < now - 5.0:
-            carry_out(tick, gateway.handle(tick, api.TimerFired(0)))
-            tick += 250.0
-        request = api.Request(str(number), "read", "standard", f"{tenant:016x}", 4000.0, spread=GATEWAYS)
-        carry_out(now, gateway.handle(now, request))
-    spent = 100.0 * (time.process_time() - began) / seconds
+    def run() -> None:
+        tick = 250.0
+        for number, tenant in enumerate(names):
+            now = 1000.0 + number * 1000.0 / rate
+            while tick < now - 5.0:
+                carry_out(tick, gateway.handle(tick, api.TimerFired(0)))
+                tick += 250.0
+            request = api.Request(str(number), "read", "standard", f"{tenant:016x}", 4000.0, spread=GATEWAYS)
+            carry_out(now, gateway.handle(now, request))
+
+    spent = cpu_ms(run) / 10.0 / seconds
     return Counted(calls / seconds, out / seconds / 1024.0, back / seconds / 1024.0, spent)
--- a/benchmarks/capacity_members.py
+++ b/benchmarks/capacity_members.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import functools
-import gc
 import random
-import time
 from collections import Counter as Tally
 from typing import NamedTuple
 
@@ -17,7 +15,7 @@
 from lab.fleet.simulated import Net
 
 from .capacity_gateway import GATEWAYS
-from .slopes import kib
+from .slopes import cpu_ms, kib
 
 
 class Watched(Net):
@@ -54,10 +52,7 @@
     if gone:
         net.stopped = set(net.names[: count // 7])
     there = [name for name in net.names if name not in net.stopped]
-    gc.collect()
-    began = time.process_time()
-    net.run(8.0)
-    spent = time.process_time() - began
+    spent = cpu_ms(lambda: net.run(8.0)) / 1e3
     per = 8.0 * len(there)
     sent = sum(net.sent[name] for name in there)
     total = sum(size for (name, _), size in net.bytes.items() if name in there)
@@ -66,31 +61,35 @@
 
 
 @functools.cache
-def copying(rows_s: int, seed: int) -> tuple[float, float, float]:
+def copying(rows_s: int, seed: int) -> tuple[float, float]:
     """One copy that hears so many rows of use a second, from 40 members: percent of a core, KiB a second that
-    it sends (as it books them), KiB that it keeps after 10 s."""
+    it sends (as it books them)."""
     rng, replica = random.Random(seed), Replica()
     gossip = Gossip(replica, Pace(), random.Random(seed))
     gossip.known, names = True, [f"g{n}" for n in range(40)]
-    spent, at, number = 0.0, 0.0, 0
+    steps: list[list[bytes]] = []
+    number = 0
     for step in range(1, 201):
-        at = step * 0.05
         batch = []
-        while number < rows_s * at:
+        while number < rows_s * step * 0.05:
             row = Row(Kind.USE, f"{rng.getrandbits(64):016x}/{number}", f"g{number % GATEWAYS}#1", 1, 1.0)
             batch.append((row, 10))
             number += 1
         parts = [Rows(tuple(batch[i : i + 16])) for i in range(0, len(batch), 16)]
-        datagrams = [encode("site", "g1", 1, part) for part in parts]
-        began = time.process_time()
-        for data in datagrams:
-            gossip.heard(at, "g1", decode("site", data)[2], 40)  # type: ignore[arg-type]
-        gossip.taken()
-        for sent in gossip.tick(at, names):
-            encode("site", "g0", 1, sent.body)
-        replica.expire(at)
-        spent += time.process_time() - began
-    return 100.0 * spent / at, gossip.sent_bytes / at / 1024.0, float(len(replica.rows))
+        steps.append([encode("site", "g1", 1, part) for part in parts])
+
+    def run() -> None:
+        for step, datagrams in enumerate(steps, 1):
+            at = 0.05 * step
+            for data in datagrams:
+                gossip.heard(at, "g1", decode("site", data)[2], 40)  # type: ignore[arg-type]
+            gossip.taken()
+            for sent in gossip.tick(at, names):
+                encode("site", "g0", 1, sent.body)
+            replica.expire(at)
+
+    spent = cpu_ms(run)
+    return spent / 100.0, gossip.sent_bytes / 10.0 / 1024.0
 
 
 def replica_kib(rows: int, seed: int) -> float:
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+REFERENCE_MS = 7.5  # what the reference loop takes in the moment for which CPU is stated
 Measure = Callable[[int, int], float]  # of a size and a seed
 
 
@@ -91,17 +92,24 @@
 
 
 def cpu_ms(run: Callable[[], object], times: int = 1) -> float:
-    """Processor milliseconds of one call."""
+    """Processor milliseconds of one call, as of a moment in which the reference loop takes `REFERENCE_MS`:
+    it runs before and after, as cores that share their parts make the same work cost up to twice as much."""
     gc.collect()
-    began = time.process_time()
+    before, began = reference_ms(), time.process_time()
     for _ in range(times):
         run()
-    return 1e3 * (time.process_time() - began) / times
+    spent = 1e3 * (time.process_time() - began) / times
+    return spent * REFERENCE_MS / (0.5 * (before + reference_ms()))
 
 
 def reference_ms() -> float:
-    """A loop that is always the same: what a busy machine does to processor time."""
-    return statistics.median(cpu_ms(lambda: sum(n * n for n in range(100_000))) for _ in range(9))
+    """A loop that is always the same."""
+    took = []
+    for _ in range(5):
+        began = time.process_time()
+        sum(n * n for n in range(100_000))
+        took.append(1e3 * (time.process_time() - began))
+    return statistics.median(took)
 
 
 def kib(make: Callable[[], object]) -> float:
