--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,299 @@
+"""Slopes of state, messages, processor time and memory by role, each with a larger size that it foretells.
+
+``python -m benchmarks.capacity [--quick] [gateway] [lists] [counter] [member] [lease] [config] [tools]``
+prints a table a role; without a role all of them, and draws ``docs/capacity-calls.svg``. Each probe drives
+the real decider in this process. A slope is a least-squares line through the medians of its sizes; the
+forecast for the check point is printed before that size is run. CPU is `time.process_time`, so that other
+programs on the machine take no part in it but by caches, frequency and cores that share their parts. Probes
+stand here, in `capacity_gateway` and in `capacity_members`.
+"""
+
+from __future__ import annotations
+
+import argparse
+import functools
+import itertools
+import json
+import math
+import random
+import statistics
+import sys
+import time
+from collections import Counter as Tally
+from collections.abc import Iterator, Sequence
+from types import SimpleNamespace
+from typing import Any
+
+from glenchute.cli.fleet import table as text_table
+from glenchute.config.facts import ClassFacts, Facts
+from glenchute.config.operator import MOST_ROUTES, Operator, Reading, parse
+from glenchute.deciders.fleet.members import Members, Rules
+from glenchute.deciders.pacing import Pacing, Terms
+from glenchute.deciders.routes import Routes
+from glenchute.peers.fleet.node import Fleet as Node
+from heathglade import interface as api
+
+from .capacity_gateway import (
+    GATEWAYS,
+    PLAN,
+    RATE,
+    TENANTS,
+    changed,
+    choice,
+    counted,
+    customers_kib,
+    list_kib,
+    list_text,
+    quiet,
+    unreachable,
+    whole_list,
+)  # fmt: skip
+from .capacity_members import copying, lease_messages, members_kib, replica_kib, talk
+from .machine import machine
+from .slopes import Measure, Probe, cpu_ms, kib, table
+
+SERVERS, ROUTES = 5_700, 2_700
+NAMES_KEPT_S = 60.0  # a customer unseen for this long is forgotten, here and at the counter
+STATED = Terms(GATEWAYS, rate=20.0, list_age_s=17.0)  # `[discovery] calls_per_s = 20, list_age_s = 17`
+UNSTATED = Terms(GATEWAYS)
+
+
+def pacings(count: int, seed: int, terms: Terms) -> Iterator[Pacing]:
+    for number in range(count):
+        yield Pacing(terms._replace(gateways=count, number=number), random.Random(seed * 100_000 + number))
+
+
+def quiet_calls(terms: Terms) -> Measure:
+    """Ends of watches a second, over 200 s without news."""
+    def measure(count: int, seed: int) -> float:
+        ends = 0
+        for pacing in pacings(count, seed, terms):
+            at = pacing.patience() * pacing.rng.random()
+            while at < 200.0:
+                ends += 1
+                at += pacing.patience()
+        return ends / 200.0
+
+    return measure
+
+
+def worst_second(pauses: Sequence[float]) -> float:
+    """Calls in the densest second, whole ones from the start."""
+    return float(max(Tally(int(pause) for pause in pauses).values()))
+
+
+def start_calls(terms: Terms, listed: bool) -> Measure:
+    return lambda count, seed: worst_second([p.first(listed) for p in pacings(count, seed, terms)])
+
+
+def zone_back(back: int, seed: int) -> float:
+    """Some of the 520, numbered in a row, start at once without saved lists."""
+    first = itertools.islice(pacings(GATEWAYS, seed, STATED), back)
+    return worst_second([pacing.first(False) for pacing in first])
+
+
+def news_calls(terms: Terms) -> Measure:
+    return lambda count, seed: worst_second([p.in_step() for p in pacings(count, seed, terms)])
+
+
+def facts(plans: int) -> Facts:
+    return Facts({f"class-{n}": ClassFacts(api.Repeat.SAFE, 4e3) for n in range(10)},
+                 tuple(f"plan-{n}" for n in range(plans)), 5, False, 250.0)  # fmt: skip
+
+
+def routes_text(count: int) -> str:
+    """A route for each class and plan, ten classes."""
+    return "".join(f'[[route]]\nname = "r{n}"\nmatch.class = ["class-{n % 10}"]\n'
+                   f'match.plan = ["plan-{n // 10}"]\nattempts = 2\n' for n in range(count))  # fmt: skip
+
+
+@functools.cache
+def loaded(count: int, seed: int) -> tuple[float, Operator]:
+    """Milliseconds for reading and checking an operator's file, which SIGHUP does on the loop; and what is
+    read."""
+    text, known = routes_text(count), facts(-(-count // 10))
+    readings: list[Reading] = []
+    spent = cpu_ms(lambda: readings.append(parse(text, known)))
+    if readings[0].operator is None:
+        raise ValueError(f"{count} routes: {readings[0].findings[0].code}")
+    return spent, readings[0].operator
+
+
+def match(count: int, seed: int) -> float:
+    """Microseconds for finding the route of a request."""
+    routes, plan = Routes(loaded(count, seed)[1].table, seed), f"plan-{(count - 1) // 10}"
+    return 1e3 * cpu_ms(lambda: routes.course(1.0, "class-3", plan), 50_000)
+
+
+def routes_kib(count: int, seed: int) -> float:
+    text, known = routes_text(count), facts(-(-count // 10))
+    return kib(lambda: parse(text, known).operator)
+
+
+def refusals() -> None:
+    """What this size is refused by: the bounds of the operator's file, tried."""
+    head = '[fleet]\nfleet = "f"\nname = "g"\nlisten = "127.0.0.1:1999"\n'
+    row = '[[fleet.members]]\nname = "m{0}"\naddress = "127.0.0.1:{0}"\n'
+    members = head + "".join(row.format(2_000 + n) for n in range(GATEWAYS - 1))
+    for what, text in ((f"{ROUTES:,} routes", routes_text(ROUTES)), ("[fleet] of 520", members)):
+        found = [f for f in parse(text, None).findings if not f.warning]
+        words = f"{found[0].code}: {found[0].message}" if found else "taken"
+        print(f"| {what}, {len(text) / 1024:.0f} KiB | {words} |")
+
+
+def answer_kib(count: int, seed: int) -> float:
+    """The answer to `glenchute fleet members`, as JSON."""
+    return len(json.dumps(shown(count))) / 1024.0
+
+
+def printed(count: int, seed: int) -> float:
+    rows = shown(count)
+    return cpu_ms(lambda: text_table(rows), 3)
+
+
+def shown(count: int) -> list[dict[str, Any]]:
+    names = [f"gateway-{n:03d}" for n in range(count)]
+    node: Any = SimpleNamespace(loop=SimpleNamespace(time=lambda: 1.0), name=names[0], boot=1 << 59,
+                                members=Members(names[0], 1, names, Rules(), random.Random(1)))  # fmt: skip
+    return Node.show_members(node)
+
+
+SERVERS_ARE = (400, 1_200, 2_800), SERVERS, SERVERS
+GATEWAYS_ARE = (65, 130, 260), GATEWAYS, GATEWAYS
+BEYOND = (290, 350, 410), GATEWAYS, GATEWAYS  # what is stated binds from 240 and 275 gateways on
+RATES = (20, 40, 80), round(RATE), round(RATE)
+TALKING = (30, 60, 120), 240, GATEWAYS
+ROUTES_ARE = (50, 100, 200), MOST_ROUTES, ROUTES
+ADDED, CPU, MEMORY, BYTES = 3.9, 2.4, 32e6 / 1024.0, 11.0 / 1.024  # ms, percent, KiB, KiB/s: the limits
+LISTED, MEMBERS_, ROWS_S, CORE = "servers listed", "members", "rows/s heard", "% of a core"
+SOME = "`[subset] servers = 20`"
+ROLES: dict[str, list[Probe]] = {
+    "gateway": [
+        Probe("CPU of a request", LISTED, "ms", choice(0), *SERVERS_ARE, ADDED),
+        Probe(f"the same, {SOME}", LISTED, "ms", choice(20), *SERVERS_ARE, ADDED),
+        Probe("quiet", LISTED, CORE, quiet(0), *SERVERS_ARE, CPU),
+        Probe(f"the same, {SOME}", LISTED, CORE, quiet(20), *SERVERS_ARE, CPU),
+        Probe("an ending without a connection", LISTED, "us", unreachable, *SERVERS_ARE),
+        Probe(f"a changed row, {SOME}", LISTED, "ms", changed, *SERVERS_ARE, 1.0),
+        Probe("a whole list read and applied", LISTED, "ms", whole_list, *SERVERS_ARE, 5.0),
+        Probe("memory of a list", LISTED, "KiB", list_kib, *SERVERS_ARE, MEMORY),
+        Probe("memory of tenants", "tenants seen in 60 s", "KiB",
+              customers_kib, (500, 1_000, 2_000), 10_000, TENANTS, MEMORY),
+        Probe("memory of routes", "routes", "KiB", routes_kib, (30, 60, 90), 200, ROUTES, MEMORY),
+        Probe("match of a route", "routes", "us", match, *ROUTES_ARE),
+    ],
+    "lists": [
+        Probe("calls at quiet, nothing stated", "gateways", "calls/s",
+              quiet_calls(UNSTATED), *GATEWAYS_ARE, STATED.rate),
+        Probe("the same, stated", "gateways", "calls/s", quiet_calls(STATED), *BEYOND, STATED.rate),
+        Probe("worst second after news, nothing stated", "gateways", "calls",
+              news_calls(UNSTATED), *GATEWAYS_ARE, STATED.rate),
+        Probe("the same, stated", "gateways", "calls", news_calls(STATED), *BEYOND, STATED.rate),
+        Probe("worst second of a start, nothing stated", "gateways", "calls",
+              start_calls(UNSTATED, True), *GATEWAYS_ARE, STATED.rate),
+        Probe("the same, stated", "gateways", "calls", start_calls(STATED, True), *BEYOND, STATED.rate),
+        Probe("the same, stated, without saved lists", "gateways", "calls",
+              start_calls(STATED, False), *BEYOND, STATED.rate),
+        Probe("worst second of a zone's gateways back, stated, no lists", "gateways back", "calls",
+              zone_back, (20, 35, 50), 74, 74, STATED.rate),
+        Probe("a whole list", LISTED, "KiB", lambda n, _: len(list_text(n)) / 1024, *SERVERS_ARE),
+        Probe("a changed row told to all", "gateways", "KiB",
+              lambda n, _: n * len(list_text(1, False)) / 1024, *GATEWAYS_ARE),
+    ],
+    "counter": [
+        Probe("calls of a gateway", "requests/s", "calls/s",
+              lambda n, s: counted(TENANTS, n, s).calls, *RATES),
+        Probe("sent by a gateway", "requests/s", "KiB/s",
+              lambda n, s: counted(TENANTS, n, s).sent_kib, *RATES, BYTES),
+        Probe("heard by a gateway", "requests/s", "KiB/s",
+              lambda n, s: counted(TENANTS, n, s).heard_kib, *RATES),
+        Probe("the module, 20 servers, all counted", "requests/s", CORE,
+              lambda n, s: counted(TENANTS, n, s).cpu_percent, *RATES),
+    ],
+    "member": [
+        Probe("probes, quiet", MEMBERS_, "messages/s", lambda n, s: talk(n, s, False).messages, *TALKING),
+        Probe("probes, quiet", MEMBERS_, "bytes/s",
+              lambda n, s: talk(n, s, False).mean, *TALKING, 1024 * BYTES),
+        Probe("probes, quiet", MEMBERS_, CORE, lambda n, s: talk(n, s, False).cpu_percent, *TALKING, CPU),
+        Probe("a zone gone, worst second of any", MEMBERS_, "bytes",
+              lambda n, s: talk(n, s, True).worst, *TALKING, 1024 * BYTES),
+        Probe("a zone gone", MEMBERS_, CORE, lambda n, s: talk(n, s, True).cpu_percent, *TALKING, CPU),
+        Probe("memory of members", MEMBERS_, "KiB", members_kib, *GATEWAYS_ARE, MEMORY),
+        Probe("words of use", ROWS_S, CORE, lambda n, s: copying(n, s)[0], (50, 100, 200), 800, 85_000, CPU),
+        Probe("words of use", ROWS_S, "KiB/s sent",
+              lambda n, s: copying(n, s)[1], (5, 10, 20), 40, 85_000, BYTES),
+        Probe("memory of words", "rows held", "KiB",
+              replica_kib, (2_000, 4_000, 8_000), 24_000, 40_000, MEMORY),
+    ],
+    "lease": [
+        Probe("messages of all, 20 tasks", MEMBERS_, "messages/s",
+              lambda n, s: lease_messages(n, 20, s), (15, 30, 60), 120, GATEWAYS),
+        Probe("messages of all, 30 members", "tasks", "messages/s",
+              lambda n, s: lease_messages(30, n, s), (5, 10, 20), 50, 360),
+    ],
+    "config": [
+        Probe("load of an operator's file", "routes", "ms",
+              lambda n, s: loaded(n, s)[0], *ROUTES_ARE, ADDED, 2),
+        Probe("620 loads a day", "routes", CORE,
+              lambda n, s: loaded(n, s)[0] * 620 / 864_000, *ROUTES_ARE, CPU, 2),
+    ],
+    "tools": [
+        Probe("answer of `glenchute fleet members`", MEMBERS_, "KiB", answer_kib, *GATEWAYS_ARE),
+        Probe("its table", MEMBERS_, "ms", printed, *GATEWAYS_ARE),
+    ],
+}  # fmt: skip
+
+
+def drawn() -> None:
+    """What follows from the Zipf law alone: tenants that a gateway knows, names that the counter holds."""
+    shares = [1.0 / rank for rank in range(1, TENANTS + 1)]
+    total, span = sum(shares), PLAN.burst / PLAN.rate
+    known = sum(1.0 - math.exp(-RATE * NAMES_KEPT_S * share / total) for share in shares)
+    fresh = sum(1.0 - math.exp(-RATE * GATEWAYS * span * share / total) for share in shares)
+    names = fresh * NAMES_KEPT_S / span
+    print(f"\nby the law alone: a gateway knows {known:,.0f} tenants of the last {NAMES_KEPT_S:.0f} s; the "
+          f"counter holds {names:,.0f} names, windows of {span:.0f} s; the first tenant asks "
+          f"{1.0 / total:.1%} of all")  # fmt: skip
+
+
+def plot() -> None:
+    """Calls to the counter bend: by tenants they grow to one a request."""
+    import pygal
+
+    tenants = [10, 30, 100, 300, 1_000, 3_000, 10_000, TENANTS]
+    title = f"Calls to the counter of one gateway of {GATEWAYS}, {RATE:g} requests a second"
+    law = "tenants (Zipf, exponent 1)"
+    chart = pygal.Line(title=title, x_title=law, range=(0, None), js=[], no_prefix=True)
+    chart.x_labels = [f"{count:,}" for count in tenants]
+    found = [statistics.median(counted(n, RATE, s).calls for s in range(3)) for n in tenants]
+    chart.add("median of 3 seeds", [round(calls, 1) for calls in found])
+    chart.add("requests", [RATE] * len(tenants))
+    chart.render_to_file("docs/capacity-calls.svg")
+    words = (f"{count:,}: {calls:.1f}" for count, calls in zip(tenants, found, strict=True))
+    print("\ndocs/capacity-calls.svg, calls by tenants:", ", ".join(words))
+
+
+def main() -> int:
+    """The roles named, or all."""
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.capacity")
+    parser.add_argument("roles", nargs="*", metavar="ROLE", help=", ".join(ROLES))
+    parser.add_argument("--quick", action="store_true", help="one repeat, no plot: no spread")
+    args = parser.parse_args()
+    if unknown := set(args.roles) - set(ROLES):
+        parser.error(f"no such role: {', '.join(sorted(unknown))}")
+    began = time.process_time()
+    print(machine())
+    for role in args.roles or ROLES:
+        table(role, ROLES[role], 1 if args.quick else 3)
+    if not args.roles or "counter" in args.roles:
+        drawn()
+    if not args.roles or "config" in args.roles:
+        refusals()
+    if not args.roles and not args.quick:
+        plot()
+    print(f"\n{time.process_time() - began:.0f} s of CPU")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
