Scale run: hollow gateways, servers and tenants beside a few real processes

One seeded Site drives hollow gateways (the run program without its listener, over real sockets to list service and counter), stand-ins with books by role, and real processes with their clients.

--- /dev/null
+++ b/benchmarks/scale.py
@@ -0,0 +1,89 @@
+"""A whole site, hollow beside real: what each role costs at a size.
+
+``python -m benchmarks.scale --servers 5700 --tenants 41000 --gateways 520 --real 4 --rate 163 --seconds 20``;
+``--compare``: what a hollow gateway sends against a real one, on a small site; ``--scene``: a bad moment.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from dataclasses import fields, replace
+from pathlib import Path
+
+from lab.scale.run import Figures, Scale
+from lab.scale.site import Site, Trouble
+
+from .machine import machine
+
+COMPARED = (
+    "list calls/min",
+    "list bytes/call",
+    "list bytes/answer",
+    "counter calls/request",
+    "counter bytes/call",
+)
+
+
+def scenes(site: Site, seconds: float) -> dict[str, Site]:
+    """The bad moments, in the middle of the measured time."""
+    at, to = 0.25 * seconds, 0.6 * seconds
+    return {
+        "zone back": replace(site, troubles=(Trouble("restart", at, to),)),
+        "zone gone": replace(site, troubles=(Trouble("zone", at, to),)),
+        "rack gone": replace(site, troubles=(Trouble("rack", at, to),)),
+        "counter slow": replace(site, troubles=(Trouble("counter slow", at, to, value=80.0),)),
+        "lists silent": replace(site, troubles=(Trouble("lists silent", at, to),)),
+        "one asks half": replace(site, half=True),
+    }
+
+
+async def play(site: Site, seconds: float, warm_s: float) -> Figures:
+    """One run."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with Scale(site, Path(folder), warm_s) as scale:
+            return await scale.run(seconds)
+
+
+def compare(figures: Figures) -> list[str]:
+    """Hollow against real."""
+    out = [f"{'one gateway':24} {'real':>10} {'hollow':>10} {'ratio':>7}"]
+    for what in COMPARED:
+        real, hollow = figures.per["real"][what], figures.per["hollow"][what]
+        out.append(f"{what:24} {real:10.3f} {hollow:10.3f} {hollow / real if real else float('nan'):7.3f}")
+    return out
+
+
+def main() -> int:
+    """The run that the flags describe."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    for one in fields(Site):
+        if one.name in ("troubles", "half", "hollow_rate"):
+            continue
+        kind = {"int": int, "float": float}[str(one.type)]
+        parser.add_argument(f"--{one.name.replace('_', '-')}", type=kind, default=one.default)
+    parser.add_argument("--hollow-rate", type=float, help="default: as `rate`, but 600 in all at most")
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--warm", type=float, default=4.0)
+    parser.add_argument("--scene", default="")
+    parser.add_argument("--compare", action="store_true")
+    asked = vars(parser.parse_args())
+    seconds, warm, scene = asked.pop("seconds"), asked.pop("warm"), asked.pop("scene")
+    compared, hollow_rate = asked.pop("compare"), asked.pop("hollow_rate")
+    if hollow_rate is None:
+        hollow_rate = min(asked["rate"], 600.0 / max(1, asked["gateways"] - asked["real"]))
+    site = Site(**asked, hollow_rate=hollow_rate)
+    if scene:
+        site = scenes(site, seconds)[scene]
+    print(machine())
+    figures = asyncio.run(play(site, seconds, warm))
+    print("\n".join(figures.lines()))
+    if compared:
+        print("\n".join(compare(figures)))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lab/scale/__main__.py
@@ -0,0 +1,247 @@
+"""One process of a scale run: ``python -m lab.scale ROLE``, begun by `run.Scale` only.
+
+It is spoken to in lines of JSON. The first tells what it is to be; it answers with one line when it stands.
+`begin` gives the Unix time of second 0, `mark` asks for the books so far, `end` for what is told at the end.
+When the one that speaks has gone, it ends, and kills the process groups that it was told to `keep`: so
+nothing of a run is left behind, whatever ends that one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import json
+import logging
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from .site import Site
+from .stand_ins import Lists, Rack, Timeline, Totals
+
+
+class Worker:
+    """What all roles share."""
+
+    def __init__(self, site: Site, told: dict[str, Any]) -> None:
+        self.site, self.told = site, told
+        self.tasks: list[asyncio.Task[Any]] = []
+
+    async def start(self) -> dict[str, Any]:
+        """Stands up; what the run needs to know."""
+        return {}
+
+    def lines(self) -> list[Timeline]:
+        """Clocks to set."""
+        return []
+
+    def begun(self) -> None:
+        """The clocks are set."""
+
+    def mark(self) -> dict[str, Any]:
+        """The books."""
+        return {}
+
+    async def end(self) -> dict[str, Any]:
+        """What is told at the end."""
+        return {}
+
+    def go(self, what: Any) -> None:
+        """Runs beside."""
+        self.tasks.append(asyncio.create_task(what))
+
+
+class ListWorker(Worker):
+    """The list service, its changes, and what it has to say of the site's troubles."""
+
+    async def start(self) -> dict[str, Any]:
+        self.lists = Lists(self.site, self.told["rows"])
+        return {"ports": await self.lists.serve()}
+
+    def lines(self) -> list[Timeline]:
+        return [self.lists.line]
+
+    def begun(self) -> None:
+        if self.site.changes > 0:
+            self.go(self.change())
+        for trouble in self.site.troubles:
+            if trouble.what in ("rack", "zone"):
+                self.go(self.struck(trouble))
+
+    async def change(self) -> None:
+        """Rows that change, a weight each time, from before the measured time on; many a second in one go."""
+        names, step = list(self.lists.rows), max(1, round(self.site.changes / 50.0))
+        serial = 0
+        while True:
+            await asyncio.sleep(step / self.site.changes)
+            rows = []
+            for _ in range(step):
+                serial += 1
+                row = self.lists.rows.get(names[serial * 7919 % len(names)])
+                if row is not None:
+                    rows.append({**row, "weight": 1.0 + 0.001 * (serial % 7)})
+            self.lists.update(rows)
+
+    async def struck(self, trouble: Any) -> None:
+        """Servers that are away leave the list two seconds later, and come back cold."""
+        await self.lists.line.until(trouble.at_s + 2.0)
+        gone = [row for row in self.lists.rows.values() if self.site.struck(trouble, int(row["id"][2:], 16))]
+        self.lists.update([{**row, "state": "Gone"} for row in gone])
+        await self.lists.line.until(trouble.to_s)
+        now = 1000.0 * time.time()
+        self.lists.update([{**row, "started_ms": now} for row in gone])
+
+    def mark(self) -> dict[str, Any]:
+        return {role: book.told() for role, book in self.lists.books.items()} | {"changed": self.lists.told}
+
+    async def end(self) -> dict[str, Any]:
+        return {role: [round(at, 3) for at in book.times] for role, book in self.lists.books.items()}
+
+
+class CounterWorker(Worker):
+    """The counter."""
+
+    async def start(self) -> dict[str, Any]:
+        self.totals = Totals(self.site)
+        return {"ports": await self.totals.serve()}
+
+    def lines(self) -> list[Timeline]:
+        return [self.totals.line]
+
+    def mark(self) -> dict[str, Any]:
+        return {role: book.told() for role, book in self.totals.books.items()} | {"names": self.totals.most}
+
+
+class ServerWorker(Worker):
+    """The stand-ins of the hollow servers."""
+
+    async def start(self) -> dict[str, Any]:
+        self.racks = [Rack(self.site, zone, rack) for zone, rack in self.told["racks"]]
+        for rack in self.racks:
+            await rack.start()
+        return {"ports": [[rack.zone, rack.rack, rack.port] for rack in self.racks]}
+
+    def lines(self) -> list[Timeline]:
+        return [rack.line for rack in self.racks]
+
+    def begun(self) -> None:
+        for rack in self.racks:
+            self.go(rack.fall())
+
+    def mark(self) -> dict[str, Any]:
+        books = [rack.book.told() for rack in self.racks]
+        return {key: sum(book[key] for book in books) for key in books[0]}
+
+    async def end(self) -> dict[str, Any]:
+        return {name: round(took, 3) for rack in self.racks for name, took in rack.took_ms.items()}
+
+
+class HollowWorker(Worker):
+    """A share of the hollow gateways."""
+
+    async def start(self) -> dict[str, Any]:
+        from glenchute.config.platform import build
+
+        from .hollow import Crowd
+
+        logging.disable(logging.CRITICAL)
+        raw = json.loads(Path(self.told["platform"]).read_text())
+        self.crowd = Crowd(self.site, self.told["numbers"], build(raw, {}), self.told["operator"])
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20_000, 20, 20)  # as `glenchute run` has it
+        return {}
+
+    def lines(self) -> list[Timeline]:
+        return [self.crowd.line]
+
+    def begun(self) -> None:
+        self.go(self.run())
+        self.go(self.crowd.restarts())
+
+    async def run(self) -> None:
+        """All start, and are asked."""
+        await self.crowd.begin(self.crowd.numbers)
+        await self.crowd.load()
+
+    def mark(self) -> dict[str, Any]:
+        return dict(self.crowd.answers)
+
+    async def end(self) -> dict[str, Any]:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.sleep(3.2)  # the longest deadline
+        self.crowd.close()
+        return dict(self.crowd.answers)
+
+
+class ClientWorker(Worker):
+    """The clients of the real gateways."""
+
+    async def start(self) -> dict[str, Any]:
+        from .clients import Clients
+
+        self.clients = Clients(self.site, {int(n): port for n, port in self.told["ports"].items()})
+        return {}
+
+    def lines(self) -> list[Timeline]:
+        return [self.clients.line]
+
+    def begun(self) -> None:
+        self.clients.start()
+
+    async def end(self) -> dict[str, Any]:
+        await self.clients.stop()
+        return {"outcomes": self.clients.outcomes()}
+
+
+ROLES: dict[str, type[Worker]] = {
+    "lists": ListWorker, "counter": CounterWorker, "servers": ServerWorker, "hollow": HollowWorker,
+    "clients": ClientWorker,
+}  # fmt: skip
+
+
+def say(what: dict[str, Any]) -> None:
+    """A line to the run."""
+    sys.stdout.write(json.dumps(what) + "\n")
+    sys.stdout.flush()
+
+
+async def serve(role: str) -> None:
+    """Speaks with the run until that ends."""
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader(limit=64 * 1024 * 1024)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    first = json.loads(await reader.readline())
+    worker = ROLES[role](Site.of(first["site"]), first)
+    say(await worker.start())
+    kept: list[int] = []
+    try:
+        while line := await reader.readline():
+            told = json.loads(line)
+            match told["do"]:
+                case "begin":
+                    for clock in worker.lines():
+                        clock.begin(told["at"])
+                    worker.begun()
+                case "keep":
+                    kept = told["groups"]
+                case "mark":
+                    say(worker.mark())
+                case "end":
+                    say(await worker.end())
+                    return
+    finally:
+        for group in kept:
+            with contextlib.suppress(ProcessLookupError, PermissionError):
+                os.killpg(group, signal.SIGKILL)
+
+
+if __name__ == "__main__":
+    uvloop.run(serve(sys.argv[1]))
--- /dev/null
+++ b/lab/scale/hollow.py
@@ -0,0 +1,285 @@
+"""Hollow gateways: the program of `glenchute run` with all its parts but clients' and servers' sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+import zlib
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from glenchute.backends.resp2 import Servers
+from glenchute.cli.run import LIST_WAIT_S, Program, read_operator
+from glenchute.config.platform import Config
+from glenchute.core.types import (
+    About,
+    Address,
+    Answer,
+    Attempt,
+    Call,
+    Decisions,
+    Failed,
+    Refused,
+    Result,
+    Source,
+)
+from heathglade import Gateway as Policy
+from heathglade import interface as api
+from heathglade.interface import Ending, ListKind, ServerList
+from lab.site import KINDS
+
+from .site import Draw, Site
+from .stand_ins import Timeline
+
+
+class Asked(Call):
+    """A request without its bytes."""
+
+    def encode(self, left_ms: int) -> bytes:
+        return b""
+
+
+class Trial:
+    """An attempt at a hollow server, from a hollow gateway: it ends after a drawn time."""
+
+    def __init__(
+        self, servers: Hollows, server: str, timeout_s: float, done: Callable[[Result], None]
+    ) -> None:
+        self.servers, self.server, self.timeout_s, self.done = servers, server, timeout_s, done
+        self.started = servers.loop.time()
+        self.written = False
+        self.began: Callable[[Source], None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Sends nothing."""
+        self.started = self.servers.loop.time()
+        if self.servers.away(self.server):
+            self.timer = self.servers.loop.call_later(0.0005, self.end, Ending.UNREACHABLE)
+            return
+        self.written = True
+        self.servers.out += 1
+        service = self.servers.service_s()
+        late = service > self.timeout_s
+        self.timer = self.servers.loop.call_later(
+            min(service, self.timeout_s), self.end, Ending.TIMEOUT if late else Ending.OK
+        )
+
+    def end(self, ending: Ending) -> None:
+        """Tells its one ending."""
+        if self.timer is None:
+            return
+        self.timer = None
+        if self.written:
+            self.servers.out -= 1
+        if ending is Ending.OK:
+            self.done(Result(ending, b"$6\r\nhollow\r\n", b"inflight=1,queue=0", True))
+        else:
+            self.done(Result(ending))
+
+    def stop(self, ending: Ending) -> None:
+        """Ended early."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.servers.loop.call_soon(self.end, ending)
+
+
+class Hollows:
+    """The servers of a hollow gateway."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, rng: random.Random, mean_s: float, away: Callable[[str], bool]
+    ) -> None:
+        self.loop, self.rng, self.half, self.away = loop, rng, 0.5 * mean_s, away
+        self.at: dict[str, Address] = {}
+        self.draining: set[str] = set()
+        self.out = 0
+
+    def service_s(self) -> float:
+        """As the stand-ins draw theirs."""
+        return self.half + self.rng.expovariate(1.0 / self.half)
+
+    def attempt(
+        self, server: str, payload: Callable[[int], bytes], timeout_s: float, done: Callable[[Result], None],
+        write_by: float, about: About | None = None,
+    ) -> Attempt | None:  # fmt: skip
+        """Makes one."""
+        if server not in self.at or self.loop.time() >= write_by:
+            return None
+        return Trial(self, server, timeout_s, done)
+
+    def listed(self, server: str, address: Address, started_anew: bool) -> None:
+        """It takes work."""
+        self.at[server] = address
+        self.draining.discard(server)
+
+    def stopped(self, server: str) -> None:
+        """It drains."""
+        self.at.pop(server, None)
+        self.draining.add(server)
+
+    def gone(self, server: str) -> None:
+        """It left."""
+        self.at.pop(server, None)
+        self.draining.discard(server)
+
+    def known(self) -> list[str]:
+        """All."""
+        return [*self.at, *self.draining]
+
+    def address(self, server: str) -> Address | None:
+        """Where it would be."""
+        return self.at.get(server)
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+
+class Part:
+    """Tells the module of a part of the servers only, where the list is longer than `most`: choosing among
+    all is what a real gateway is measured for, and would be most of the run's processor time here. Without
+    `most`, and on lists no longer than that, the module is told all."""
+
+    def __init__(self, module: Decisions, number: int, most: int) -> None:
+        self.module, self.number, self.most, self.step = module, number, most, 1
+        self.ended = False
+
+    def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
+        """As the module, which is no more after `ended`."""
+        if self.ended:
+            return []
+        if isinstance(event, ServerList) and self.most and event.kind is not ListKind.FAILED:
+            if event.kind is not ListKind.CHANGES:
+                self.step = max(1, math.ceil(len(event.entries) / self.most))
+            if self.step > 1:
+                kept = tuple(
+                    e
+                    for e in event.entries
+                    if zlib.crc32(e.server.encode()) % self.step == self.number % self.step
+                )
+                if not kept and event.kind is ListKind.CHANGES:
+                    return []
+                event = ServerList(event.kind, kept, event.of)
+        return self.module.handle(now_ms, event)
+
+
+class HollowGateway(Program):
+    """One. `up` and `down` are its start and end."""
+
+    def __init__(
+        self, site: Site, config: Config, loop: asyncio.AbstractEventLoop, line: Timeline, operator: Any
+    ) -> None:
+        self.site, self.line = site, line
+        self.rng = random.Random(config.seed)
+        self.part = Part(Policy(config.settings, config.seed), config.number or 0, site.most_known)
+        super().__init__(config, loop, self.part, operator=operator)
+
+    def backend(self, shared: dict[str, Any] | None) -> Servers:
+        hollow = Hollows(self.loop, self.rng, self.site.service_ms / 1000.0, self.away)
+        return hollow  # type: ignore[return-value]
+
+    def away(self, server: str) -> bool:
+        """Whether its rack or zone is."""
+        return bool(self.site.troubles) and self.line.gone(int(server[2:], 16))
+
+    def up(self) -> None:
+        """As `Program.start` without listener."""
+        if self.config.known is not None:
+            self.gateway.news(self.config.known)
+        self.discovery.begin(self.config.known, LIST_WAIT_S, False)
+
+    def down(self) -> None:
+        """Its connections end, and its module hears no more."""
+        self.part.ended = True
+        self.listener.close()
+        self.discovery.close()
+        if self.counter is not None:
+            self.counter.close()
+
+
+class Crowd:
+    """The hollow gateways of one process, and their requests."""
+
+    def __init__(self, site: Site, numbers: list[int], config: Config, operator_path: str | None) -> None:
+        self.site, self.numbers = site, numbers
+        self.line = Timeline(site)
+        self.loop = asyncio.get_running_loop()
+        self.config = config
+        self.operator = read_operator(operator_path, config) if operator_path else None
+        self.gateways: dict[int, HollowGateway] = {}
+        self.answers: Counter[str] = Counter()
+        self.draw = Draw(site, numbers)
+        self.serial = 0
+
+    def made(self, number: int) -> HollowGateway:
+        """One of them, with its own settings and seed; the saved list is shared."""
+        config = self.config
+        settings = replace(config.settings, zone=self.site.zone_name(self.site.gateway_zone(number)))
+        config = replace(config, name=f"h{number}", settings=settings, number=number, seed=7919 * number + 17)
+        return HollowGateway(self.site, config, self.loop, self.line, self.operator)
+
+    async def begin(self, numbers: list[int]) -> None:
+        """These start in one moment, as far as one process can."""
+        for number in numbers:
+            self.gateways[number] = self.made(number)
+        for number in numbers:
+            self.gateways[number].up()
+            await asyncio.sleep(0)
+
+    async def restarts(self) -> None:
+        """The site's restarts, in their order."""
+        for trouble in sorted((t for t in self.site.troubles if t.what == "restart"), key=lambda t: t.at_s):
+            await self.line.until(trouble.at_s)
+            struck = [n for n in self.numbers if self.site.gateway_zone(n) == trouble.zone]
+            for number in struck:
+                self.gateways.pop(number).down()
+            await self.line.until(trouble.to_s)
+            await self.begin(struck)
+
+    async def load(self) -> None:
+        """Requests at drawn moments, each at a drawn one of the gateways."""
+        rate = self.site.hollow_rate * len(self.numbers)
+        if rate <= 0 or not self.numbers:
+            return
+        rng = random.Random(f"{self.site.seed} {self.numbers[0]}")
+        at = self.loop.time()
+        while True:
+            at += rng.expovariate(rate)
+            pause = at - self.loop.time()
+            if pause > 0:
+                await asyncio.sleep(pause)
+            elif pause < -1.0:
+                at = self.loop.time()  # this process can't keep up: what it drops is told
+                self.answers["not asked"] += int(-pause * rate)
+            self.ask(rng)
+
+    def ask(self, rng: random.Random) -> None:
+        """One request."""
+        number = self.numbers[rng.randrange(len(self.numbers))]
+        draw = rng.random()
+        kind = next((k for k, edge in EDGES if draw < edge), KINDS[-1])
+        account = self.draw(number, rng)
+        gateway = self.gateways.get(number)
+        if gateway is None:
+            return  # it restarts: its clients go elsewhere
+        self.serial += 1
+        spread = int(account.more.partition("spread=")[2].partition(",")[0])
+        call = Asked(b"%016x" % self.serial, kind.class_name, account.plan, account.customer.decode(),
+                     float(kind.deadline_ms), 1.0, min(spread, self.site.gateways))  # fmt: skip
+        self.answers["asked"] += 1
+        gateway.gateway.take(call, self.answered)
+
+    def answered(self, answer: Answer) -> None:
+        """Books how it ended."""
+        self.answers[{Refused: "refused", Failed: "failed"}.get(type(answer), "served")] += 1
+
+    def close(self) -> None:
+        """All end."""
+        for gateway in self.gateways.values():
+            gateway.down()
+
+
+EDGES = [(kind, sum(k.share for k in KINDS[: at + 1])) for at, kind in enumerate(KINDS)]
--- /dev/null
+++ b/lab/scale/site.py
@@ -0,0 +1,199 @@
+"""The description of a site. One seed gives the same tenants, rows, settings and faults in every process."""
+
+from __future__ import annotations
+
+import bisect
+import itertools
+import math
+import random
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from lab.load import Account
+from lab.site import SETTINGS
+
+LADDER = (2.0, 8.0, 32.0, 128.0, 512.0, 2048.0, 8192.0, 32768.0)  # units a second of the plans
+ROOM = 1.5  # of a plan's rate over what its tenants ask
+SET_SHARE = 0.25  # of a gateway's requests that one tenant makes at most: its set is as large as that needs
+CEILED = 2  # the largest plans have a ceiling
+
+
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """One fault, in seconds from when measuring begins. `what`: rack, zone (its servers are gone at `at_s`,
+    and back, started anew, at `to_s`), lists silent, counter slow (by `value` ms), restart (the hollow
+    gateways of the zone end at `at_s` and are all back at `to_s`)."""
+
+    what: str
+    at_s: float
+    to_s: float
+    zone: int = 0
+    rack: int = 0
+    value: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """Sizes, shares and faults. `spread`: the least number of gateways that a tenant's requests come through;
+    `rate`: requests a second of a real gateway, `hollow_rate`: of a hollow one; `changes`: rows of the list
+    that change a second; `most_known`: servers that a hollow one chooses among, at most (0: all);
+    `calls_per_s`: what the list service is said to bear (0: not said; each has an agent of its own then);
+    `subset`: `[subset] servers`, 0 for none."""
+
+    gateways: int = 6
+    real: int = 2
+    servers: int = 20
+    services: int = 4
+    regions: int = 1
+    zones: int = 2
+    racks: int = 2
+    tenants: int = 50
+    zipf: float = 1.0
+    half: bool = False  # the first tenant asks half of all
+    spread: int = 3
+    rate: float = 20.0
+    hollow_rate: float = 20.0
+    changes: float = 1.0
+    most_known: int = 0
+    calls_per_s: float = 0.0
+    list_age_s: float = 0.0
+    subset: int = 0
+    service_ms: float = 10.0
+    seed: int = 1
+    troubles: tuple[Trouble, ...] = ()
+
+    @property
+    def hollow(self) -> int:
+        """Hollow gateways."""
+        return self.gateways - self.real
+
+    def raw(self) -> dict[str, Any]:
+        """For another process."""
+        return asdict(self)
+
+    @classmethod
+    def of(cls, raw: dict[str, Any]) -> Site:
+        """From another process."""
+        return cls(**{**raw, "troubles": tuple(Trouble(**one) for one in raw["troubles"])})
+
+    # --- places ------------------------------------------------------------------------------------------
+
+    def zone_name(self, zone: int) -> str:
+        """Region and zone."""
+        return f"r{zone % self.regions}z{zone}"
+
+    def zone_of(self, server: int) -> int:
+        """Servers go round the zones."""
+        return server % self.zones
+
+    def rack_of(self, server: int) -> int:
+        """... and within a zone round its racks."""
+        return server // self.zones % self.racks
+
+    def gateway_zone(self, number: int) -> int:
+        """Gateways too."""
+        return number % self.zones
+
+    def is_real(self, number: int) -> bool:
+        """Real ones stand evenly among the others."""
+        return number in self.real_numbers()
+
+    def real_numbers(self) -> list[int]:
+        """Of the real gateways."""
+        return [i * self.gateways // self.real for i in range(self.real)] if self.real else []
+
+    def struck(self, trouble: Trouble, server: int) -> bool:
+        """Whether it takes this server away."""
+        zone = self.zone_of(server) == trouble.zone
+        return zone and (
+            trouble.what == "zone" or (trouble.what == "rack" and self.rack_of(server) == trouble.rack)
+        )
+
+    # --- the list ----------------------------------------------------------------------------------------
+
+    def row(self, server: int, port: int, state: str = "Ready", started_ms: float = 0.0) -> dict[str, Any]:
+        """One row of the list."""
+        service, zone = server % self.services, self.zone_name(self.zone_of(server))
+        return {"id": f"s-{server:06x}", "addr": f"127.0.0.1:{port}", "zone": zone, "kind": f"svc{service:03d}",
+                "cell": service, "state": state, "weight": 1.0, "started_ms": started_ms}  # fmt: skip
+
+    # --- tenants -----------------------------------------------------------------------------------------
+
+    def shares(self) -> list[float]:
+        """Of the tenants, the dearest first."""
+        raw = [1.0 / (n + 1) ** self.zipf for n in range(self.tenants)]
+        if self.half and self.tenants > 1:
+            raw[0] = sum(raw[1:])
+        whole = sum(raw)
+        return [one / whole for one in raw]
+
+    def accounts(self) -> list[Account]:
+        """All tenants. A plan gives `ROOM` times what its tenant asks of the whole site at the real ones'
+        rate, and 2 a second at least; a set is so large that no gateway spends over `SET_SHARE` on it."""
+        rng, found = random.Random(self.seed), []
+        for number, share in enumerate(self.shares()):
+            need = ROOM * share * self.gateways * self.rate
+            plan = min(bisect.bisect_left(LADDER, need), len(LADDER) - 1)
+            spread = min(self.gateways, max(self.spread, math.ceil(share * self.gateways / SET_SHARE)))
+            first = rng.randrange(self.gateways)
+            found.append(
+                Account(
+                    b"%016x" % (4096 + number), f"p{plan}", share, f",units=1,spread={spread},first={first}"
+                )
+            )
+        return found
+
+    def settings(self, number: int) -> dict[str, Any]:
+        """The platform's settings for one gateway."""
+        plans = [
+            {"name": f"p{n}", "per_second": rate, "most_at_once": 3.0 * rate, "price": 1.0 + 0.25 * n}
+            | ({"ceiling_rate": 2.0 * rate, "hard_burst": 4.0 * rate, "ceiling_slack": 0.4 * rate}
+               if n >= len(LADDER) - CEILED else {})
+            for n, rate in enumerate(LADDER)
+        ]  # fmt: skip
+        return {**SETTINGS, "packages": plans, "balancers": self.gateways, "me": number,
+                "my_zone": self.zone_name(self.gateway_zone(number))}  # fmt: skip
+
+    def operator(self) -> str | None:
+        """The operator's file, the same for all; None for a plain run."""
+        parts = []
+        if self.calls_per_s:
+            parts.append(f"[discovery]\ncalls_per_s = {self.calls_per_s}\n")
+            if self.list_age_s:
+                parts.append(f"list_age_s = {self.list_age_s}\n")
+        if self.subset:
+            parts.append(f"[subset]\nservers = {self.subset}\n")
+        return "".join(parts) or None
+
+
+class Draw:
+    """Draws the tenant of a gateway's next request: by its share, over the gateways of its set."""
+
+    def __init__(self, site: Site, numbers: list[int]) -> None:
+        self.accounts = site.accounts()
+        mine: dict[int, list[tuple[int, float]]] = {number: [] for number in numbers}
+        wanted = set(numbers)
+        for at, account in enumerate(self.accounts):
+            spread, first = sets(account)
+            if spread >= site.gateways:
+                members: list[int] = numbers
+            else:
+                members = [n for i in range(spread) if (n := (first + i) % site.gateways) in wanted]
+            for number in members:
+                mine[number].append((at, account.weight / spread))
+        self.who = {number: [at for at, _ in rows] for number, rows in mine.items()}
+        self.sums = {
+            number: list(itertools.accumulate(weight for _, weight in rows)) for number, rows in mine.items()
+        }
+
+    def __call__(self, number: int, rng: random.Random) -> Account:
+        sums = self.sums[number]
+        if not sums:  # so few tenants that none comes this way
+            return self.accounts[rng.randrange(len(self.accounts))]
+        return self.accounts[self.who[number][bisect.bisect_left(sums, rng.random() * sums[-1])]]
+
+
+def sets(account: Account) -> tuple[int, int]:
+    """Of an account: spread and first."""
+    fields = dict(part.split("=") for part in account.more.split(",") if part)
+    return int(fields["spread"]), int(fields["first"])
