Scale run: tests that hollow and real send the same and that all ends by itself

Waiting for a core is printed beside the processor time, since figures taken on a busy machine can't be read without it. Tests: ratios within 10 %, children gone after an error and after SIGKILL, no import by the program, one seed one site.

--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import os
 import sys
 import tempfile
 from dataclasses import fields, replace
@@ -47,6 +48,13 @@
             return await scale.run(seconds)
 
 
+def twins(site: Site, requests: int) -> Site:
+    """The site whose gateways are all asked the same."""
+    return replace(
+        site, twins=True, requests=requests, spread=site.gateways, hollow_rate=site.rate, most_known=0
+    )
+
+
 def compare(figures: Figures) -> list[str]:
     """Hollow against real."""
     out = [f"{'one gateway':24} {'real':>10} {'hollow':>10} {'ratio':>7}"]
@@ -60,7 +68,7 @@
     """The run that the flags describe."""
     parser = argparse.ArgumentParser(description=__doc__)
     for one in fields(Site):
-        if one.name in ("troubles", "half", "hollow_rate"):
+        if one.name in ("troubles", "half", "hollow_rate", "twins", "requests"):
             continue
         kind = {"int": int, "float": float}[str(one.type)]
         parser.add_argument(f"--{one.name.replace('_', '-')}", type=kind, default=one.default)
@@ -77,7 +85,9 @@
     site = Site(**asked, hollow_rate=hollow_rate)
     if scene:
         site = scenes(site, seconds)[scene]
-    print(machine())
+    if compared:
+        site = twins(site, round(site.rate * seconds))
+    print(f"{machine()}, load average {os.getloadavg()[0]:.1f}")
     figures = asyncio.run(play(site, seconds, warm))
     print("\n".join(figures.lines()))
     if compared:
--- a/lab/scale/__main__.py
+++ b/lab/scale/__main__.py
@@ -25,6 +25,8 @@
 from .site import Site
 from .stand_ins import Lists, Rack, Timeline, Totals
 
+LONGEST_S = 3.2  # over the longest deadline
+
 
 class Worker:
     """What all roles share."""
@@ -80,6 +82,8 @@
         serial = 0
         while True:
             await asyncio.sleep(step / self.site.changes)
+            while self.site.twins and len(self.lists.waiting) < self.site.gateways:
+                await asyncio.sleep(0.005)
             rows = []
             for _ in range(step):
                 serial += 1
@@ -162,7 +166,7 @@
         return [self.crowd.line]
 
     def begun(self) -> None:
-        self.go(self.run())
+        self.asking = asyncio.create_task(self.run())
         self.go(self.crowd.restarts())
 
     async def run(self) -> None:
@@ -174,11 +178,16 @@
         return dict(self.crowd.answers)
 
     async def end(self) -> dict[str, Any]:
-        for task in self.tasks:
+        if self.site.requests:
+            await self.asking
+        for task in [self.asking, *self.tasks]:
             task.cancel()
-        await asyncio.sleep(3.2)  # the longest deadline
+        loop = asyncio.get_running_loop()
+        last = loop.time() + LONGEST_S
+        while self.crowd.open and loop.time() < last:
+            await asyncio.sleep(0.02)
         self.crowd.close()
-        return dict(self.crowd.answers)
+        return {**self.crowd.answers, "no answer": self.crowd.open}
 
 
 class ClientWorker(Worker):
@@ -236,7 +245,6 @@
                     say(worker.mark())
                 case "end":
                     say(await worker.end())
-                    return
     finally:
         for group in kept:
             with contextlib.suppress(ProcessLookupError, PermissionError):
--- a/lab/scale/clients.py
+++ b/lab/scale/clients.py
@@ -3,39 +3,33 @@
 from __future__ import annotations
 
 import asyncio
-import bisect
-import itertools
-import random
 from typing import Any
 
 from lab.load import Load, Outcome
 from lab.site import KINDS
 
-from .site import Draw, Site
+from .site import Draw, Site, arrivals
 from .stand_ins import Timeline
 
 
 class Traffic(Load):
     """The load on one real gateway. `run` of `Load` draws an account by a walk over all of them."""
 
-    def __init__(self, site: Site, number: int, port: int, draw: Draw) -> None:
+    def __init__(self, site: Site, number: int, port: int, draw: Draw, line: Timeline) -> None:
         super().__init__(lambda: port, KINDS, draw.accounts, site.rate, 1000 * site.seed + number)
-        self.number, self.draw, self.stopped = number, draw, False
+        self.site, self.number, self.draw, self.line = site, number, draw, line
+        self.stopped = False
 
     async def run(self, seconds: float = float("inf")) -> None:
-        """Sends until stopped, then waits for the last answers."""
-        rng = random.Random(self.seed)
-        edges = list(itertools.accumulate(kind.share for kind in self.kinds))
-        loop = asyncio.get_running_loop()
-        at, tasks = loop.time(), set[asyncio.Task[None]]()
-        for serial in itertools.count(1):
-            at += rng.expovariate(self.rate)
-            await asyncio.sleep(max(0.0, at - loop.time()))
-            if self.stopped:
+        """Sends until stopped or all have been sent, then waits for the last answers."""
+        loop, tasks = asyncio.get_running_loop(), set[asyncio.Task[None]]()
+        began = self.line.zero(loop.time())
+        for serial, (at, kind, account) in enumerate(arrivals(self.site, self.draw, self.number, self.rate)):
+            await asyncio.sleep(max(0.0, began + at - loop.time()))
+            if self.stopped or at > seconds:
                 break
-            kind = self.kinds[min(len(edges) - 1, bisect.bisect_left(edges, rng.random()))]
             name = b"%08x%08x" % (self.seed, serial)
-            task = asyncio.create_task(self.ask(Outcome(kind, self.draw(self.number, rng), name, at)))
+            task = asyncio.create_task(self.ask(Outcome(kind, account, name, began + at)))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
         if tasks:
@@ -48,9 +42,9 @@
     """All of them."""
 
     def __init__(self, site: Site, ports: dict[int, int]) -> None:
-        self.line = Timeline(site)
+        self.site, self.line = site, Timeline(site)
         draw = Draw(site, list(ports))
-        self.loads = [Traffic(site, number, port, draw) for number, port in ports.items()]
+        self.loads = [Traffic(site, number, port, draw, self.line) for number, port in ports.items()]
         self.running: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -60,7 +54,7 @@
     async def stop(self) -> None:
         """They ask no more, and have their last answers."""
         for load in self.loads:
-            load.stopped = True
+            load.stopped = not self.site.requests
         await asyncio.gather(*self.running)
 
     def outcomes(self) -> list[dict[str, Any]]:
--- a/lab/scale/hollow.py
+++ b/lab/scale/hollow.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import math
 import random
 import zlib
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 from typing import Any
 
@@ -29,11 +30,13 @@
 from heathglade import Gateway as Policy
 from heathglade import interface as api
 from heathglade.interface import Ending, ListKind, ServerList
-from lab.site import KINDS
+from lab.load import Account, Kind
 
-from .site import Draw, Site
+from .site import Arrival, Draw, Site, arrivals, sets
 from .stand_ins import Timeline
 
+LATE_S = 1.0  # requests that this process is behind with by more are left out, and told
+
 
 class Asked(Call):
     """A request without its bytes."""
@@ -240,38 +243,42 @@
             await self.begin(struck)
 
     async def load(self) -> None:
-        """Requests at drawn moments, each at a drawn one of the gateways."""
-        rate = self.site.hollow_rate * len(self.numbers)
+        """Requests of all, in the order of their moments."""
+        rate = self.site.hollow_rate
         if rate <= 0 or not self.numbers:
             return
-        rng = random.Random(f"{self.site.seed} {self.numbers[0]}")
-        at = self.loop.time()
-        while True:
-            at += rng.expovariate(rate)
-            pause = at - self.loop.time()
+        began = self.line.zero(self.loop.time())
+        rows = [self.coming(number, rate) for number in self.numbers]
+        for number, (at, kind, account) in heapq.merge(*rows, key=lambda row: row[1].at):
+            pause = began + at - self.loop.time()
             if pause > 0:
                 await asyncio.sleep(pause)
-            elif pause < -1.0:
-                at = self.loop.time()  # this process can't keep up: what it drops is told
-                self.answers["not asked"] += int(-pause * rate)
-            self.ask(rng)
+            elif pause < -LATE_S and not self.site.requests:
+                self.answers["not asked"] += 1  # this process can't keep up
+                continue
+            self.ask(number, kind, account)
+
+    def coming(self, number: int, rate: float) -> Iterator[tuple[int, Arrival]]:
+        """The requests to one."""
+        return ((number, arrival) for arrival in arrivals(self.site, self.draw, number, rate))
 
-    def ask(self, rng: random.Random) -> None:
+    def ask(self, number: int, kind: Kind, account: Account) -> None:
         """One request."""
-        number = self.numbers[rng.randrange(len(self.numbers))]
-        draw = rng.random()
-        kind = next((k for k, edge in EDGES if draw < edge), KINDS[-1])
-        account = self.draw(number, rng)
         gateway = self.gateways.get(number)
         if gateway is None:
             return  # it restarts: its clients go elsewhere
         self.serial += 1
-        spread = int(account.more.partition("spread=")[2].partition(",")[0])
+        spread, _ = sets(account)
         call = Asked(b"%016x" % self.serial, kind.class_name, account.plan, account.customer.decode(),
-                     float(kind.deadline_ms), 1.0, min(spread, self.site.gateways))  # fmt: skip
+                     float(kind.deadline_ms), 1.0, spread)  # fmt: skip
         self.answers["asked"] += 1
         gateway.gateway.take(call, self.answered)
 
+    @property
+    def open(self) -> int:
+        """Requests without an answer."""
+        return self.answers["asked"] - sum(self.answers[what] for what in ("served", "refused", "failed"))
+
     def answered(self, answer: Answer) -> None:
         """Books how it ended."""
         self.answers[{Refused: "refused", Failed: "failed"}.get(type(answer), "served")] += 1
@@ -280,6 +287,3 @@
         """All end."""
         for gateway in self.gateways.values():
             gateway.down()
-
-
-EDGES = [(kind, sum(k.share for k in KINDS[: at + 1])) for at, kind in enumerate(KINDS)]
--- a/lab/scale/run.py
+++ b/lab/scale/run.py
@@ -11,7 +11,7 @@
 import time
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from lab.coldstart import Call, busiest
 from lab.load import percentile
@@ -25,14 +25,23 @@
 ROOT = Path(__file__).resolve().parent.parent.parent
 
 
-def used(pid: int) -> tuple[float, float]:
-    """Processor seconds so far, and the resident memory in MB; zeros for one that has gone."""
+class Use(NamedTuple):
+    """Of a process: processor seconds so far, seconds that it stood ready and had no core, resident MB."""
+
+    cpu_s: float
+    waited_s: float
+    memory: float
+
+
+def used(pid: int) -> Use:
+    """Zeros for one that has gone."""
     try:
         fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        waited = int(Path(f"/proc/{pid}/schedstat").read_text().split()[1])
     except OSError:
-        return 0.0, 0.0
-    page = os.sysconf("SC_PAGE_SIZE")
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK"), int(fields[21]) * page / 1e6
+        return Use(0.0, 0.0, 0.0)
+    ticks, page = os.sysconf("SC_CLK_TCK"), os.sysconf("SC_PAGE_SIZE")
+    return Use((int(fields[11]) + int(fields[12])) / ticks, waited / 1e9, int(fields[21]) * page / 1e6)
 
 
 class Part:
@@ -85,12 +94,14 @@
 
 @dataclass
 class Role:
-    """What one role cost in the measured time; CPU in cores, memory in MB (of all its processes)."""
+    """What one role cost in the measured time; CPU in cores, memory in MB (of all its processes). `waited`:
+    the share of the time that one of its processes stood ready and had no core, on average."""
 
     name: str
     count: int
     processes: int
     cores: float
+    waited: float
     memory: float
     calls: dict[str, float] = field(default_factory=dict)  # messages a second, by what they are
     took: float = 0.0  # bytes a second that came in
@@ -122,13 +133,14 @@
             f" in {site.zones} zones, {site.tenants} tenants ({shares}), {site.rate:g} requests a second at a"
             f" real one, {site.hollow_rate:.3g} at a hollow one, {site.changes:g} rows changed a second,"
             f" seed {site.seed}, {self.seconds:.1f} s",
-            f"{'role':8} {'count':>6} {'proc':>5} {'cores':>7} {'MB':>8} {'in B/s':>10} {'out B/s':>10}"
-            "  messages a second",
+            f"{'role':8} {'count':>6} {'proc':>5} {'cores':>7} {'waited':>7} {'MB':>8}"
+            f" {'in B/s':>10} {'out B/s':>10}  messages a second",
         ]
         for role in self.roles:
             what = ", ".join(f"{name} {rate:.1f}" for name, rate in role.calls.items())
             out.append(
-                f"{role.name:8} {role.count:6} {role.processes:5} {role.cores:7.3f} {role.memory:8.1f}"
+                f"{role.name:8} {role.count:6} {role.processes:5} {role.cores:7.3f} {role.waited:7.3f}"
+                f" {role.memory:8.1f}"
                 f" {role.took:10.0f} {role.gave:10.0f}  {what}"
             )
         for kind, row in self.per.items():
@@ -188,7 +200,7 @@
         """Everything up."""
         site = self.site
         racks = [(zone, rack) for zone in range(site.zones) for rack in range(site.racks)]
-        count = min(2, len(racks))
+        count = 2 if site.real * site.rate > 200 else 1
         self.servers = [Part("servers") for _ in range(count)]
         told = await asyncio.gather(
             *(part.start(site, racks=racks[at::count]) for at, part in enumerate(self.servers)),
@@ -242,7 +254,7 @@
             if gateway.process is not None:
                 gateway.process.wait()
 
-    def use(self) -> dict[str, list[tuple[float, float]]]:
+    def use(self) -> dict[str, list[Use]]:
         """Processor and memory by role."""
         real = [g.process.pid for g in self.gateways.values() if g.process is not None]
         return {
@@ -266,16 +278,18 @@
         zero = time.time() + self.warm_s
         for part in self.parts():
             await part.tell(do="begin", at=zero)
-        await asyncio.sleep(max(0.0, zero - time.time()))
+        await asyncio.sleep(max(0.0, zero - 0.2 * bool(self.site.requests) - time.time()))
         before, use, began = await self.books(), self.use(), time.time()
-        await asyncio.sleep(seconds)
+        ends: list[dict[str, Any]] = []
+        if self.site.requests:  # all are asked, then all are answered
+            ends = await asyncio.gather(*(part.ask(do="end") for part in (self.clients, *self.hollow)))
+        else:
+            await asyncio.sleep(seconds)
         after, used_then, ended = await self.books(), self.use(), time.time()
         span = ended - began
-        ends = await asyncio.gather(
-            self.clients.ask(do="end"),
-            self.lists.ask(do="end"),
-            *(part.ask(do="end") for part in self.hollow),
-        )
+        if not ends:
+            ends = await asyncio.gather(*(part.ask(do="end") for part in (self.clients, *self.hollow)))
+        calls = await self.lists.ask(do="end")
         outcomes = [one for one in ends[0]["outcomes"] if one["at"] < began - zero + span]
         served = {
             k: v
@@ -291,27 +305,34 @@
             if one["answer"] == "served" and one["id"] in served
         )
         figures.added = percentile(added, 50), percentile(added, 99)
-        for book in ends[2:]:
+        for book in ends[1:]:
             for what, count in book.items():
                 figures.hollow[what] = figures.hollow.get(what, 0) + count
         figures.worst, figures.worst_at = worst(
-            [*ends[1]["real"], *ends[1]["hollow"]], began - zero, ended - zero
+            [*calls["real"], *calls["hollow"]], began - zero, ended - zero
         )
         figures.names = int(after["counter"][0]["names"])
         figures.late = began - zero
         figures.per = self.per(before, after, span, len(outcomes))
+        for role in figures.roles:
+            if role.name in figures.per:
+                row = figures.per[role.name]
+                row["CPU ms/request"] = 1000.0 * role.cores / max(1e-9, row["requests/s"] * role.count)
         return figures
 
     def roles(
         self, before: dict[str, list[dict[str, Any]]], after: dict[str, list[dict[str, Any]]],
-        use: dict[str, list[tuple[float, float]]], then: dict[str, list[tuple[float, float]]], span: float,
+        use: dict[str, list[Use]], then: dict[str, list[Use]], span: float,
     ) -> list[Role]:  # fmt: skip
         """The table's rows."""
         counts = {"real": self.site.real, "hollow": self.site.hollow, "servers": self.site.servers}
         found = {}
         for name, rows in then.items():
-            cores = sum(now[0] - was[0] for now, was in zip(rows, use[name], strict=True)) / span
-            found[name] = Role(name, counts.get(name, 1), len(rows), cores, sum(row[1] for row in rows))
+            pairs = list(zip(rows, use[name], strict=True))
+            cores = sum(now.cpu_s - was.cpu_s for now, was in pairs) / span
+            waited = sum(now.waited_s - was.waited_s for now, was in pairs) / span / max(1, len(rows))
+            memory = sum(row.memory for row in rows)
+            found[name] = Role(name, counts.get(name, 1), len(rows), cores, waited, memory)
         for kind in ("real", "hollow"):
             for peer in ("lists", "counter"):
                 was, now = before[peer][0][kind], after[peer][0][kind]
@@ -320,10 +341,10 @@
                 found[kind].took, found[kind].gave = found[kind].took + gave, found[kind].gave + took
                 found[peer].calls[kind] = calls
                 found[peer].took, found[peer].gave = found[peer].took + took, found[peer].gave + gave
-        pairs = list(zip(before["servers"], after["servers"], strict=True))
-        found["servers"].calls["attempts"] = sum(now["calls"] - was["calls"] for was, now in pairs) / span
-        found["servers"].took = sum(now["took"] - was["took"] for was, now in pairs) / span
-        found["servers"].gave = sum(now["gave"] - was["gave"] for was, now in pairs) / span
+        books = list(zip(before["servers"], after["servers"], strict=True))
+        found["servers"].calls["attempts"] = sum(now["calls"] - was["calls"] for was, now in books) / span
+        found["servers"].took = sum(now["took"] - was["took"] for was, now in books) / span
+        found["servers"].gave = sum(now["gave"] - was["gave"] for was, now in books) / span
         return list(found.values())
 
     def per(
--- a/lab/scale/site.py
+++ b/lab/scale/site.py
@@ -6,11 +6,12 @@
 import itertools
 import math
 import random
+from collections.abc import Iterator
 from dataclasses import asdict, dataclass
-from typing import Any
+from typing import Any, NamedTuple
 
-from lab.load import Account
-from lab.site import SETTINGS
+from lab.load import Account, Kind
+from lab.site import KINDS, SETTINGS
 
 LADDER = (2.0, 8.0, 32.0, 128.0, 512.0, 2048.0, 8192.0, 32768.0)  # units a second of the plans
 ROOM = 1.5  # of a plan's rate over what its tenants ask
@@ -34,11 +35,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Site:
-    """Sizes, shares and faults. `spread`: the least number of gateways that a tenant's requests come through;
-    `rate`: requests a second of a real gateway, `hollow_rate`: of a hollow one; `changes`: rows of the list
-    that change a second; `most_known`: servers that a hollow one chooses among, at most (0: all);
-    `calls_per_s`: what the list service is said to bear (0: not said; each has an agent of its own then);
-    `subset`: `[subset] servers`, 0 for none."""
+    """Sizes, shares and faults.
+
+    `spread`: the least number of gateways that a tenant's requests come through; `rate`: requests a second of
+    a real gateway, `hollow_rate`: of a hollow one; `changes`: rows of the list that change a second;
+    `most_known`: servers that a hollow one chooses among, at most (0: all); `calls_per_s`: what the list
+    service is said to bear (0: not said; each gateway has an agent of its own then); `subset`: `[subset]
+    servers`, 0 for none. `twins`: all gateways are asked the same at the same moments, `requests` each (0:
+    without end), and a row of the list changes only while all watch, so that what they send can be compared.
+    """
 
     gateways: int = 6
     real: int = 2
@@ -59,6 +64,8 @@
     list_age_s: float = 0.0
     subset: int = 0
     service_ms: float = 10.0
+    twins: bool = False
+    requests: int = 0
     seed: int = 1
     troubles: tuple[Trouble, ...] = ()
 
@@ -114,8 +121,10 @@
     def row(self, server: int, port: int, state: str = "Ready", started_ms: float = 0.0) -> dict[str, Any]:
         """One row of the list."""
         service, zone = server % self.services, self.zone_name(self.zone_of(server))
-        return {"id": f"s-{server:06x}", "addr": f"127.0.0.1:{port}", "zone": zone, "kind": f"svc{service:03d}",
-                "cell": service, "state": state, "weight": 1.0, "started_ms": started_ms}  # fmt: skip
+        return {"id": f"s-{server:06x}", "addr": f"127.0.0.1:{port}", "zone": zone,
+                "kind": f"svc{service:03d}",
+                "cell": service, "state": state, "weight": 1.0,
+                "started_ms": started_ms}  # fmt: skip
 
     # --- tenants -----------------------------------------------------------------------------------------
 
@@ -166,6 +175,25 @@
         return "".join(parts) or None
 
 
+class Arrival(NamedTuple):
+    """A request: seconds after the first moment, its class, who asks."""
+
+    at: float
+    kind: Kind
+    account: Account
+
+
+def arrivals(site: Site, draw: Draw, number: int, rate: float) -> Iterator[Arrival]:
+    """The requests that come to a gateway, real or hollow, by its number and the site's seed."""
+    rng = random.Random(f"{site.seed} {0 if site.twins else number}")
+    edges = list(itertools.accumulate(kind.share for kind in KINDS))
+    at = 0.0
+    for _ in itertools.count() if not site.requests else range(site.requests):
+        at += rng.expovariate(rate)
+        kind = KINDS[min(len(edges) - 1, bisect.bisect_left(edges, rng.random()))]
+        yield Arrival(at, kind, draw(number, rng))
+
+
 class Draw:
     """Draws the tenant of a gateway's next request: by its share, over the gateways of its set."""
 
--- a/lab/scale/stand_ins.py
+++ b/lab/scale/stand_ins.py
@@ -66,6 +66,10 @@
         """Seconds since measuring began; negative before."""
         return asyncio.get_running_loop().time() - self.began if self.began is not None else -1e9
 
+    def zero(self, now: float) -> float:
+        """When requests begin: with the measuring, where so many are to be asked, else at once."""
+        return self.began if self.site.requests and self.began is not None else now
+
     def on(self, what: str) -> Trouble | None:
         """The trouble of this kind that is on."""
         now = self.now()
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,161 @@
+"""The scale run: hollow gateways send what real ones send, a seed is a site, and all ends by itself."""
+
+from __future__ import annotations
+
+import ast
+import asyncio
+import itertools
+import os
+import random
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Iterable
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from benchmarks.scale import COMPARED, twins
+from lab.scale.run import Scale
+from lab.scale.site import SET_SHARE, Draw, Site, Trouble, arrivals, sets
+
+ROOT = Path(__file__).resolve().parent.parent
+SMALL = Site(gateways=4, real=2, servers=20, tenants=1000, rate=60.0, changes=5.0, seed=7)
+
+
+def test_a_hollow_gateway_sends_what_a_real_one_sends(tmp_path: Path) -> None:
+    """Calls and bytes, to the list service and the counter, for the same requests and the same news."""
+
+    async def play() -> None:
+        async with Scale(twins(SMALL, 120), tmp_path, 0.6) as scale:
+            figures = await scale.run(0.0)
+        assert figures.answers["served"] > 200 and "lost" not in figures.answers
+        assert figures.hollow["asked"] == 240 and figures.hollow["no answer"] == 0
+        real, hollow = figures.per["real"], figures.per["hollow"]
+        assert real["list calls/min"] * figures.seconds / 60.0 > 5 and real["counter calls/request"] > 0.2
+        for what in COMPARED:
+            assert 0.9 <= hollow[what] / real[what] <= 1.1, (what, real[what], hollow[what])
+
+    asyncio.run(play())
+
+
+def alive(pids: Iterable[int]) -> list[int]:
+    """Those of these processes that run."""
+    found = []
+    for pid in pids:
+        try:
+            state = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0]
+        except OSError:
+            continue
+        if state not in "ZX":
+            found.append(pid)
+    return found
+
+
+def children(parent: int) -> list[int]:
+    """Its processes."""
+    found = []
+    for entry in Path("/proc").iterdir():
+        if entry.name.isdigit():
+            try:
+                fields = (entry / "stat").read_text().rpartition(")")[2].split()
+            except OSError:
+                continue
+            if int(fields[1]) == parent:
+                found.append(int(entry.name))
+    return found
+
+
+def test_all_ends_where_a_part_fails(tmp_path: Path) -> None:
+    async def play() -> list[int]:
+        pids: list[int] = []
+        with pytest.raises((RuntimeError, ConnectionError)):
+            async with Scale(replace(SMALL, gateways=2, real=1), tmp_path, 0.1) as scale:
+                pids += children(os.getpid())
+                os.kill(scale.counter.pid, signal.SIGKILL)
+                await scale.run(30.0)
+        return pids
+
+    pids = asyncio.run(play())
+    assert len(pids) >= 5 and not alive(pids)
+
+
+def test_all_ends_where_the_run_is_killed() -> None:
+    """Real gateways are process groups of their own: one of the parts ends them."""
+    sizes = "--gateways 2 --real 1 --rate 5 --seconds 60 --warm 0".split()
+    with subprocess.Popen(
+        [sys.executable, "-m", "benchmarks.scale", *sizes], cwd=ROOT, stdout=subprocess.DEVNULL
+    ) as run:
+        try:
+            end = time.monotonic() + 30.0
+            while not any(b"lab.scale\0hollow" in arguments(pid) for pid in children(run.pid)):
+                assert run.poll() is None and time.monotonic() < end
+                time.sleep(0.02)
+            pids = children(run.pid)  # the hollow ones come last
+        finally:
+            run.kill()
+    assert len(pids) >= 6
+    end = time.monotonic() + 20.0
+    while left := alive(pids):
+        assert time.monotonic() < end, [arguments(pid) for pid in left]
+        time.sleep(0.02)
+
+
+def arguments(pid: int) -> bytes:
+    """Its command line."""
+    try:
+        return Path(f"/proc/{pid}/cmdline").read_bytes()
+    except OSError:
+        return b""
+
+
+@pytest.mark.parametrize("package", ["glenchute", "heathglade"])
+def test_the_program_does_not_import_it(package: str) -> None:
+    files = sorted((ROOT / package).rglob("*.py")) + sorted((ROOT / "lab").glob("*.py"))
+    assert len(files) > 20
+    for file in files:
+        for node in ast.walk(ast.parse(file.read_text())):
+            names = [a.name for a in node.names] if isinstance(node, ast.Import) else []
+            if isinstance(node, ast.ImportFrom):
+                names = [f"{node.module}.{a.name}" if node.module else a.name for a in node.names]
+            assert not any("scale" in name.split(".") for name in names), file
+
+
+BIG = Site(
+    gateways=520, real=4, servers=5700, services=360, regions=3, zones=7, tenants=4100, rate=163.0, seed=3
+)
+
+
+@pytest.mark.parametrize("site", [SMALL, BIG, replace(BIG, half=True), replace(BIG, zipf=0.6, spread=1)])
+def test_a_seed_is_a_site(site: Site) -> None:
+    """The same in each process, from the description that was handed over."""
+    other = Site.of(site.raw())
+    number = site.real_numbers()[-1]
+    draws = [Draw(one, [number]) for one in (site, other)]
+    assert other == site and draws[0].accounts == draws[1].accounts
+    first, second = (list(itertools.islice(arrivals(site, draw, number, 50.0), 500)) for draw in draws)
+    assert first == second
+    for _, _, account in first:
+        spread, start = sets(account)
+        assert (number - start) % site.gateways < spread <= site.gateways
+    shares = site.shares()
+    assert sum(shares) == pytest.approx(1.0) and shares == sorted(shares, reverse=True)
+    assert shares[0] == pytest.approx(0.5) or not site.half
+    # No gateway spends more than its part on one tenant, as far as sets can grow.
+    for share, account in zip(shares, draws[0].accounts, strict=True):
+        spread, _ = sets(account)
+        assert spread == site.gateways or share * site.gateways / spread <= SET_SHARE + 1e-9
+    assert len(set(site.real_numbers())) == site.real
+
+
+def test_a_zone_takes_its_servers_and_no_others() -> None:
+    zone, rack = Trouble("zone", 0.0, 1.0, zone=3), Trouble("rack", 0.0, 1.0, zone=3, rack=1)
+    struck = {n for n in range(BIG.servers) if BIG.struck(zone, n)}
+    assert struck == {n for n in range(BIG.servers) if BIG.zone_of(n) == 3}
+    racked = {n for n in range(BIG.servers) if BIG.struck(rack, n)}
+    assert racked < struck and len(racked) == pytest.approx(len(struck) / BIG.racks, abs=1)
+    assert not any(
+        BIG.struck(Trouble("lists silent", 0.0, 1.0), n) for n in random.Random(1).sample(range(5700), 50)
+    )
