Scale run: real gateways are kept by a part before they start

A run killed between the start of a real gateway and the word to the part that is to end it left that gateway behind, as a first form of the test did once. The clients' part stands first now, and hears of each gateway at its start. With the killing left out the test fails with the gateway's command line; with an import of lab.scale in the program the import test fails.

--- a/lab/scale/run.py
+++ b/lab/scale/run.py
@@ -234,11 +234,14 @@
             own = self.folder / f"g{number}"
             own.mkdir()
             wanted = platform(number, "real") | {"listen": f"127.0.0.1:{free_port()}"}
-            gateway = self.gateways[number] = GatewayProcess(own, wanted, operator)
-            gateway.start()
+            self.gateways[number] = GatewayProcess(own, wanted, operator)
         await self.clients.start(site, ports={n: g.port for n, g in self.gateways.items()})
-        groups = [g.process.pid for g in self.gateways.values() if g.process is not None]
-        await self.clients.tell(do="keep", groups=groups)
+        groups: list[int] = []
+        for gateway in self.gateways.values():
+            gateway.start()
+            assert gateway.process is not None
+            groups.append(gateway.process.pid)
+            await self.clients.tell(do="keep", groups=groups)
         await asyncio.gather(
             *(part.start(site, numbers=numbers[at::count], platform=str(shared), operator=operator_path)
               for at, part in enumerate(self.hollow)),
