--- a/lab/scale/hollow.py
+++ b/lab/scale/hollow.py
@@ -129,6 +129,10 @@
         self.at.pop(server, None)
         self.draining.discard(server)
 
+    def stops(self, server: str) -> bool:
+        """Whether it takes nothing new."""
+        return server not in self.at
+
     def known(self) -> list[str]:
         """All."""
         return [*self.at, *self.draining]
@@ -184,10 +188,11 @@
         hollow = Hollows(self.loop, self.rng, self.site.service_ms / 1000.0, self.away)
         return hollow  # type: ignore[return-value]
 
-    def narrowed(self, decisions: Decisions, raw: dict[str, Any]) -> Decisions:
-        """`[subset]` is left out where a part is taken anyway: a start of it before 5,700 servers and each
-        change of the list cost as much here as at a real one, 500 times."""
-        return decisions if self.site.most_known else super().narrowed(decisions, raw)
+    def narrowed(self, *args: Any, **kwargs: Any) -> Decisions:
+        """Subsets are left out where a part is taken anyway (`most_known`): a start of one before 5,700
+        servers and each change of the list would cost as much here as at a real one, 500 times."""
+        module: Decisions = args[0]
+        return module if self.site.most_known else super().narrowed(*args, **kwargs)
 
     def away(self, server: str) -> bool:
         """Whether its rack or zone is."""
--- a/lab/scale/run.py
+++ b/lab/scale/run.py
@@ -122,8 +122,8 @@
     per: dict[str, dict[str, float]] = field(default_factory=dict)  # by kind of gateway: what one sends
     worst: int = 0  # calls to the list service in the worst second
     worst_at: float = 0.0
-    late: float = 0.0  # seconds that the books were late by, most
     names: int = 0  # held by the counter at once
+    back: int = 0  # calls to the list service in the worst second of the five after a trouble's end
 
     def lines(self) -> list[str]:
         """The table."""
@@ -132,8 +132,8 @@
         out = [
             f"{site.gateways} gateways ({site.real} real), {site.servers} servers of {site.services} services"
             f" in {site.zones} zones, {site.tenants} tenants ({shares}), {site.rate:g} requests a second at a"
-            f" real one, {site.hollow_rate:.3g} at a hollow one, {site.changes:g} rows changed a second,"
-            f" seed {site.seed}, {self.seconds:.1f} s",
+            f" real one, {site.hollow_rate:.3g} at one of {site.hollow} hollow ones,"
+            f" {site.changes:g} rows changed a second, seed {site.seed}, {self.seconds:.1f} s",
             f"{'role':8} {'count':>6} {'proc':>5} {'cores':>7} {'waited':>7} {'MB':>8}"
             f" {'in B/s':>10} {'out B/s':>10}  messages a second",
         ]
@@ -156,6 +156,11 @@
             f"list service: {self.worst} calls in the worst second, from second {self.worst_at:.1f} on;"
             f" counter held {self.names} names at most"
         )
+        for one in site.troubles:
+            out.append(
+                f"{one.what} from second {one.at_s:g} to {one.to_s:g}: {self.back} calls to the list service"
+                " in the worst of the five seconds after it"
+            )
         return out
 
 
@@ -315,8 +320,9 @@
         figures.worst, figures.worst_at = worst(
             [*calls["real"], *calls["hollow"]], began - zero, ended - zero
         )
+        end = max((one.to_s for one in self.site.troubles), default=0.0)
+        figures.back = worst([*calls["real"], *calls["hollow"]], end, end + 5.0)[0]
         figures.names = int(after["counter"][0]["names"])
-        figures.late = began - zero
         figures.per = self.per(before, after, span, len(outcomes))
         for role in figures.roles:
             if role.name in figures.per:
