--- /dev/null
+++ b/lab/scale/clients.py
@@ -0,0 +1,67 @@
+"""The clients of the real gateways: an open load on each, tenants drawn as the hollow ones' are."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from lab.load import Load, Outcome
+from lab.site import KINDS
+
+from .site import Draw, Site, arrivals
+from .stand_ins import Timeline
+
+
+class Traffic(Load):
+    """The load on one real gateway. `run` of `Load` draws an account by a walk over all of them."""
+
+    def __init__(self, site: Site, number: int, port: int, draw: Draw, line: Timeline) -> None:
+        super().__init__(lambda: port, KINDS, draw.accounts, site.rate, 1000 * site.seed + number)
+        self.site, self.number, self.draw, self.line = site, number, draw, line
+        self.stopped = False
+
+    async def run(self, seconds: float = float("inf")) -> None:
+        """Sends until stopped or all have been sent, then waits for the last answers."""
+        loop, tasks = asyncio.get_running_loop(), set[asyncio.Task[None]]()
+        began = self.line.zero(loop.time())
+        for serial, (at, kind, account) in enumerate(arrivals(self.site, self.draw, self.number, self.rate)):
+            await asyncio.sleep(max(0.0, began + at - loop.time()))
+            if self.stopped or at > seconds:
+                break
+            name = b"%08x%08x" % (self.seed, serial)
+            task = asyncio.create_task(self.ask(Outcome(kind, account, name, began + at)))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        if tasks:
+            await asyncio.wait(tasks, timeout=5.0)
+        for client in self.idle:
+            client.writer.close()
+
+
+class Clients:
+    """All of them."""
+
+    def __init__(self, site: Site, ports: dict[int, int]) -> None:
+        self.site, self.line = site, Timeline(site)
+        draw = Draw(site, list(ports))
+        self.loads = [Traffic(site, number, port, draw, self.line) for number, port in ports.items()]
+        self.running: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """They begin to ask."""
+        self.running = [asyncio.create_task(load.run()) for load in self.loads]
+
+    async def stop(self) -> None:
+        """They ask no more, and have their last answers."""
+        for load in self.loads:
+            load.stopped = not self.site.requests
+        await asyncio.gather(*self.running)
+
+    def outcomes(self) -> list[dict[str, Any]]:
+        """What became of each request that came within the measured time, and after."""
+        zero = self.line.began or 0.0
+        return [
+            {"id": one.request_id.decode(), "at": one.asked - zero, "took": one.took_ms,
+             "answer": one.answer or "lost"}
+            for load in self.loads for one in load.outcomes if one.asked >= zero
+        ]  # fmt: skip
