Servers that could not be reached count faintly in a subset, so the last ones are in use

Cause: `Subset.settle` compared sums in which a server that could not be reached counts nothing, so that of three listed servers, one of them lost, only two were in use where four may be (found by the stateful test on other draws: assert 2 >= 3). The walk of the ring had its own least weight already.

Change: one least weight, in `Subset.weight`. Hollow attempts have the field that attempts got meanwhile.

Test: the_last_that_are_listed fails without it (AssertionError); tests/test_subset.py passes.

--- a/glenchute/deciders/subset.py
+++ b/glenchute/deciders/subset.py
@@ -32,7 +32,7 @@
 
 from .sizing import AGAIN, WHOLE, size
 
-FAINT = 0.2  # what a server counts at least in how far the ring is walked, however cold or lost
+FAINT = 0.2  # what a server counts at least, however cold or lost: so far the ring is walked, and no farther
 GOLDEN = 0.618034
 STEP_MS = 250.0  # between two steps wider
 GROWTH = 0.25  # of the servers in use that come in with a step
@@ -160,14 +160,15 @@
     # --- what is in use ----------------------------------------------------------------------------------
 
     def weight(self, now: float, server: str) -> float:
-        """What a server in use counts: a cold one by its warmth, one that can't be reached not at all."""
+        """What a server in use counts: a cold one by its warmth, one that can't be reached faintly."""
         if self.lost.get(server, -1e12) > now:
-            return 0.0
+            return FAINT
         started = self.listed[server].started_ms
         if started <= 0:
             return 1.0
         share = self.safety.cold_share
-        return min(1.0, share + (1.0 - share) * max(0.0, now - started) / max(1.0, self.safety.warm_ms))
+        warmth = share + (1.0 - share) * max(0.0, now - started) / max(1.0, self.safety.warm_ms)
+        return min(1.0, max(FAINT, warmth))
 
     def ideal(self, now: float) -> dict[str, float]:
         """Where the rings have this gateway now, zone by zone by their sizes, and what each server counts."""
@@ -185,7 +186,7 @@
                 if got >= part:
                     break
                 chosen[server] = self.weight(now, server)
-                got += max(FAINT, chosen[server])
+                got += chosen[server]
         return chosen
 
     def by_zone(self, weights: Iterable[tuple[str, float]]) -> dict[str, float]:
--- a/lab/scale/hollow.py
+++ b/lab/scale/hollow.py
@@ -55,6 +55,7 @@
         self.started = servers.loop.time()
         self.written = False
         self.began: Callable[[Source], None] | None = None
+        self.wanted: Callable[[], bool] | None = None  # nobody leaves: clients are not there
         self.timer: asyncio.TimerHandle | None = None
 
     def start(self) -> None:
--- a/tests/test_subset.py
+++ b/tests/test_subset.py
@@ -130,6 +130,16 @@
 TestLives.settings = settings(max_examples=60, stateful_step_count=30, deadline=None, derandomize=True)
 
 
+def test_the_last_that_are_listed_are_in_use_though_they_could_not_be_reached() -> None:
+    """All were lost; of those listed next one was among them. It is one of three, and four may be used."""
+    one = Lives()
+    one.asks(40)
+    one.ends(Ending.UNREACHABLE)
+    for numbers in (set(), {0, 1, 13}):
+        one.whole(numbers)
+        one.known_is_in_service_and_enough()
+
+
 def test_load_widens_within_a_step_and_calm_narrows() -> None:
     aperture, module = narrow()
     names = [f"s{n}" for n in range(40)]
