--- a/glenchute/deciders/connecting.py
+++ b/glenchute/deciders/connecting.py
@@ -28,7 +28,9 @@
     def took(self, seconds: float) -> None:
         """A connection came up after so long."""
         longer = seconds > self.median_s
-        self.median_s = min(self.connect_s / LATE_TIMES, self.median_s * (STEP if longer else 1.0 / STEP))
+        least = SHORTEST_S / LATE_TIMES  # less makes no wait shorter, and from nothing no step leads anywhere
+        self.median_s = max(least, self.median_s * (STEP if longer else 1.0 / STEP))
+        self.median_s = min(self.connect_s / LATE_TIMES, self.median_s)
 
     def given_up(self, seconds: float) -> None:
         """One was given up after so long, still coming up: that tells something only if it is long."""
--- a/tests/test_connecting.py
+++ b/tests/test_connecting.py
@@ -47,6 +47,16 @@
     assert wait is not None and LATE_TIMES * 0.004 < wait < LATE_TIMES * 0.008
 
 
+def test_however_long_connections_took_no_time_it_is_seen_when_they_do() -> None:
+    usual = Usual(CONNECT_S)
+    for _ in range(10_000):
+        usual.took(0.0)
+    assert usual.late_after(CONNECT_S) == SHORTEST_S
+    for _ in range(30):
+        usual.took(0.02)
+    assert usual.median_s > 0.02 / 1.2
+
+
 def test_clients_that_leave_at_once_tell_nothing_of_what_connections_take() -> None:
     usual = Usual(CONNECT_S)
     first = usual.late_after(CONNECT_S)
