Few descriptors: clients get three quarters of the rest, the second address only where there is one

Cause: the new budget left clients 35 of 96 (48 before): its 28 own descriptors counted a second address that is seldom there, and servers had three eighths of the rest.

Change: 22 own, 9 more with a second address, clients three quarters of what is left: 46 at 96.

--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -106,7 +106,8 @@
             self.gateway.most_listed, self.gateway.narrow = WHOLE, self.narrow
         if operator is not None:
             self.bind(operator)
-        self.listener = Listener(loop, self.gateway, Catalogue(made, config.bounds), config.sockets)
+        catalogue, operated = Catalogue(made, config.bounds), config.operations is not None
+        self.listener = Listener(loop, self.gateway, catalogue, config.sockets, operated)
         if shared is not None:
             self.gateway.most_attempts = made.max_attempts
             self.gateway.tells_places = self.recorder is not None
--- a/glenchute/config/platform.py
+++ b/glenchute/config/platform.py
@@ -102,7 +102,7 @@
             connect_s=num(limits.get("connect_timeout_ms"), 250.0) / 1000.0,
             idle_s=max(0.5, num(limits.get("conn_idle_ms"), 15_000.0) / 1000.0 - 2.0),
             grace_s=num(safety.get("drain_grace_ms"), 250.0) / 1000.0,
-            connections=budget(sockets).servers,
+            connections=budget(sockets, bool(operations)).servers,
             long_values=max(4, int(memory_mb * 1e6 * LONG_SHARE / LONG_COST)),
         ),
         bounds=bounds(raw["settings"]),
--- a/glenchute/deciders/places.py
+++ b/glenchute/deciders/places.py
@@ -38,9 +38,10 @@
 BUCKETS = 14  # of mean pauses, each twice as long as the one before; the last from 4 s on
 CHECK_S = (0.02, 0.1)  # how often `expired` wants to be asked, under pressure and at ease
 
-# Descriptors that a process has for itself: 3 streams, 10 of the loop (one is held back, to turn clients away
-# when there are none left), 2 listeners, 8 callers at the second address, 3 calls to discovery, 2 files.
-OWN = 28
+# Descriptors that a process has for itself: 3 streams, 11 of the loop and the look for ends (one is held
+# back, to turn clients away when there are none left), a listener, 3 calls to discovery, 2 files, 2 to spare.
+OWN = 22
+OPERATED = 9  # ... and the second address with its callers, where the platform names one
 SPARE = 16  # connections past the limit, at most, while they are told so or are being left
 LEAST_LINKS, MOST_LINKS = 2, 12  # to the counter, at few descriptors and at many
 
@@ -115,15 +116,17 @@
     links: int  # to the counter
 
 
-def budget(sockets: int) -> Budget:
+def budget(sockets: int, operated: bool = False) -> Budget:
     """The parts of so many descriptors, which with `OWN` are never more than that: what clients hold, however
     idle, leaves the rest of the process its own. Where there are many, clients get half and servers three
-    tenths; where that leaves too few for the others, the two share what is left, five to three."""
+    tenths; where that leaves too few for the others, the two share what is left, three to one: a connection
+    to a server is free again with its answer, a client's place is held from its first byte to its end."""
     links = min(MOST_LINKS, max(LEAST_LINKS, sockets // 16))
     spare = min(SPARE, sockets // 16)
-    left = max(2, sockets - OWN - links - spare)
-    servers = min(sockets * 3 // 10, max(1, left * 3 // 8))
-    return Budget(min(sockets // 2, left - servers), sockets // 3, spare, servers, links)
+    left = max(2, sockets - OWN - OPERATED * operated - links - spare)
+    clients = max(1, min(sockets // 2, left * 3 // 4))
+    servers = max(1, min(sockets * 3 // 10, left - clients))
+    return Budget(clients, sockets // 3, spare, servers, links)
 
 
 class Places(Generic[Key]):
--- a/glenchute/fronts/resp2/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -514,13 +514,15 @@
     """Accepts clients, up to a number, and ends those whose time is up."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, gateway: Gateway, catalogue: Catalogue, sockets: int
-    ) -> None:
-        """`sockets`: the descriptors of the process, of which clients may take a part."""
+        self, loop: asyncio.AbstractEventLoop, gateway: Gateway, catalogue: Catalogue, sockets: int,
+        operated: bool = False,
+    ) -> None:  # fmt: skip
+        """`sockets`: the descriptors of the process, of which clients may take a part. `operated`: it has the
+        second address as well."""
         self.loop = loop
         self.gateway = gateway
         self.catalogue = catalogue
-        self.budget = made = budget(sockets)
+        self.budget = made = budget(sockets, operated)
         self.places: Places[Client] = Places(made.clients, made.requesting, made.spare)
         self.open_ids: set[bytes] = set()
         self.release = False  # an unfinished read may be given up for the finished replies behind it
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -28,7 +28,7 @@
     until,
 )
 
-SOCKETS = 96  # descriptors: 48 places, of which clients hold 32 at most for requests
+SOCKETS = 96  # descriptors: 46 places, of which clients hold 32 at most for requests
 RATE = 100.0  # one-time requests a second
 SECONDS = 1.5
 PATIENCE_S = 0.5  # how long a client waits for its answer
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -14,7 +14,7 @@
 from glenchute.backends import resp2
 from glenchute.core.types import Result
 from glenchute.deciders import pacing
-from glenchute.deciders.places import OWN, budget
+from glenchute.deciders.places import OPERATED, OWN, budget
 from glenchute.peers import counter
 from heathglade.interface import Ending
 from lab.services import CounterService
@@ -45,9 +45,10 @@
 
 
 @pytest.mark.parametrize("sockets", [64, 65, 96, 127, 192, 224, 256, 1024, 4096])
-def test_the_parts_of_the_descriptors_fit_into_them(sockets: int) -> None:
-    made = budget(sockets)
-    assert OWN + made.clients + made.spare + made.servers + made.links <= sockets
+@pytest.mark.parametrize("operated", [False, True])
+def test_the_parts_of_the_descriptors_fit_into_them(sockets: int, operated: bool) -> None:
+    made = budget(sockets, operated)
+    assert OWN + OPERATED * operated + made.clients + made.spare + made.servers + made.links <= sockets
     assert min(made.clients, made.servers, made.links, made.spare) >= 2
     assert made.clients >= made.servers
 
