The 64 reads on one connection are judged by order, not by 300 ms of a shared machine

Cause: the test waited for all 64 commands at the node while 63 of them had 300 ms. So nothing is lost (no connection, no place), it is time alone, and the bound on a turn's bytes is not its cause: it hung without it.

Change: 10 and 20 s for the quick and the slow ones; the margin is set when all but one are answered, so that it is reached 0.2 s after the last. Asserted as before: the first is failed in time for the others, all 63 are answered with their values, now told apart, in order; without release nothing leaves before the first ends; nothing is left behind, now also at the node. New: the first is not given up before its moment.

--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -10,11 +10,13 @@
 from hypothesis import strategies as st
 
 from glenchute.deciders.release import Verdict, Waiting, verdict
+from glenchute.fronts.resp2 import clients
 
 from .loopback import CHARGE, CUSTOMER, Script, play, send_to, until
-from .test_lines_loopback import Book, burst, sharing
+from .test_lines_loopback import Book, burst, sharing, value
 
 MARGIN = 0.02
+AHEAD_S = 0.2  # from the last answer to the moment at which what keeps it is given up
 
 
 def order(text: str, **due: float) -> list[Waiting]:
@@ -62,31 +64,57 @@
 
 
 @pytest.mark.parametrize("release", [True, False])
-def test_a_portal_with_64_reads_on_one_connection(release: bool) -> None:
-    """The first stalls; the others, done long before, have 300 ms. Where that is asked for, the first is
-    failed in time for them; else they go out once it ends."""
+def test_a_portal_with_64_reads_on_one_connection(release: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The first stalls; the others are done long before it. Where that is asked for, the first is failed in
+    time for them, and not before one's time is nearly up; else they go out once it ends.
+
+    The margin is set once all but one are done, so that it is reached `AHEAD_S` later: the deadlines are far
+    beyond any stall of the machine, and the order of what happens is the test's."""
 
     async def scenario() -> None:
-        book = Book()
-        asked = str(release).lower()
-        operator = f'[pipeline]\nclasses = ["read"]\nleast_stall_ms = 5000\nrelease = {asked}\n'
+        book, stall_ends = Book(), asyncio.Event()
+        operator = (
+            f'[pipeline]\nclasses = ["read"]\nleast_stall_ms = 20000\nrelease = {str(release).lower()}\n'
+        )
         async with sharing(book, decisions=Script(send_to("s0")), operator=operator) as (one, lines):
             lines.pipeline.rules = lines.pipeline.rules._replace(depth=1)  # each alone: only the client waits
             client = await one.client()
             loop = asyncio.get_running_loop()
-            began = loop.time()
-            slow, quick = b"c=read,t=basic,d=1200", b"c=read,t=basic,d=300"
+            slow, quick = b"c=read,t=basic,d=20000", b"c=read,t=basic,d=10000"
             words = [(b"CALL.GET", CUSTOMER, b"%d" % n, quick if n else slow) for n in range(64)]
             await burst(client, *words)
             await until(lambda: len(book.ran) == 64)
-            for number, ran in list(book.ran):
-                if ran[2] != b"0":
-                    book.send(b"*3\r\n$1\r\nv\r\n*-1\r\n*-1\r\n", number)
-            replies = [await client.reply() for _ in range(64)]
-            took = loop.time() - began
-            assert str(replies[0]) == "ERR failed" and replies[1:] == [b"v"] * 63
-            assert took < 0.6 if release else took > 1.1
+            where = {ran[2]: number for number, ran in book.ran}
+            assert len(where) == len(set(where.values())) == 64  # all at the node at once, each alone
+            (held,) = one.program.listener.clients
+            for n in range(1, 63):
+                book.send(value(b"v%d" % n), where[b"%d" % n])
+            await until(lambda: sum(slot.reply is not None for slot in held.slots) == 62)
+            due = min(slot.due for slot in held.slots if slot.reply is not None)
+            look = loop.time() + AHEAD_S
+            monkeypatch.setattr(clients, "RELEASE_S", due - look)
+            book.send(value(b"v63"), where[b"63"])
+            await until(lambda: not held.slots or held.slots[-1].reply is not None)
+
+            async def ends() -> None:
+                await asyncio.sleep(2.0 * AHEAD_S)
+                stall_ends.set()
+                assert len(held.slots) == 64 and not client.reader._buffer  # type: ignore[attr-defined]
+                book.send(b"-ERR gave up\r\n", where[b"0"])
+
+            end = None if release else asyncio.create_task(ends())
+            replies = [await client.reply()]
+            assert stall_ends.is_set() is not release
+            assert look - 0.001 <= loop.time() < due  # the loop's clock counts whole ms
+            replies += [await client.reply() for _ in range(63)]
+            assert str(replies[0]) == "ERR failed" and replies[1:] == [b"v%d" % n for n in range(1, 64)]
+            assert loop.time() < due
+            await until(lambda: not held.slots)
             assert not one.program.gateway.live and not one.program.listener.looks
+            if release:
+                await until(lambda: where[b"0"] in book.ended)  # nor is the stalled one left at the node
+            if end is not None:
+                await end
 
     play(scenario())
 
