Requests through a stand-in proxy go eight at a time: a slow machine turns none away

Cause: 150 requests were sent one each 10 ms, whatever became of them.

Change: at most eight under way, as fast as they are answered, in both tests with faults; over 100 have to be served in place of 75. The rest of what is asserted stands.

--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -7,7 +7,7 @@
 import random
 import signal
 import sys
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from pathlib import Path
@@ -72,6 +72,7 @@
 DEADLINES = {row["name"]: row["hard_limit_ms"] / 1000.0 for row in SETTINGS["profiles"]}
 SERVICE = {"report-read": 3.0, "check-order": 4.0, "check-charge": 4.0}
 ACCOUNT = "00000000000003e8"
+AT_ONCE = 8  # requests under way where many are asked
 
 
 class Place:
@@ -165,6 +166,18 @@
         return await call(port, name, request, account=account)
 
 
+async def in_turn(port: int, asks: Iterable[tuple[str, str, int]]) -> list[tuple[int, dict[str, str]]]:
+    """Answers to all of these, `AT_ONCE` under way at any moment: how fast they come hangs on the machine, so
+    that it is never the machine's own slowness for which the gateway turns requests away."""
+    free = asyncio.Semaphore(AT_ONCE)
+
+    async def one(*ask: Any) -> tuple[int, dict[str, str]]:
+        async with free:
+            return await in_time(port, *ask)
+
+    return await asyncio.gather(*(one(*ask) for ask in asks))
+
+
 async def settled(front: Server) -> None:
     """Nothing is left in the table, the core or the module."""
     calls = front.calls
@@ -186,14 +199,10 @@
             proxy = one.proxy(tells=tells)
             await proxy.start()
             rng = random.Random(5)
-            asked = []
-            for number in range(150):
-                name = rng.choice(list(TARGETS))
-                asked.append(asyncio.create_task(in_time(proxy.port, name, f"r{number}", number % 5)))
-                await asyncio.sleep(0.01)
-            answers = await asyncio.gather(*asked)
+            asks = [(rng.choice(list(TARGETS)), f"r{number}", number % 5) for number in range(150)]
+            answers = await in_turn(proxy.port, asks)
             assert all(status for status, _ in answers)
-            assert [status for status, _ in answers].count(200) > 75
+            assert [status for status, _ in answers].count(200) > 100
             ran = {run.request_id.decode() for node in one.nodes for run in node.ran}
             for number, (status, told) in enumerate(answers):
                 if told.get("x-glenchute-effect") == "none":
@@ -304,12 +313,9 @@
         async with place([faulty(4), faulty(5), faulty(6)]) as one:
             proxy = one.proxy(**habits)
             await proxy.start()
-            asked = []
-            for number in range(90):
-                name = ("check-charge", "check-order", "report-read")[number % 3]
-                asked.append(asyncio.create_task(in_time(proxy.port, name, f"r{number}", number % 5)))
-                await asyncio.sleep(0.005)
-            answers = await asyncio.gather(*asked)
+            names = ("check-charge", "check-order", "report-read")
+            asks = [(names[number % 3], f"r{number}", number % 5) for number in range(90)]
+            answers = await in_turn(proxy.port, asks)
             assert all(status for status, _ in answers)
             assert charged_twice(one.nodes) == []
             await proxy.stop()
