Tests listen on no port that a gateway of another run may still be calling

Cause of the test of test_peers that once waited 60 s for `listener.clients` to empty, as far as it can be shown: the rig's listeners and peers had ports of the range for outgoing connections, against the rule of the house, and a port of that range is soon handed out again. Forced: a second gateway whose counter's port the listener has been given. Its twelve links connect, say PING, are ended when idle and come again: after 40 s the table held twelve bare ones, 96 had been ended as idle, and the client of the test itself had gone as it should ("lingered" 1, after 0.5 s). Such callers exist: 252 connections were refused on this machine in 5 s beside other tests.

--- a/lab/peers.py
+++ b/lab/peers.py
@@ -13,6 +13,8 @@
 import hiredis
 import uvloop
 
+from .ports import free_port
+
 
 def play(scenario: Coroutine[Any, Any, None]) -> None:
     """Runs a scenario; the limit only keeps a broken test from hanging."""
@@ -35,7 +37,7 @@
         self.port = 0
 
     async def start(self, port: int = 0) -> None:
-        self.server = await asyncio.start_server(self.accept, "127.0.0.1", port)
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", port or free_port())
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/lab/site.py
+++ b/lab/site.py
@@ -10,13 +10,14 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 from .load import Account, Kind
 from .nodes import Node
 from .peers import Client, row
+from .ports import free_port as free_port  # for those that know it from here
 from .services import CounterService, DiscoveryService
 
 KINDS = (
@@ -56,41 +57,6 @@
     ]
 
 
-def outgoing_ports() -> tuple[int, int]:
-    """The range from which the system takes ports for outgoing connections."""
-    try:
-        low, high = Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()
-        return int(low), int(high)
-    except (OSError, ValueError):
-        return 32_768, 60_999
-
-
-_ports: Iterator[int] = iter(())
-
-
-def free_port() -> int:
-    """A port that nobody has, for TCP and UDP, and that no outgoing connection is given: it is still free
-    when a process listens on it. Each is handed out once by this process; others begin elsewhere."""
-    global _ports
-    low, high = outgoing_ports()
-    allowed = [port for port in range(10_000, 65_000) if not low <= port <= high]
-    for _ in range(len(allowed)):
-        port = next(_ports, 0)
-        if not port:
-            first = os.getpid() * 997 % len(allowed)
-            _ports = iter(allowed[first:] + allowed[:first])
-            continue
-        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagrams:
-            try:
-                stream.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                stream.bind(("127.0.0.1", port))
-                datagrams.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return port
-    raise OSError("no port is free")
-
-
 class GatewayProcess:
     """A gateway in a process and a process group of its own."""
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -27,6 +27,7 @@
     row,
     until,
 )
+from lab.ports import free_port
 
 __all__ = [
     "Client",
@@ -127,8 +128,7 @@
 
 def config(discovery: int, counter: int, rows: list[dict[str, Any]], **changes: Any) -> Config:
     """The same, read; the gateway listens on a free port."""
-    made = build(raw_config(discovery, counter, rows), {})
-    return replace(made, listen=("127.0.0.1", 0), **changes)
+    return replace(build(raw_config(discovery, counter, rows, free_port()), {}), **changes)
 
 
 @asynccontextmanager
--- a/tests/test_extproc.py
+++ b/tests/test_extproc.py
@@ -9,7 +9,6 @@
 import sys
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
-from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -86,7 +85,7 @@
 
     async def program(self, more: str = "") -> Program:
         """A fresh gateway on the same port."""
-        config = replace(build(self.lab.platform(), {}), listen=("127.0.0.1", 0))
+        config = build(self.lab.platform(), {})
         reading = parse(OPERATOR.format(port=self.port, more=more), config.facts)
         assert reading.operator is not None, reading.findings
         made = Program(config, asyncio.get_running_loop(), operator=reading.operator)
@@ -328,7 +327,7 @@
     async def scenario() -> None:
         async with place(start=False) as one:
             path = tmp_path / "s"
-            config = replace(build(one.lab.platform(), {}), listen=("127.0.0.1", 0))
+            config = build(one.lab.platform(), {})
             text = OPERATOR.format(port=1, more="").replace("127.0.0.1:1", f"unix:{path}")
             operator = parse(text, config.facts).operator
             program = Program(config, asyncio.get_running_loop(), operator=operator)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -25,6 +25,7 @@
 from glenchute.peers.discovery import ListError, read_list
 from heathglade import interface as api
 from heathglade.interface import Ending
+from lab.ports import outgoing_ports
 
 from .loopback import (
     CHARGE,
@@ -261,6 +262,20 @@
     play(scenario())
 
 
+def test_a_site_listens_where_no_peer_of_another_run_is_called() -> None:
+    """A gateway that has lost its counter goes on calling its port: whoever is given that port next has its
+    dozen connections, and never sees an empty table."""
+
+    async def scenario() -> None:
+        low, high = outgoing_ports()
+        discovery = DiscoveryPeer(listing(1, []))
+        async with site(always(SERVED), discovery=discovery) as one:
+            ports = [one.port, one.servers[0].port, one.counter.port, discovery.port]
+            assert [port for port in ports if low <= port <= high] == []
+
+    play(scenario())
+
+
 def test_commands_behind_a_full_line_wait_their_turn() -> None:
     """A client that writes without end is left unread at a point, and loses nothing by it."""
 
