--- a/lab/site.py
+++ b/lab/site.py
@@ -48,6 +48,12 @@
 }  # fmt: skip
 
 
+def patient(times: float = 10.0) -> dict[str, Any]:
+    """Profiles with so many times the time for a request, so that none runs out for want of a processor."""
+    spans = ("aim_ms", "hard_limit_ms")
+    return {"profiles": [one | {span: times * one[span] for span in spans} for one in SETTINGS["profiles"]]}
+
+
 def accounts(count: int = 40) -> list[Account]:
     """Customers of all plans; the dear ones ask more."""
     plans = (("osnovni", 1.0), ("standard", 2.0), ("korporativni", 8.0))
