--- a/glenchute/fronts/resp2/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -598,8 +598,15 @@
             closes = self.places.room(now, client)  # who was to make room has a command waiting
 
     def carry_out(self, close: Close[Client]) -> bool:
-        """Ends a connection; False where it stays after all."""
-        return close.key.end(close.reason)
+        """Ends a connection; False where it stays after all. A fault of ours costs this one its clean
+        end, and the others nothing."""
+        try:
+            return close.key.end(close.reason)
+        except Exception:
+            log.exception("ending a connection failed")
+            if close.key.transport is not None:
+                close.key.transport.abort()
+            return True
 
     def sweep(self) -> None:
         """Ends connections whose time is up."""
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -10,6 +10,7 @@
 
 from glenchute.deciders import places as places_module
 from glenchute.deciders.places import IDLE_S, Reason
+from glenchute.fronts.resp2 import clients
 from glenchute.wire import resp
 from heathglade import interface as api
 
@@ -249,3 +250,32 @@
             client.close()
 
     play(scenario())
+
+
+def test_a_fault_in_ending_one_connection_keeps_none_of_the_others(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Two are silent past their time, and ending the first fails: it is cut off, the other is told the end in
+    order, and the next to come is ended in its time too."""
+    sound = clients.Client.end
+
+    async def scenario() -> None:
+        async with site(always(SERVED), decisions=Script(send_to("s0"))) as one:
+            listener = one.program.listener
+            silent = [await one.client(), await one.client()]
+            await until(lambda: len(listener.clients) == 2)
+            first = next(iter(listener.clients))
+
+            def end(client: clients.Client, reason: Reason) -> bool:
+                if client is first:
+                    raise RuntimeError("a fault")
+                return sound(client, reason)
+
+            monkeypatch.setattr(clients.Client, "end", end)
+            monkeypatch.setattr(places_module, "SILENT_S", 0.0)
+            monkeypatch.setattr(places_module, "FIRST_COMMAND_S", 0.0)
+            assert all([await client.ended() for client in silent])
+            await until(lambda: first.transport is None)
+            last = await one.client()
+            assert await last.ended()
+            await until(lambda: not listener.clients)
+
+    play(scenario())
