Bound what all clients together may do in one turn of the loop

While 200 clients that ask for 6 MB each arrive, others waited for up to 2 s. Traced by timing each turn of the loop and its parts (a probe round Client's methods): turns of 40 to 140 ms, in each of which 200 times `Client.turn` took two commands of 60 KB (12 to 50 ms), 70 to 150 reads of up to 256 KB were parsed (20 to 68 ms), and the rest went into writing the replies. To blame: `Client.book`, which gave each connection a turn of its own in every turn of the loop, however many there were; and `data_received`, which carried out a portion for each. The loop accepts one connection a turn (one `connection_made` in each), so that a newcomer behind 200 waited for as many such turns. Ruled out by the same trace: `Ends.look` (under 0.1 ms), accepts of a backlog at once (one a turn), places (not seen), `flush`'s walk of slots.

`Listener` has one line of connections with commands left and one turn for all of them: 2 ms and 1 MB of replies in a turn of the loop, one connection at least, and one alone while others wait to be accepted. What comes in large reads past that waits in the same line; small commands never wait. A fault in one's turn leaves the others theirs.

The benchmark starts its load before the flood, tells the first 2 s apart, and has a scene in which all 200 come in one moment; before, the flood was over when the load began, on a machine that had room.

Tests, each seen to fail with its guard taken out: no bound of bytes (3.7 MB in a turn), none in `data_received` (4.8 MB), no time (20 connections in a turn), no look at who waits to be accepted (20), no `finally` (the others stand still).

--- a/benchmarks/floods.py
+++ b/benchmarks/floods.py
@@ -3,7 +3,9 @@
 ``python -m benchmarks.floods [SECONDS] [--rate N]``. Each scene has a gateway process of its own, four nodes
 and an open load of well-behaved clients (`lab/load.py`) in this process, and the flood in a third. Memory and
 descriptors are the gateway's own, read from /proc; times are the well-behaved clients', from the moment at
-which a request was due. A quiet run comes first and last, so that the machine's own noise shows.
+which a request was due. The load runs before the flood begins; what was due in the flood's first `ARRIVAL_S`
+is told apart, as a flood costs most while it comes. A quiet run comes first and last, so that the machine's
+own noise shows. ``--only`` names scenes by their numbers, from 0.
 """
 
 from __future__ import annotations
@@ -15,13 +17,15 @@
 import os
 import random
 import tempfile
+import time
 from collections.abc import Awaitable, Callable
+from multiprocessing.synchronize import Event
 from pathlib import Path
 from typing import NamedTuple
 
 import uvloop
 
-from benchmarks.machine import machine
+from benchmarks.machine import cpu_s, machine
 from glenchute.wire import resp
 from lab.load import Load, percentile
 from lab.nodes import Node, Trade
@@ -30,6 +34,8 @@
 
 NODES = 4
 SERVICE_MS = 10.0
+BEFORE_S = 1.0  # of the load, before the flood begins
+ARRIVAL_S = 2.0  # of the flood: what was due then is told apart
 ROOM = {"per_second": 1e5, "most_at_once": 1e6, "ceiling_rate": 0.0}
 WORD = b"x" * 60_000
 LARGE = resp.command(b"PING", WORD)
@@ -43,6 +49,7 @@
     clients: int = 0
     each: Callable[[int, int], Awaitable[None]] | None = None
     trickling: int = 0
+    spread_s: float = 1.0  # over which its clients come; 0: all in one moment
 
 
 class Row(NamedTuple):
@@ -56,6 +63,11 @@
     p99: float
     served: int
     asked: int
+    arrival_p50: float
+    arrival_p99: float
+    arrival_served: int
+    arrival_asked: int
+    cpu_s: float  # the gateway's, from the flood's beginning to the end of the load
 
 
 # --- the floods: one client's turn, given the gateway's port and the client's number ----------------------
@@ -131,18 +143,21 @@
     Scene("700 that never ask", 700, never_asking),
     Scene("300 write a byte a second", 300, writing_slowly),
     Scene("200 read a byte a second", 200, reading_slowly),
+    Scene("the same, all in one moment", 200, reading_slowly, spread_s=0.0),
     Scene("one node of four trickles", trickling=1),
     Scene("quiet again"),
 )
 
 
-def flood(number: int, port: int) -> None:
-    """A scene's flood, in a process of its own, until that is ended."""
+def flood(number: int, port: int, up: Event, go: Event) -> None:
+    """A scene's flood, in a process of its own, until that is ended: `up` once it can begin, at `go`."""
     scene = SCENES[number]
+    up.set()
+    go.wait()
 
     async def again(client: int) -> None:
         assert scene.each is not None
-        await asyncio.sleep(random.Random(client).random())
+        await asyncio.sleep(scene.spread_s * random.Random(client).random())
         while True:
             with contextlib.suppress(OSError, TimeoutError):
                 await scene.each(port, client)
@@ -179,25 +194,35 @@
                 await Load(lambda: gateway.port, KINDS, accounts(), rate, seed=9).run(2.0)
                 if scene.each is not None:
                     context = multiprocessing.get_context("spawn")
-                    flooding = context.Process(target=flood, args=(number, gateway.port), daemon=True)
+                    up, go = context.Event(), context.Event()
+                    flooding = context.Process(target=flood, args=(number, gateway.port, up, go), daemon=True)
                     flooding.start()
-                    await asyncio.sleep(2.5)  # it comes up, and reaches its number
+                    await asyncio.to_thread(up.wait)
                 load = Load(lambda: gateway.port, KINDS, accounts(), rate, seed=1)
-                running = asyncio.create_task(load.run(seconds))
+                running = asyncio.create_task(load.run(BEFORE_S + seconds))
+                await asyncio.sleep(BEFORE_S)
+                began, cpu = time.monotonic(), cpu_s(pid)
+                if flooding is not None:
+                    go.set()
                 while not running.done():
                     rss = max(rss, status_mb(pid, "VmRSS"))
                     descriptors = max(descriptors, len(os.listdir(f"/proc/{pid}/fd")))
                     await asyncio.sleep(0.05)
                 await running
+                cpu = cpu_s(pid) - cpu
                 peak = status_mb(pid, "VmHWM")
             finally:
                 if flooding is not None:
                     flooding.kill()
                     flooding.join()
                 await gateway.stop()
-    took = [one.took_ms for one in load.outcomes if one.answer == "served"]
-    return Row(scene.name, rss, peak, descriptors, percentile(took, 50), percentile(took, 99), len(took),
-               len(load.outcomes))  # fmt: skip
+    since = [one for one in load.outcomes if one.asked >= began]
+    coming = [one for one in since if one.asked < began + ARRIVAL_S]
+    took, arrival = ([one.took_ms for one in some if one.answer == "served"] for some in (since, coming))
+    return Row(
+        scene.name, rss, peak, descriptors, percentile(took, 50), percentile(took, 99), len(took), len(since),
+        percentile(arrival, 50), percentile(arrival, 99), len(arrival), len(coming), cpu,
+    )  # fmt: skip
 
 
 def main() -> None:
@@ -205,18 +230,24 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("seconds", type=float, nargs="?", default=10.0)
     parser.add_argument("--rate", type=float, default=60.0)
+    parser.add_argument("--only", type=int, nargs="+", default=range(len(SCENES)))
     args = parser.parse_args()
     print(machine())
     print(f"{NODES} nodes of {SERVICE_MS:g} ms, {args.rate:g} requests/s of other clients for"
           f" {args.seconds:g} s a scene, 1024 descriptors, 192 MB;"
           f" load average {os.getloadavg()[0]:.0f}")  # fmt: skip
-    print("| scene | memory, most (MB) | peak since start (MB) | descriptors | p50 ms | p99 ms | served |")
-    print("| --- | ---: | ---: | ---: | ---: | ---: | ---: |")
-    for number in range(len(SCENES)):
+    print("| scene | memory, most (MB) | peak since start (MB) | descriptors | p50 ms | p99 ms | served |"
+          f" p50, p99 of the first {ARRIVAL_S:g} s | served of these | CPU s |")  # fmt: skip
+    print("| --- |" + " ---: |" * 9)
+    for number in args.only:
         row = uvloop.run(play(number, args.seconds, args.rate))
-        share = 100.0 * row.served / max(1, row.asked)
+        share, coming = (
+            f"{served} of {asked} ({100.0 * served / max(1, asked):.1f} %)"
+            for served, asked in ((row.served, row.asked), (row.arrival_served, row.arrival_asked))
+        )
         print(f"| {row.name} | {row.rss_mb:.0f} | {row.peak_mb:.0f} | {row.descriptors} | {row.p50:.1f} |"
-              f" {row.p99:.1f} | {row.served} of {row.asked} ({share:.1f} %) |", flush=True)  # fmt: skip
+              f" {row.p99:.1f} | {share} | {row.arrival_p50:.1f}, {row.arrival_p99:.1f} | {coming} |"
+              f" {row.cpu_s:.2f} |", flush=True)  # fmt: skip
 
 
 if __name__ == "__main__":
--- a/glenchute/fronts/resp2/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -35,6 +35,8 @@
 LONG_BUFFERED = 64 * 1024  # of a long value that may wait for its reader before the server is left unread
 BUFFERED = 256 * 1024  # replies that may wait for a slow reader before its commands are left unread
 HEAPED = 64 * 1024  # replies after which a turn of the loop is awaited: the transport writes at its end
+TURN_S = 0.002  # of a turn of the loop, for what is left of all connections' commands; one always goes on
+TURN_BYTES = 16 * HEAPED  # ... and replies to them: they are written at its end, which TURN_S does not see
 REPORT_S = 10.0  # a line for the operators this often, while anything happens
 RELEASE_S = 0.02  # before a finished reply's time is up, what keeps it may be given up
 GONE_S = 0.1  # an attempt that begins later than this after its client's end is a break (STANDING.md)
@@ -136,7 +138,7 @@
         else:
             self.release()
             self.reply = encode(answer)
-            self.client.heaped += len(self.reply)
+            self.client.heap(self.reply)
         self.client.flush()
 
 
@@ -231,7 +233,12 @@
                 self.transport.abort()
             return
         self.parser.feed(data)
-        if not self.waiting:
+        if self.waiting:
+            return
+        if len(data) > HEAPED and self.listener.heaped > TURN_BYTES:
+            self.book()  # others' turns have the rest of this one; small commands wait for none
+            self.throttle()
+        else:
             self.work()
 
     def work(self) -> None:
@@ -261,11 +268,11 @@
         self.flush()
 
     def book(self) -> None:
-        """The loop's next turn goes on with what is left in the buffer. Nothing is read before that: one turn
-        may read megabytes, in many calls."""
+        """A later turn of the loop goes on with what is left in the buffer. Nothing is read before that: one
+        turn may read megabytes, in many calls."""
         if not self.waiting:
             self.waiting = True
-            self.listener.loop.call_soon(self.turn)
+            self.listener.book(self)
 
     def turn(self) -> None:
         """That turn; what was written before it has left, or the transport has told."""
@@ -289,7 +296,12 @@
             # A fault of ours would else end the connection with all that is held on it.
             log.exception("a command failed")
             slot.reply = slot.reply or resp.FAILED
-        self.heaped += len(slot.reply or b"")
+        self.heap(slot.reply or b"")
+
+    def heap(self, reply: bytes) -> None:
+        """A reply is held here until its turn, and then written at the end of a turn of the loop."""
+        self.heaped += len(reply)
+        self.listener.heaped += len(reply)
 
     def carry_out(self, slot: Slot, words: list[bytes]) -> None:
         """Takes a request, or answers a command of the connection itself."""
@@ -527,6 +539,8 @@
         self.open_ids: set[bytes] = set()
         self.release = False  # an unfinished read may be given up for the finished replies behind it
         self.ends = Ends()
+        self.booked: deque[Client] = deque()  # that have commands left, in the order of their turns
+        self.heaped = 0  # bytes of replies since the last turn that they had
         self.looks: dict[Client, asyncio.TimerHandle] = {}  # when such connections are looked at again
         self.server: asyncio.Server | None = None
         self.accepted = self.taken = 0  # connections; requests that reached the decisions
@@ -542,6 +556,30 @@
         """All connections."""
         return self.places.all.keys()
 
+    def book(self, client: Client) -> None:
+        """A turn for a connection that has commands left, after those that wait for one already."""
+        self.booked.append(client)
+        if len(self.booked) == 1:
+            self.loop.call_soon(self.turn)
+
+    def turn(self) -> None:
+        """Goes on with what is left, a connection after the other. What all of them may do in one turn of the
+        loop is bounded: a request takes some turns, there and back, and each is as long as this makes it.
+        The loop accepts one connection in a turn, so that while any wait for that, turns are as short as can
+        be. Those whose turn has not come are not read from meanwhile."""
+        waiting, self.booked = self.booked, deque()
+        self.heaped, until = 0, time.monotonic() + TURN_S
+        try:
+            while waiting:
+                waiting.popleft().turn()
+                if self.heaped > TURN_BYTES or time.monotonic() > until or (waiting and self.called()):
+                    break
+        finally:
+            again = bool(self.booked)  # and a turn is due already
+            self.booked.extendleft(reversed(waiting))
+            if waiting and not again:
+                self.loop.call_soon(self.turn)
+
     def unblock(self, client: Client) -> None:
         """Gives up what keeps finished replies past their time, if the decider says so."""
         from glenchute.deciders.release import Waiting, verdict  # only where the operator's file asks for it
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -21,7 +21,18 @@
 from glenchute.deciders import lifecycle
 from glenchute.deciders.lifecycle import ACCEPT_S, KILL_S, MOST_HELD_S, Lifecycle
 from glenchute.deciders.places import Reason
-from glenchute.fronts.resp2.clients import BUFFERED, GONE_S, HEAPED, MOST_ENDS, MOST_PENDING
+from glenchute.fronts.resp2 import clients
+from glenchute.fronts.resp2.clients import (
+    BUFFERED,
+    GONE_S,
+    HEAPED,
+    MOST_ENDS,
+    MOST_PENDING,
+    TURN,
+    TURN_BYTES,
+)
+from glenchute.fronts.resp2.clients import Client as Connection
+from glenchute.wire import resp
 from heathglade import Gateway as Policy
 from heathglade import interface as api
 from heathglade.interface import Ending
@@ -918,3 +929,166 @@
             sock.close()
 
     play(scenario())
+
+
+@asynccontextmanager
+async def crowd(one: Site, count: int, commands: bytes) -> AsyncIterator[list[socket.socket]]:
+    """So many connections. As much of their commands as fits is in the machine before the loop's next turn;
+    what is left of each follows as there is room."""
+    before = len(one.program.listener.clients)
+    socks = [socket.create_connection(("127.0.0.1", one.port)) for _ in range(count)]
+    await until(lambda: len(one.program.listener.clients) == before + count)
+    rests = {sock: memoryview(commands) for sock in socks}
+    for sock in socks:
+        sock.setblocking(False)
+
+    def more() -> None:
+        for sock in list(rests):
+            with suppress(BlockingIOError):
+                while rests[sock]:
+                    rests[sock] = rests[sock][sock.send(rests[sock]) :]
+                del rests[sock]
+
+    async def follow() -> None:
+        while rests:
+            await asyncio.sleep(0.01)
+            more()
+
+    more()
+    following = asyncio.create_task(follow())
+    try:
+        yield socks
+    finally:
+        following.cancel()
+        for sock in socks:
+            sock.close()
+
+
+async def received(sock: socket.socket, wanted: int) -> bytes:
+    """So many bytes, read as they come."""
+    loop, found = asyncio.get_running_loop(), bytearray()
+    while len(found) < wanted:
+        data = await loop.sock_recv(sock, 1 << 20)
+        assert data, "ended"
+        found += data
+    return bytes(found)
+
+
+def test_what_all_connections_are_answered_in_one_turn_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Each alone takes no more than its part of a turn; forty of them must not take forty parts, as every
+    request of others takes some turns. All get all of their replies, in order."""
+    word, count, each = b"x" * 60_000, 40, 10
+    made, most = 0, 0
+    bulk = resp.bulk
+
+    def counted(value: bytes) -> bytes:
+        nonlocal made
+        made += len(value)
+        return bulk(value)
+
+    async def scenario() -> None:
+        nonlocal made, most
+        async with site(always(SERVED)) as one:
+            monkeypatch.setattr(resp, "bulk", counted)
+            other = await one.client()
+            async with crowd(one, count, packed(b"PING", word) * each) as socks:
+                turns, total = 0, 0
+                while turns < 500 and total < 4 * TURN_BYTES:
+                    made = 0
+                    await asyncio.sleep(0)
+                    most, total, turns = max(most, made), total + made, turns + 1
+                assert total >= 4 * TURN_BYTES  # they are many, and go on
+                assert await other.ask(b"PING") == b"PONG"
+                expected = bulk(word) * each
+                assert all([(await received(sock, len(expected))) == expected for sock in socks])
+            # A part that has begun is ended; a read after it may bring another.
+            assert most <= TURN_BYTES + 2 * (HEAPED + len(word)), f"{most} bytes of replies in one turn"
+
+    play(scenario())
+
+
+def test_what_is_left_of_all_connections_has_a_time_in_each_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With no time at all one connection goes on in each turn of the loop, and all come to their end."""
+    monkeypatch.setattr(clients, "TURN_S", 0.0)
+    went_on = most = 0
+    turn = Connection.turn
+
+    def counted(self: Connection) -> None:
+        nonlocal went_on
+        went_on += 1
+        turn(self)
+
+    monkeypatch.setattr(Connection, "turn", counted)
+
+    async def scenario() -> None:
+        nonlocal went_on, most
+        async with site(always(SERVED)) as one, crowd(one, 20, packed(b"PING") * 10 * TURN) as socks:
+            for _ in range(400):
+                went_on = 0
+                await asyncio.sleep(0)
+                most = max(most, went_on)
+            expected = b"+PONG\r\n" * 10 * TURN
+            assert all([(await received(sock, len(expected))) == expected for sock in socks])
+            assert most == 1
+
+    play(scenario())
+
+
+def test_a_fault_in_ones_turn_leaves_the_others_theirs(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    turn, at_fault = Connection.turn, list[Connection]()
+
+    def faulty(self: Connection) -> None:
+        if not at_fault:
+            at_fault.append(self)
+        if self is at_fault[0]:
+            raise RuntimeError("a fault of ours")
+        turn(self)
+
+    monkeypatch.setattr(Connection, "turn", faulty)
+
+    async def scenario() -> None:
+        async with site(always(SERVED)) as one, crowd(one, 20, packed(b"PING") * 10 * TURN) as socks:
+            await until(lambda: bool(at_fault))
+            expected = b"+PONG\r\n" * 10 * TURN
+            assert at_fault[0].transport is not None
+            theirs = at_fault[0].transport.get_extra_info("peername")
+            for sock in socks:
+                if sock.getsockname() != theirs:
+                    assert await received(sock, len(expected)) == expected
+
+    play(scenario())
+
+
+def test_turns_are_short_while_connections_wait_to_be_accepted(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The loop accepts one in a turn: behind a crowd's large turns a newcomer would wait for all of them."""
+    monkeypatch.setattr(clients, "TURN_S", 60.0)
+    went_on = 0
+    turn = Connection.turn
+
+    def counted(self: Connection) -> None:
+        nonlocal went_on
+        went_on += 1
+        turn(self)
+
+    monkeypatch.setattr(Connection, "turn", counted)
+
+    async def scenario() -> None:
+        nonlocal went_on
+        async with site(always(SERVED)) as one, crowd(one, 20, packed(b"PING") * 40 * TURN):
+            listener = one.program.listener
+            await until(lambda: len(listener.booked) == 20)
+            newcomers = [socket.create_connection(("127.0.0.1", one.port)) for _ in range(10)]
+            waited = 0
+            while listener.called():
+                went_on = 0
+                await asyncio.sleep(0)
+                if listener.called():  # as before: they waited all the time
+                    assert went_on <= 1
+                    waited += 1
+            assert waited and listener.booked  # there was more to do than that
+            for sock in newcomers:
+                sock.close()
+
+    play(scenario())
