Members' lists: who hears no word calls within the terms, whatever age is stated

A gateway that leaves asking to its members (`share_list`) called, where their words stopped, 3 s after the last was fresh and one turn later. A turn is as long as the stated age of lists: with `list_age_s = 30` a change was in force up to 30.4 s after discovery had it (model: 40 gateways, half a call a second). To blame: `Watch.tick`, which took `Pacing.in_step` whole. Ruled out: the words themselves, whose age counts from the question by the receiver's clock, so that none makes a list younger than it is.

With no age stated nothing changes.

Test: the property `test_who_leaves_asking_to_members_hears_a_change_in_time` fails without it (30.4 s of 6).

--- a/glenchute/deciders/told.py
+++ b/glenchute/deciders/told.py
@@ -24,6 +24,7 @@
 TOLD_AFTER_WAIT_S = 2.0
 TOLD_MOVED_S = 4.0
 ANSWER_S = 2.0  # left for a new connection and its answer, by a service that is crowded but can be reached
+FRESH_S = 3.0  # a list that members have confirmed so long ago, at most, leaves discovery alone
 PUSHED_WAIT_S = 3.0  # of a watch where lists are pushed: half of `TOLD_S`, so that three tries fit
 
 
@@ -47,3 +48,9 @@
     misses is in force `TOLD_S` after it was made. Longer waits have `TOLD_AFTER_WAIT_S` beyond them, shorter
     ones cost calls just when a service that was away has all its callers back."""
     return TOLD_S - TOLD_AFTER_WAIT_S
+
+
+def left_alone() -> float:
+    """How long after such a word was out of date the next call goes at the latest: what came right after the
+    list was confirmed counts `TOLD_S` after that."""
+    return longest_pause() - FRESH_S
--- a/glenchute/deciders/watch.py
+++ b/glenchute/deciders/watch.py
@@ -22,6 +22,10 @@
 the moment in which discovery could be reached again, whatever became of each call before it and however
 late that was told.
 
+A gateway that leaves asking to its members is as late as their words while these come. When they stop it
+calls `told.left_alone` after the last was out of date at the latest, whatever age of lists is stated, so that
+what came since the list was confirmed is heard of in time.
+
 Cost: where lists are asked for, the service is shared. One call is made beside one that is late, no sooner
 than half of the budget after its wait; then the pauses of `Pacing` hold. A service that answers within a
 second gets no call more than before. Where lists are pushed waits are half of `TOLD_S`, so that three tries
@@ -119,7 +123,7 @@
             seconds = self.others()
             self.left_alone = seconds > 0.0
             if self.left_alone:
-                self.due = now + seconds + self.turns.in_step()
+                self.due = now + seconds + min(self.turns.in_step(), told.left_alone())
                 return []
             return [self.call(now, self.wait() if listed else 0.0)]
         self.beside += 1
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import random
 import socket
 import struct
@@ -16,6 +17,8 @@
 
 from glenchute.cli.run import LIST_WAIT_S
 from glenchute.deciders import pacing, told, watch
+from glenchute.deciders.fleet import coldstart
+from glenchute.deciders.fleet.coldstart import ListShare
 from glenchute.deciders.pacing import Pacing, Terms
 from glenchute.deciders.watch import Ask, Close, Open, Watch
 from glenchute.peers.discovery import Discovery, ListError, read_list
@@ -281,6 +284,54 @@
     assert sum(seconds) / 50.0 <= count / 3.5 and max(seconds) <= 1.5 * count / 3.5
 
 
+def heard_beside_members(terms: Terms, words: list[tuple[float, float]], change: float, late: float) -> float:
+    """When one that leaves asking to its members has a change in force of which none of them tells. `words`:
+    when they come, and for when each confirms the list held, a moment before the change."""
+    share = ListShare("m9", 0.0, random.Random(1))
+    share.version, share.confirmed = 5, 0.0
+    share.leased = False  # others ask
+    one = Watch(Pacing(terms, random.Random(1)), lambda: share.waits(now, ["m0"]))
+    now, answers, words = 0.0, dict[int, float](), sorted(words, reverse=True)
+    one.begin(0.0, 0.0, False)
+    while True:
+        line, at = min(answers.items(), key=lambda pair: pair[1], default=(0, math.inf))
+        told_at = words[-1][0] if words else math.inf
+        now = max(now, min(at, one.due, told_at))
+        if told_at <= now:
+            share.confirmed = max(share.confirmed, words.pop()[1])
+        elif one.due <= now:
+            for action in one.tick(now, True):
+                if isinstance(action, Close):
+                    answers.pop(action.line, None)
+                else:
+                    answers[action.line] = now + late if now >= change else max(now + late, change)
+        elif now >= change:
+            return now
+        else:
+            one.answered(now, line, 0.0)
+            answers.clear()
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    st.sampled_from([1, 40, 520]), st.sampled_from([0.5, 15.0]), st.sampled_from([None, 2.5, 30.0, 3600.0]),
+    st.lists(st.tuples(st.floats(0.0, 40.0), st.floats(0.0, 3.0))), st.floats(0.0, 40.0), st.floats(0.0, 1.0),
+)  # fmt: skip
+def test_who_leaves_asking_to_members_hears_a_change_in_time(
+    gateways: int, rate: float, age: float | None, words: list[tuple[float, float]], change: float,
+    share: float,
+) -> None:  # fmt: skip
+    """Words of members may stop at any moment, whatever age of lists the operators state."""
+    confirming = [(at, max(0.0, at - old)) for at, old in words if at - old <= change]
+    terms = Terms(gateways, gateways - 1, rate, age)
+    heard = heard_beside_members(terms, confirming, change, share * told.ANSWER_S)
+    assert heard <= change + told.TOLD_S + 1e-6
+
+
+def test_a_members_word_is_no_fresher_than_the_terms_take_it_for() -> None:
+    assert coldstart.FRESH_S <= told.FRESH_S
+
+
 # --- on sockets ------------------------------------------------------------------------------------------
 
 
