The parts of the descriptors are made once, in the configuration

`budget(...)` was called in three places, with the settings each had at hand: `config/platform.py` for servers, `fronts/resp2/clients.py` for clients, `cli/run.py` for the counter's links (there without the second address, which makes no difference to links today).

`Config.budget`, made where the platform's file is read; the listener and the counter are given their parts.

Test: `test_the_parts_of_a_process_are_those_that_its_configuration_has` fails with the counter given its own.

--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -19,7 +19,6 @@
 from glenchute.core.types import Decisions, News
 from glenchute.deciders.lifecycle import ACCEPT_S
 from glenchute.deciders.pacing import Doubt, Terms
-from glenchute.deciders.places import budget
 from glenchute.deciders.sizing import WHOLE
 from glenchute.fronts.resp2.clients import Listener
 from glenchute.fronts.resp2.commands import Catalogue
@@ -83,9 +82,7 @@
         shared = operator.pipeline if operator is not None else None  # connections to servers
         self.servers = self.backend(shared)
         self.counter = (
-            Counter(
-                loop, config.counter, made.counter_timeout_ms / 1000.0, budget(config.sockets).links
-            )
+            Counter(loop, config.counter, made.counter_timeout_ms / 1000.0, config.budget.links)
             if config.counter
             else None
         )
@@ -106,8 +103,8 @@
             self.gateway.most_listed, self.gateway.narrow = WHOLE, self.narrow
         if operator is not None:
             self.bind(operator)
-        catalogue, operated = Catalogue(made, config.bounds), config.operations is not None
-        self.listener = Listener(loop, self.gateway, catalogue, config.sockets, operated)
+        catalogue = Catalogue(made, config.bounds)
+        self.listener = Listener(loop, self.gateway, catalogue, config.budget)
         if shared is not None:
             self.gateway.most_attempts = made.max_attempts
             self.gateway.tells_places = self.recorder is not None
--- a/glenchute/config/platform.py
+++ b/glenchute/config/platform.py
@@ -8,7 +8,7 @@
 
 from glenchute.backends.resp2 import Limits
 from glenchute.core.types import News
-from glenchute.deciders.places import budget
+from glenchute.deciders.places import Budget, budget
 from glenchute.fronts.resp2.commands import Bounds, bounds
 from glenchute.peers.discovery import ListError, address, read_list
 from heathglade.interface import Settings
@@ -40,6 +40,7 @@
     counter: tuple[str, int] | None
     seed: int
     sockets: int
+    budget: Budget  # the parts of these
     known: News | None
     passed: int | None  # the descriptor of the clients' listening socket, where the platform holds that
     settings: Settings
@@ -85,6 +86,7 @@
         raise ListError(f"{sockets} sockets are too few")
     memory_mb = num(part(raw, "limits").get("memory_mb"), 192.0)
     operations = raw.get("operator") or environ.get("EDGE_OPERATOR")
+    parts = budget(sockets, bool(operations))
     return Config(
         name=str(raw.get("name") or environ.get("EDGE_NAME") or "gateway"),
         listen=address(raw.get("listen") or environ.get("EDGE_LISTEN")),
@@ -93,6 +95,7 @@
         counter=address(raw["counter"]) if raw.get("counter") and made.counter else None,
         seed=int(str(raw.get("seed") or 0), 16),
         sockets=sockets,
+        budget=parts,
         known=read_list(raw["known"], saved=True) if raw.get("known") else None,
         passed=descriptor(environ.get("EDGE_PASSED_SOCKET")),
         settings=made,
@@ -102,7 +105,7 @@
             connect_s=num(limits.get("connect_timeout_ms"), 250.0) / 1000.0,
             idle_s=max(0.5, num(limits.get("conn_idle_ms"), 15_000.0) / 1000.0 - 2.0),
             grace_s=num(safety.get("drain_grace_ms"), 250.0) / 1000.0,
-            connections=budget(sockets, bool(operations)).servers,
+            connections=parts.servers,
             long_values=max(4, int(memory_mb * 1e6 * LONG_SHARE / LONG_COST)),
         ),
         bounds=bounds(raw["settings"]),
--- a/glenchute/fronts/resp2/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -20,7 +20,7 @@
 from glenchute.core.gateway import Gateway, Live
 from glenchute.core.types import Answer, Refused, Served, Source, Streamed
 from glenchute.deciders.lifecycle import Lifecycle
-from glenchute.deciders.places import Close, Places, Reason, State, budget
+from glenchute.deciders.places import Budget, Close, Places, Reason, State
 from glenchute.wire import resp
 
 from .commands import Catalogue, CommandError
@@ -526,15 +526,13 @@
     """Accepts clients, up to a number, and ends those whose time is up."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, gateway: Gateway, catalogue: Catalogue, sockets: int,
-        operated: bool = False,
+        self, loop: asyncio.AbstractEventLoop, gateway: Gateway, catalogue: Catalogue, made: Budget
     ) -> None:  # fmt: skip
-        """`sockets`: the descriptors of the process, of which clients may take a part. `operated`: it has the
-        second address as well."""
+        """`made`: the parts of the process's descriptors, of which clients have theirs."""
         self.loop = loop
         self.gateway = gateway
         self.catalogue = catalogue
-        self.budget = made = budget(sockets, operated)
+        self.budget = made
         self.places: Places[Client] = Places(made.clients, made.requesting, made.spare)
         self.open_ids: set[bytes] = set()
         self.release = False  # an unfinished read may be given up for the finished replies behind it
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -127,7 +127,9 @@
 
 def config(discovery: int, counter: int, rows: list[dict[str, Any]], **changes: Any) -> Config:
     """The same, read; the gateway listens on a free port."""
-    made = build(raw_config(discovery, counter, rows), {})
+    raw = raw_config(discovery, counter, rows)
+    raw["limits"]["sockets"] = changes.pop("sockets", raw["limits"]["sockets"])
+    made = build(raw, {})
     return replace(made, listen=("127.0.0.1", 0), **changes)
 
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -12,9 +12,10 @@
 import pytest
 
 from glenchute.backends import resp2
+from glenchute.config.platform import build
 from glenchute.core.types import Result
 from glenchute.deciders import pacing
-from glenchute.deciders.places import OPERATED, OWN, budget
+from glenchute.deciders.places import OPERATED, OWN, Budget, budget
 from glenchute.peers import counter
 from heathglade.interface import Ending
 from lab.services import CounterService
@@ -59,6 +60,27 @@
     assert (made.clients, made.requesting, made.servers) == (sockets // 2, sockets // 3, sockets * 3 // 10)
 
 
+def test_the_parts_of_a_process_are_those_that_its_configuration_has() -> None:
+    """They are made once, there, by what it names."""
+    raw = raw_config(1, 2, [])
+    raw["limits"]["sockets"] = 96
+    for more in ({}, {"operator": "127.0.0.1:9"}):
+        made = build(raw | more, {})
+        assert made.budget == budget(96, bool(more)) and made.limits.connections == made.budget.servers
+    parts = Budget(clients=7, requesting=5, spare=1, servers=9, links=3)
+
+    async def scenario() -> None:
+        async with site(always(SERVED), budget=parts) as one:
+            listener, links = one.program.listener, one.program.counter
+            places = listener.places
+            assert (places.most, places.most_requesting, places.spare) == (7, 5, 1)
+            assert links is not None and len(links.links) == 3
+            listener.share(0.5)
+            assert (places.most, places.most_requesting) == (3, 2)
+
+    play(scenario())
+
+
 def test_a_connection_to_a_server_counts_once_while_it_comes_up(monkeypatch: pytest.MonkeyPatch) -> None:
     """In the turn in which it is made it does not take a second place, for which an attempt would be turned
     away as if the servers were at fault."""
