--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -787,6 +787,65 @@
     play(scenario())
 
 
+def told_ms(one: Site, server: int) -> int:
+    """What time the last attempt at a server told to be left."""
+    fields = one.servers[server].calls()[-1][3]
+    return int(fields.partition(b"d=")[2].partition(b",")[0])
+
+
+FIRST_S = 0.2  # until the first attempt is over, in what follows
+
+
+async def silent(writer: asyncio.StreamWriter) -> None:
+    """Nothing comes: the attempt's own time is up."""
+
+
+async def failing(writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(FIRST_S)
+    writer.write(b"-ERR failed\r\n")
+
+
+async def late_reset(writer: asyncio.StreamWriter) -> None:
+    await asyncio.sleep(FIRST_S)
+    await reset(writer)
+
+
+@pytest.mark.parametrize("first", [silent, failing, late_reset])
+def test_a_further_attempt_tells_no_more_time_than_is_left(first: Callable[..., Awaitable[None]]) -> None:
+    """By how long the first has taken at least, which its client has waited already."""
+
+    async def scenario() -> None:
+        def decide(event: api.Event) -> list[api.Action]:
+            if isinstance(event, api.Request):
+                return [api.Send(event.request_id, "s0", 1000.0 * FIRST_S if first is silent else 0.0)]
+            if isinstance(event, api.AttemptEnded) and not event.final:
+                return [api.Send(event.request_id, "s1", 0.0)]
+            return []
+
+        async def reply(words: list[bytes], writer: asyncio.StreamWriter) -> None:
+            await first(writer)
+
+        async with site(reply, always(SERVED), decisions=Script(decide)) as one:
+            assert await (await one.client()).ask(*READ, b"1", GET) == b"value"
+            assert told_ms(one, 1) <= 20_000 - 1000.0 * FIRST_S + 1.0
+
+    play(scenario())
+
+
+def test_an_attempt_on_a_connection_that_comes_up_late_tells_what_is_left_as_it_is_written() -> None:
+    async def scenario() -> None:
+        async with site(always(SERVED), decisions=Script(send_to("s0"))) as one:
+            client = await one.client()
+            client.send(*READ, b"1", GET)
+            while not one.program.servers.coming:
+                await asyncio.sleep(0)
+            time.sleep(BUSY_S)
+            assert await client.reply() == b"value"
+            assert told_ms(one, 0) <= 20_000 - 1000.0 * BUSY_S + 1.0
+
+    play(scenario())
+
+
 def test_ends_are_told_by_one_call_for_all_and_cost_none_within_its_time() -> None:
     """Also more at once than one call tells; who stays is not taken for gone."""
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -8,6 +8,7 @@
 import random
 import socket
 import struct
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
@@ -21,7 +22,7 @@
 from glenchute.deciders.fleet.coldstart import ListShare
 from glenchute.deciders.pacing import Pacing, Terms
 from glenchute.deciders.watch import Ask, Close, Open, Watch
-from glenchute.peers.discovery import Discovery, ListError, read_list
+from glenchute.peers.discovery import PART_BODY, Discovery, ListError, read_list
 from glenchute.peers.discovery import Held as HeldList
 from heathglade import interface as api
 from lab.peers import Peer, always, http, listing, play, row, until
@@ -545,6 +546,49 @@
     play(scenario())
 
 
+def chunked(body: bytes, size: int) -> bytes:
+    parts = [body[at : at + size] for at in range(0, len(body), size)]
+    sent = b"".join(b"%x;note=1\r\n%b\r\n" % (len(part), part) for part in parts)
+    return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + sent + b"0\r\n\r\n"
+
+
+FORMS: dict[str, Callable[[Any], bytes]] = {
+    "indented": lambda raw: http(json.dumps(raw, indent=4).encode()),
+    "indented by tabs, in chunks": lambda raw: chunked(json.dumps(raw, indent="\t").encode(), 7),
+    "with no space": lambda raw: http(json.dumps(raw, separators=(",", ":")).encode()),
+    "in small chunks": lambda raw: chunked(json.dumps(raw).encode(), 1 + len(raw["servers"]) // 40),
+    "a line break behind": lambda raw: http(json.dumps(raw, indent=2).encode() + b"\r\n\r\n"),
+    "as it ends": lambda raw: endless(http(json.dumps(raw, indent=1).encode())),
+}
+
+
+@pytest.mark.parametrize("many", [0, 200])
+@pytest.mark.parametrize("form", FORMS)
+def test_a_list_is_read_in_any_form_and_in_pieces(form: str, many: int) -> None:
+    """A short one, and one that is read in parts. It leaves out `b`, which has gone by that."""
+
+    async def scenario() -> None:
+        agent, script = Held(), Script(lambda event: [])
+        task = asyncio.create_task(first_answers(agent))
+        async with site(decisions=script, discovery=agent) as one:  # type: ignore[arg-type]
+            await task
+            others = [row(f"m{n}", 1000 + n) | {"note": "x" * 400} for n in range(many)]
+            rows = [row("a", 80, "Terminating"), *others]
+            data = FORMS[form]({"version": 9, "full": True, "servers": rows})
+            assert (len(data) > PART_BODY) is (many > 0)
+            writer = await agent.call(1)
+            for at in range(0, len(data), 1 + len(data) // 50):
+                writer.write(data[at : at + 1 + len(data) // 50])
+                await asyncio.sleep(0)
+            if form == "as it ends":
+                writer.close()
+            await until(lambda: states(script)["a"] == "draining")
+            assert "b" not in one.program.servers.known()
+            assert len(one.program.servers.known()) == 1 + many
+
+    play(scenario())
+
+
 @pytest.mark.parametrize("bad", UNREADABLE)
 @pytest.mark.parametrize("full", [False, True])
 def test_a_row_that_cant_be_read_hides_no_drain_in_another(bad: Any, full: bool, quick: None) -> None:
