A connection whose command waits for its turn is not closed as silent

What was read would have been thrown away.

Such a connection stays, as one with bytes in the machine does. And a second word that need not be asked for any more (another address, an answer that is taken) no longer marks the next call as one.

Test: `waits_for_its_turn` fails without the guard (the connection ends with no reply).

--- a/glenchute/deciders/watch.py
+++ b/glenchute/deciders/watch.py
@@ -106,7 +106,7 @@
     def move(self, now: float) -> list[Action]:
         """Another address: what is out at the old one counts no more."""
         closed = [*self.out, *([self.rest] if self.rest is not None else [])]
-        self.out, self.rest, self.beside, self.moved = [], None, 0, True
+        self.out, self.rest, self.beside, self.moved, self.hurried = [], None, 0, True, False
         self.due = now + self.turns.moved()
         return [Close(line) for line in closed]
 
@@ -159,7 +159,7 @@
         """A sound answer is in force; the next call goes after a pause."""
         closed = [one for one in self.out if one != line]
         self.out, self.rest, self.beside = [], line, 0
-        self.awaited = self.moved = False
+        self.awaited = self.moved = self.hurried = False
         self.due = now + pause_s
         return [Close(one) for one in closed]
 
--- a/glenchute/fronts/resp2/clients.py
+++ b/glenchute/fronts/resp2/clients.py
@@ -497,18 +497,19 @@
         self.flush()
 
     def end(self, reason: Reason) -> bool:
-        """Ends as `Places` says; False where bytes have come meanwhile that may be a command."""
+        """Ends as `Places` says; False where bytes have come that may be a command, or one has and waits for
+        its turn."""
         if self.transport is None:
             return True
         if reason in (Reason.STUCK, Reason.LINGERED, Reason.FLOOD):
             self.transport.abort()
-        elif reason is Reason.PARTIAL:
-            self.broken(resp.ProtocolError("the end of a command did not come"))
         elif reason is Reason.FULL:
             self.broken(resp.ProtocolError("too many connections"))
-        elif self.readable():
+        elif self.waiting or (reason is not Reason.PARTIAL and self.readable()):
             self.listener.places.revived(self.listener.loop.time(), self)
             return False
+        elif reason is Reason.PARTIAL:
+            self.broken(resp.ProtocolError("the end of a command did not come"))
         else:
             self.finish()
         return True
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,7 +18,7 @@
 import pytest
 
 from glenchute.backends.resp2 import SETTLE_S
-from glenchute.deciders import lifecycle
+from glenchute.deciders import lifecycle, places
 from glenchute.deciders.lifecycle import ACCEPT_S, KILL_S, MOST_HELD_S, Lifecycle
 from glenchute.deciders.places import Reason
 from glenchute.fronts.resp2 import clients
@@ -1151,3 +1151,41 @@
                 sock.close()
 
     play(scenario())
+
+
+def test_a_command_that_waits_for_its_turn_keeps_its_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    """However long the others' turns take: it has come whole, and its client is not late."""
+    for name in ("FIRST_COMMAND_S", "SILENT_S", "PARTIAL_S", "IDLE_S"):
+        monkeypatch.setattr(places, name, 0.01)
+    turn, end, held, reasons = clients.Listener.turn, Connection.end, True, list[Reason]()
+
+    def later(self: clients.Listener) -> None:
+        if held:
+            self.loop.call_later(0.005, self.turn)
+        else:
+            turn(self)
+
+    def told(self: Connection, reason: Reason) -> bool:
+        reasons.append(reason)
+        return end(self, reason)
+
+    monkeypatch.setattr(clients.Listener, "turn", later)
+    monkeypatch.setattr(Connection, "end", told)
+    word = b"x" * 60_000
+
+    async def scenario() -> None:
+        nonlocal held
+        async with site(always(SERVED)) as one:
+            listener = one.program.listener
+            listener.heaped = 2 * TURN_BYTES
+            sock = socket.create_connection(("127.0.0.1", one.port))
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+            sock.setblocking(False)
+            sock.sendall(packed(b"PING", word) * 2)
+            await until(lambda: listener.booked and not listener.booked[0].readable())
+            await until(lambda: reasons)
+            held = False
+            assert await received(sock, 2 * len(resp.bulk(word))) == resp.bulk(word) * 2
+            sock.close()
+
+    play(scenario())
