Crossings' whole processes listen on ports that no outgoing connection is given

By reading: its port was one given out for outgoing connections and freed again, and the process takes seconds to listen at a fifth of a core, so that another test's peer may be given it meanwhile. The same pattern stands in tests/test_peers.py (two tests of whole processes), left to its owner.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -38,6 +38,7 @@
 from heathglade.interface import Ending
 from heathglade.simhost import settings
 from lab.peers import Client, DiscoveryPeer, Peer, RespPeer, always, listing, play, row, until
+from lab.site import free_port
 from tests.loopback import (
     CHARGE,
     CUSTOMER,
@@ -101,9 +102,7 @@
     rows = [row("s0", server.port)]
     if isinstance(discovery, DiscoveryPeer):
         discovery.answers.append(listing(1, rows))
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        listen = int(free.getsockname()[1])
+    listen = free_port()
     raw = raw_config(discovery.port, counts.port, rows, listen)
     raw["settings"] = SETTINGS | {
         "profiles": [one | {"hard_limit_ms": longest_ms} for one in SETTINGS["profiles"]]
