--- a/glenchute/deciders/told.py
+++ b/glenchute/deciders/told.py
@@ -11,7 +11,9 @@
 - where lists are pushed, by an agent on this machine that answers at once and at no cost, what the agent has
   counts whether or not a call is out.
 
-Neither a rate nor an age of lists that an operator states changes them. Nobody tells a gateway when
+Neither a rate nor an age of lists that an operator states changes them, nor that an odd list takes a second
+word: it is asked for with no pause, and both answers fit into what is left for one (`watch.Watch.reach`).
+Nobody tells a gateway when
 discovery could be reached again: it may have been right after the last call was made, and that call may
 never be answered. So all is counted from there (`latest`).
 """
@@ -22,6 +24,7 @@
 TOLD_AFTER_WAIT_S = 2.0
 TOLD_MOVED_S = 4.0
 ANSWER_S = 2.0  # left for a new connection and its answer, by a service that is crowded but can be reached
+FRESH_S = 3.0  # a list that members have confirmed so long ago, at most, leaves discovery alone
 PUSHED_WAIT_S = 3.0  # of a watch where lists are pushed: half of `TOLD_S`, so that three tries fit
 
 
@@ -45,3 +48,9 @@
     misses is in force `TOLD_S` after it was made. Longer waits have `TOLD_AFTER_WAIT_S` beyond them, shorter
     ones cost calls just when a service that was away has all its callers back."""
     return TOLD_S - TOLD_AFTER_WAIT_S
+
+
+def left_alone() -> float:
+    """How long after such a word was out of date the next call goes at the latest: what came right after the
+    list was confirmed counts `TOLD_S` after that."""
+    return longest_pause() - FRESH_S
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -128,7 +128,9 @@
 
 def config(discovery: int, counter: int, rows: list[dict[str, Any]], **changes: Any) -> Config:
     """The same, read; the gateway listens on a free port."""
-    return replace(build(raw_config(discovery, counter, rows, free_port()), {}), **changes)
+    raw = raw_config(discovery, counter, rows, free_port())
+    raw["limits"]["sockets"] = changes.pop("sockets", raw["limits"]["sockets"])
+    return replace(build(raw, {}), **changes)
 
 
 @asynccontextmanager
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import json
+import math
 import random
 import socket
 import struct
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
@@ -16,9 +18,11 @@
 
 from glenchute.cli.run import LIST_WAIT_S
 from glenchute.deciders import pacing, told, watch
+from glenchute.deciders.fleet import coldstart
+from glenchute.deciders.fleet.coldstart import ListShare
 from glenchute.deciders.pacing import Pacing, Terms
 from glenchute.deciders.watch import Ask, Close, Open, Watch
-from glenchute.peers.discovery import Discovery, ListError, read_list
+from glenchute.peers.discovery import PART_BODY, Discovery, ListError, read_list
 from glenchute.peers.discovery import Held as HeldList
 from heathglade import interface as api
 from lab.peers import Peer, always, http, listing, play, row, until
@@ -281,6 +285,54 @@
     assert sum(seconds) / 50.0 <= count / 3.5 and max(seconds) <= 1.5 * count / 3.5
 
 
+def heard_beside_members(terms: Terms, words: list[tuple[float, float]], change: float, late: float) -> float:
+    """When one that leaves asking to its members has a change in force of which none of them tells. `words`:
+    when they come, and for when each confirms the list held, a moment before the change."""
+    share = ListShare("m9", 0.0, random.Random(1))
+    share.version, share.confirmed = 5, 0.0
+    share.leased = False  # others ask
+    one = Watch(Pacing(terms, random.Random(1)), lambda: share.waits(now, ["m0"]))
+    now, answers, words = 0.0, dict[int, float](), sorted(words, reverse=True)
+    one.begin(0.0, 0.0, False)
+    while True:
+        line, at = min(answers.items(), key=lambda pair: pair[1], default=(0, math.inf))
+        told_at = words[-1][0] if words else math.inf
+        now = max(now, min(at, one.due, told_at))
+        if told_at <= now:
+            share.confirmed = max(share.confirmed, words.pop()[1])
+        elif one.due <= now:
+            for action in one.tick(now, True):
+                if isinstance(action, Close):
+                    answers.pop(action.line, None)
+                else:
+                    answers[action.line] = now + late if now >= change else max(now + late, change)
+        elif now >= change:
+            return now
+        else:
+            one.answered(now, line, 0.0)
+            answers.clear()
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    st.sampled_from([1, 40, 520]), st.sampled_from([0.5, 15.0]), st.sampled_from([None, 2.5, 30.0, 3600.0]),
+    st.lists(st.tuples(st.floats(0.0, 40.0), st.floats(0.0, 3.0))), st.floats(0.0, 40.0), st.floats(0.0, 1.0),
+)  # fmt: skip
+def test_who_leaves_asking_to_members_hears_a_change_in_time(
+    gateways: int, rate: float, age: float | None, words: list[tuple[float, float]], change: float,
+    share: float,
+) -> None:  # fmt: skip
+    """Words of members may stop at any moment, whatever age of lists the operators state."""
+    confirming = [(at, max(0.0, at - old)) for at, old in words if at - old <= change]
+    terms = Terms(gateways, gateways - 1, rate, age)
+    heard = heard_beside_members(terms, confirming, change, share * told.ANSWER_S)
+    assert heard <= change + told.TOLD_S + 1e-6
+
+
+def test_a_members_word_is_no_fresher_than_the_terms_take_it_for() -> None:
+    assert coldstart.FRESH_S <= told.FRESH_S
+
+
 # --- on sockets ------------------------------------------------------------------------------------------
 
 
@@ -494,6 +546,49 @@
     play(scenario())
 
 
+def chunked(body: bytes, size: int) -> bytes:
+    parts = [body[at : at + size] for at in range(0, len(body), size)]
+    sent = b"".join(b"%x;note=1\r\n%b\r\n" % (len(part), part) for part in parts)
+    return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + sent + b"0\r\n\r\n"
+
+
+FORMS: dict[str, Callable[[Any], bytes]] = {
+    "indented": lambda raw: http(json.dumps(raw, indent=4).encode()),
+    "indented by tabs, in chunks": lambda raw: chunked(json.dumps(raw, indent="\t").encode(), 7),
+    "with no space": lambda raw: http(json.dumps(raw, separators=(",", ":")).encode()),
+    "in small chunks": lambda raw: chunked(json.dumps(raw).encode(), 1 + len(raw["servers"]) // 40),
+    "a line break behind": lambda raw: http(json.dumps(raw, indent=2).encode() + b"\r\n\r\n"),
+    "as it ends": lambda raw: endless(http(json.dumps(raw, indent=1).encode())),
+}
+
+
+@pytest.mark.parametrize("many", [0, 200])
+@pytest.mark.parametrize("form", FORMS)
+def test_a_list_is_read_in_any_form_and_in_pieces(form: str, many: int) -> None:
+    """A short one, and one that is read in parts. It leaves out `b`, which has gone by that."""
+
+    async def scenario() -> None:
+        agent, script = Held(), Script(lambda event: [])
+        task = asyncio.create_task(first_answers(agent))
+        async with site(decisions=script, discovery=agent) as one:  # type: ignore[arg-type]
+            await task
+            others = [row(f"m{n}", 1000 + n) | {"note": "x" * 400} for n in range(many)]
+            rows = [row("a", 80, "Terminating"), *others]
+            data = FORMS[form]({"version": 9, "full": True, "servers": rows})
+            assert (len(data) > PART_BODY) is (many > 0)
+            writer = await agent.call(1)
+            for at in range(0, len(data), 1 + len(data) // 50):
+                writer.write(data[at : at + 1 + len(data) // 50])
+                await asyncio.sleep(0)
+            if form == "as it ends":
+                writer.close()
+            await until(lambda: states(script)["a"] == "draining")
+            assert "b" not in one.program.servers.known()
+            assert len(one.program.servers.known()) == 1 + many
+
+    play(scenario())
+
+
 @pytest.mark.parametrize("bad", UNREADABLE)
 @pytest.mark.parametrize("full", [False, True])
 def test_a_row_that_cant_be_read_hides_no_drain_in_another(bad: Any, full: bool, quick: None) -> None:
