SIGHUP reads the operator's file in a thread beside the loop; the last file wins

Seen to fail: read on the loop, four tests of tests/test_reload.py; without daemon, the stop in the middle; a reload dropped while one is read, the last file; warnings told at once, the lines a turn.

--- /dev/null
+++ b/glenchute/cli/aside.py
@@ -0,0 +1,97 @@
+"""Work that has no parts, in a thread beside the loop: tomllib takes 0.2 s and more for thousands of routes.
+
+The two share one processor by the interpreter's lock. It changes hands after `SWITCH_S` where both want it,
+so that each turn of the loop waits about that long, and not 5 ms as by default; while the thread works, a
+busy loop gets half of the processor. The thread touches nothing that the loop changes and writes no log, and
+ends with the process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import sys
+import threading
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+SWITCH_S = 0.0001
+
+T = TypeVar("T")
+
+
+class Switching:
+    """The interpreter's switch interval, short while any work is aside."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.users, self.usual = 0, 0.0
+
+    def begin(self) -> None:
+        """One more."""
+        with self.lock:
+            if not self.users:
+                self.usual = sys.getswitchinterval()
+                sys.setswitchinterval(SWITCH_S)
+            self.users += 1
+
+    def end(self) -> None:
+        """One less; the last sets the interval back."""
+        with self.lock:
+            self.users -= 1
+            if not self.users:
+                sys.setswitchinterval(self.usual)
+
+
+switching = Switching()
+
+
+class Aside(Generic[T]):
+    """Does one work at a time aside. `done` is called on the loop with each result, or with the exception.
+
+    Guarantees: of what is asked for while one is done, the latest is begun after that one has ended, and is
+    the last to be told; no more than it is kept. Nothing is told once the loop has been closed, and no end of
+    the process waits for the thread.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, done: Callable[[T | Exception], None]) -> None:
+        self.loop, self.done = loop, done
+        self.next: Callable[[], T] | None = None
+        self.busy = False
+
+    def ask(self, work: Callable[[], T]) -> None:
+        """Begins it, now or after what is being done."""
+        self.next = work
+        if not self.busy:
+            self.begin()
+
+    def begin(self) -> None:
+        """Starts the thread. Where the system gives none, that is the result."""
+        work, self.next = self.next, None
+        if work is None:
+            return
+        self.busy = True
+        switching.begin()
+        try:
+            threading.Thread(target=self.run, args=(work,), name="aside", daemon=True).start()
+        except RuntimeError as error:
+            self.end(error)
+
+    def run(self, work: Callable[[], T]) -> None:
+        """The thread."""
+        result: T | Exception
+        try:
+            result = work()
+        except Exception as error:
+            result = error
+        with contextlib.suppress(RuntimeError):  # the loop is closed: nobody waits for it
+            self.loop.call_soon_threadsafe(self.end, result)
+
+    def end(self, result: T | Exception) -> None:
+        """On the loop: tells, and begins what was asked for meanwhile."""
+        switching.end()
+        self.busy = False
+        try:
+            self.done(result)
+        finally:
+            self.begin()
--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -9,7 +9,8 @@
 import signal
 import sys
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any
+from functools import partial
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import uvloop
 
@@ -33,11 +34,13 @@
     from glenchute.capture.recorder import Recorder
     from glenchute.config.operator import Operator
     from glenchute.control.server import ControlServer
+    from glenchute.deciders.routes import Routes
     from glenchute.fronts.extproc.server import Server as ExtProc
     from glenchute.fronts.operations import OperationsServer
     from glenchute.peers.fleet.node import Fleet
     from heathglade.interface import ServerEntry
 
+    from .aside import Aside
     from .succession import Succession
 
 LIST_WAIT_S = 0.3  # a start waits this long for the list of the day before it serves by the saved one ...
@@ -45,6 +48,7 @@
 SERVING_S = 5.0  # attempts that fail so long after the last answer tell that no server answers
 LINGER_S = 0.05
 LOG_LINES_S = 20
+LINES_A_TURN = 50  # of warnings, whether the limit lets them through or not
 
 log = logging.getLogger("glenchute")
 
@@ -64,6 +68,14 @@
         return self.lines <= LOG_LINES_S
 
 
+class Reread(NamedTuple):
+    """What a sound operator's file brought when it was read again."""
+
+    routes: Routes
+    started: tuple[Any, ...]  # what holds from a start on
+    warnings: list[str]
+
+
 class Program:
     """One gateway process, from start to end."""
 
@@ -126,6 +138,7 @@
             self.fleet.follow, self.fleet.counter = self.gateway.news, self.counter
         # What of the operator's file holds until a restart.
         self.begun = started(operator) if operator is not None else None
+        self.aside: Aside[Reread] | None = None  # the reading of that file again
         self.stopping = asyncio.Event()
 
     def terms(self, asked: dict[str, Any]) -> Terms:
@@ -250,12 +263,10 @@
         return Succession.of(folder, self.config, self.loop, self.gateway, self.listener, self.servers)
 
     def bind(self, operator: Operator) -> None:
-        """The operator's routes hold for requests from now on; those that are open keep theirs."""
+        """The operator's routes hold for requests from the start on."""
         from glenchute.deciders.routes import Routes
 
-        routes = self.gateway.routes
-        seed = self.config.seed
-        self.gateway.routes = routes.replaced(operator.table) if routes else Routes(operator.table, seed)
+        self.gateway.routes = Routes(operator.table, self.config.seed)
 
     async def run(self, early: list[int]) -> None:
         """Serves until told to stop. `early` holds the signals that came before the loop ran."""
@@ -312,7 +323,8 @@
 
     def reload(self) -> None:
         """Reads the configuration again. Its addresses are followed; the rest holds until a restart. The
-        operator's file is read again too, and its routes are followed if all of it is sound."""
+        operator's file is read again too, beside the loop, and its routes are followed if all of it is
+        sound."""
         try:
             config = load(self.environ)
         except ConfigError as error:
@@ -327,16 +339,38 @@
             self.counter.move(config.counter)
         self.config = replace(self.config, discovery=config.discovery, counter=config.counter)
         if self.environ.get(OPERATOR):
-            try:
-                operator = read_operator(self.environ[OPERATOR], config)
-            except ConfigError as error:
-                log.error("the operator's file in force stays: %s", error)
-                return
-            self.bind(operator)
-            log.info("the operator's file was read again")
-            if self.begun is not None and started(operator) != self.begun:
-                tables = "[capture], [discovery], [fleet], [fronts], [pipeline] and [subset]"
-                log.warning("what changed in %s waits for a restart", tables)
+            self.reread(self.environ[OPERATOR], config)
+
+    def reread(self, path: str, config: Config) -> None:
+        """Reads the operator's file beside the loop, as it may take long; `follow` is told what came of it.
+        Asked for again meanwhile, it is read once more afterwards."""
+        from .aside import Aside
+
+        if self.aside is None:
+            self.aside = Aside(self.loop, self.follow)
+        self.aside.ask(partial(read_again, path, config))
+
+    def follow(self, found: Reread | Exception) -> None:
+        """A sound file's routes hold for requests from now on; a wrong one changes nothing. Each is told."""
+        if isinstance(found, Exception):
+            fault = None if isinstance(found, ConfigError) else found
+            log.error("the operator's file in force stays: %s", found, exc_info=fault)
+            return
+        routes = self.gateway.routes
+        self.gateway.routes = found.routes.after(routes) if routes is not None else found.routes
+        self.tell(found, 0)
+
+    def tell(self, found: Reread, first: int) -> None:
+        """Logs what was read, some lines a turn of the loop: a file may have a warning for each route."""
+        for line in found.warnings[first : first + LINES_A_TURN]:
+            log.warning("%s", line)
+        if first + LINES_A_TURN < len(found.warnings):
+            self.loop.call_soon(self.tell, found, first + LINES_A_TURN)
+            return
+        log.info("the operator's file was read again")
+        if self.begun is not None and found.started != self.begun:
+            tables = "[capture], [discovery], [fleet], [fronts], [pipeline] and [subset]"
+            log.warning("what changed in %s waits for a restart", tables)
 
     async def leave(self) -> None:
         """A planned end: takes what still comes, finishes what is held, and is gone before the kill."""
@@ -408,17 +442,33 @@
     await Program(config, loop, environ=environ, operator=operator).run(early)
 
 
-def read_operator(path: str, config: Config) -> Operator:
-    """The operator's file; with all that is wrong in a ConfigError. Imported only where one is named."""
+def checked(path: str, config: Config) -> tuple[Operator, list[str]]:
+    """The operator's file and its warnings; with all that is wrong in a ConfigError. Imported only where one
+    is named."""
     from glenchute.config.operator import read
 
     reading = read(path, config.facts)
     lines = [finding.render(path) for finding in reading.findings]
     if reading.operator is None:
         raise ConfigError("\n".join(lines))
+    return reading.operator, lines
+
+
+def read_again(path: str, config: Config) -> Reread:
+    """What a sound operator's file brings to a gateway that serves; ConfigError for a wrong one. Touches
+    nothing else, so that it may run beside the loop."""
+    from glenchute.deciders.routes import Routes
+
+    operator, warnings = checked(path, config)
+    return Reread(Routes(operator.table, config.seed), started(operator), warnings)
+
+
+def read_operator(path: str, config: Config) -> Operator:
+    """The same; the warnings are logged."""
+    operator, lines = checked(path, config)
     for line in lines:
         log.warning("%s", line)
-    return reading.operator
+    return operator
 
 
 def run(operator_file: str | None = None) -> int:
--- a/glenchute/deciders/routes.py
+++ b/glenchute/deciders/routes.py
@@ -185,6 +185,7 @@
         self.table = dict(table)
         self.rng = random.Random(seed)
         self.budgets: dict[str, Budget] = {}
+        self.rules = {route.name: route.budget for route in self.table.values() if route.budget is not None}
 
     def course(self, now: float, class_name: str, plan: str) -> Course | None:
         """A request has come; None where no route binds it."""
@@ -200,10 +201,12 @@
         return Course(route, budget, self.rng)
 
     def replaced(self, table: Mapping[tuple[str, str], Route]) -> Routes:
-        """Other routes from now on. Budgets of routes that keep their name and rule go on: a reload must not
-        hand out fresh ones."""
-        new = Routes(table, 0)
-        new.rng = self.rng
-        rules = {route.name: route.budget for route in new.table.values()}
-        new.budgets = {k: b for k, b in self.budgets.items() if rules.get(k) == b.rule}
-        return new
+        """Other routes from now on."""
+        return Routes(table, 0).after(self)
+
+    def after(self, old: Routes) -> Routes:
+        """These, in place of `old`. Budgets of routes that keep their name and rule go on: a reload must not
+        hand out fresh ones. Costs a step for each budget in use, whatever the table's size."""
+        self.rng = old.rng
+        self.budgets = {k: b for k, b in old.budgets.items() if self.rules.get(k) == b.rule}
+        return self
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,229 @@
+"""The operator's file read again, beside the loop: what is served meanwhile, which file wins, how it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+import threading
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+import glenchute.config.operator as operators
+from glenchute.cli import aside
+from glenchute.cli.aside import SWITCH_S, Aside
+from glenchute.cli.run import LINES_A_TURN, read_again
+from glenchute.config.facts import Facts
+from glenchute.config.operator import Reading
+from lab.faults import Fault, Kind, Script
+from lab.nodes import Node, Trade
+from lab.site import GatewayProcess, LabSite
+
+from .loopback import CUSTOMER, GET, SERVED, Site, always, play, site, until
+
+ROOT = Path(__file__).resolve().parent.parent
+STAYS = "the operator's file in force stays"
+AGAIN = "the operator's file was read again"
+
+
+def reads(name: str, attempts: int = 2) -> str:
+    return f"[[route]]\nname = '{name}'\nmatch = {{ class = 'read' }}\nattempts = {attempts}\n"
+
+
+class Held:
+    """Stands before `read`: each reading waits until the test lets it go, once it has the file's text."""
+
+    def __init__(self, patch: pytest.MonkeyPatch) -> None:
+        self.real: Callable[[str, Facts | None], Reading] = operators.read
+        self.begun, self.waited = 0, True
+        self.go = threading.Event()
+        patch.setattr(operators, "read", self.read)
+
+    def read(self, path: str, facts: Facts | None) -> Reading:
+        reading = self.real(path, facts)
+        self.begun += 1
+        self.waited &= self.go.wait(20.0)  # False: nobody could let it go, as on the loop
+        return reading
+
+
+def bound(one: Site) -> str:
+    """The name of the route in force."""
+    routes = one.program.gateway.routes
+    assert routes is not None
+    return routes.table["read", "basic"].name
+
+
+def test_requests_are_answered_while_a_file_is_read_and_the_last_file_wins(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    file = tmp_path / "operator.toml"
+
+    async def scenario() -> None:
+        async with site(always(SERVED), operator=reads("first")) as one:
+            program = one.program
+            held = Held(monkeypatch)
+
+            def reread(text: str) -> None:
+                file.write_text(text)
+                program.reread(str(file), program.config)
+
+            reread(reads("second"))
+            await until(lambda: held.begun == 1)
+            assert sys.getswitchinterval() == pytest.approx(SWITCH_S)
+            reread(reads("third"))
+            reread(reads("fourth"))
+            client = await one.client()
+            assert await client.ask(b"CALL.GET", CUSTOMER, b"1", GET) == b"value"
+            assert bound(one) == "first" and held.begun == 1
+            held.go.set()
+            await until(lambda: bound(one) == "fourth")
+            assert held.begun == 2 and held.waited  # the third was overtaken, none is read twice
+            await until(lambda: program.aside is not None and not program.aside.busy)
+            assert sys.getswitchinterval() > SWITCH_S
+
+    play(scenario())
+
+
+def test_a_wrong_file_changes_nothing_and_is_told_whole(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Also where the reading itself breaks, or no thread can be had; the next file is followed."""
+    file = tmp_path / "operator.toml"
+    caplog.set_level(logging.INFO, "glenchute")
+
+    async def scenario() -> None:
+        async with site(always(SERVED), operator=reads("first")) as one:
+            program = one.program
+
+            def told() -> list[str]:
+                return [record.getMessage() for record in caplog.records if STAYS in record.getMessage()]
+
+            async def refused(text: str) -> str:
+                before = len(told())
+                file.write_text(text)
+                program.reread(str(file), program.config)
+                await until(lambda: len(told()) > before)
+                assert bound(one) == "first" and sys.getswitchinterval() > SWITCH_S
+                return told()[-1]
+
+            wrong = "".join(reads(f"r{n}", attempts=7) for n in range(300))
+            lines = (await refused(wrong)).splitlines()
+            assert sum("error equal-rank" in line for line in lines) == 299
+            assert any("error attempts-over-cap: route[0].attempts" in line for line in lines)
+            assert "error not-toml" in await refused("[[route]\n")
+            with monkeypatch.context() as patch:
+                def broken(path: str, facts: Facts | None) -> Reading:
+                    raise MemoryError("no more")
+
+                patch.setattr(operators, "read", broken)
+                assert "no more" in await refused(reads("second"))
+            with monkeypatch.context() as patch:
+                def none(*_: object, **__: object) -> None:
+                    raise RuntimeError("can't start new thread")
+
+                patch.setattr(threading.Thread, "start", none)
+                assert "can't start new thread" in await refused(reads("second"))
+            program.reread(str(file), program.config)
+            await until(lambda: bound(one) == "second")
+
+    play(scenario())
+
+
+def test_a_warning_for_each_route_is_told_some_lines_a_turn(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    file = tmp_path / "operator.toml"
+    caplog.set_level(logging.INFO, "glenchute")
+    count = 2 * LINES_A_TURN + 20
+    file.write_text(reads("r0", attempts=1) + "backoff = { first_ms = 5 }\n")
+
+    async def scenario() -> None:
+        async with site(always(SERVED), operator=reads("first")) as one:
+            program = one.program
+            program.reread(str(file), program.config)
+            await until(lambda: any(AGAIN in record.getMessage() for record in caplog.records))
+            (line,) = [r.getMessage() for r in caplog.records if "warning" in r.getMessage()]
+            assert "backoff-unused: route[0].backoff" in line
+            caplog.clear()
+            found = read_again(str(file), program.config)
+            found = found._replace(warnings=[f"w{n}" for n in range(count)])
+            program.follow(found)
+            assert len(caplog.records) == LINES_A_TURN and bound(one) == "r0"
+            await until(lambda: len(caplog.records) > count)
+            assert [r.getMessage() for r in caplog.records] == [*found.warnings, AGAIN]
+
+    play(scenario())
+
+
+def test_the_loop_turns_while_thousands_of_routes_are_read(tmp_path: Path) -> None:
+    """Turns that began while the file was being read; on the loop there would be none."""
+    file = tmp_path / "operator.toml"
+    file.write_text("".join(reads(f"r{n}") for n in range(2_700)))
+
+    async def scenario() -> None:
+        async with site(always(SERVED), operator=reads("first")) as one:
+            program, turns = one.program, 0
+            program.reread(str(file), program.config)
+            while program.aside is not None and program.aside.busy:
+                turns += 1
+                await asyncio.sleep(0)
+            assert turns > 20 and bound(one) == "first"
+
+    play(scenario())
+
+
+def test_nothing_is_told_to_a_loop_that_has_closed() -> None:
+    told: list[bool | Exception] = []
+    loop, go = asyncio.new_event_loop(), threading.Event()
+    one: Aside[bool] = Aside(loop, told.append)
+    one.ask(lambda: go.wait(20.0))
+    loop.close()
+    go.set()
+    for thread in [t for t in threading.enumerate() if t.name == "aside"]:
+        thread.join(20.0)
+        assert not thread.is_alive()
+    aside.switching.end()
+    assert told == [] and sys.getswitchinterval() > SWITCH_S
+
+
+HOLD = """\
+import sys, threading
+import glenchute.config.operator as operators
+real, count = operators.read, 0
+def read(path, facts):
+    global count
+    count += 1
+    if count > 1:
+        print("a reading that does not end", file=sys.stderr, flush=True)
+        threading.Event().wait()
+    return real(path, facts)
+operators.read = read
+"""
+
+
+def test_a_stop_in_the_middle_of_a_reading_ends_well(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    (tmp_path / "sitecustomize.py").write_text(HOLD)
+    monkeypatch.setenv("PYTHONPATH", f"{tmp_path}:{ROOT}")
+    quiet = [Node("n0", Trade({"report-read": 1.0}), Script([Fault(Kind.VANISH, 0.0, 1e9)]))]
+
+    async def scenario() -> None:
+        async with LabSite(quiet) as lab:
+            gateway = GatewayProcess(tmp_path, lab.platform(), reads("r").replace("read", "report-read"))
+            gateway.start()
+            try:
+                await gateway.ready()
+                gateway.signal(signal.SIGHUP)
+                await until(lambda: "does not end" in gateway.log.read_text())
+                gateway.signal(signal.SIGHUP)
+                await gateway.ready()  # still answers
+            finally:
+                assert await gateway.stop(15.0) == 0
+            log = gateway.log.read_text()
+            assert "has ended" in log and "Traceback" not in log and "Fatal" not in log
+
+    play(scenario())
