--- a/glenchute/config/operator.py
+++ b/glenchute/config/operator.py
@@ -117,8 +117,9 @@
 class Faults:
     """Collects findings by path; lines are looked up at the end, and only where there are any."""
 
-    def __init__(self) -> None:
+    def __init__(self, rest: Callable[[], None] | None = None) -> None:
         self.rows: list[tuple[str, Path, str, bool]] = []
+        self.rest = rest or nothing  # called once a route, where others wait for the processor
 
     def __call__(self, code: str, path: Path, message: str, warning: bool = False) -> None:
         self.rows.append((code, path, message, warning))
@@ -129,15 +130,20 @@
         from .locate import line_of, positions  # only where something is wrong
 
         found = positions(text)
-        made = ordered(
-            Finding(code, line_of(path, found), label(path), message, warning)
-            for code, path, message, warning in self.rows
-        )
+        made: list[Finding] = []
+        for code, path, message, warning in self.rows:
+            made.append(Finding(code, line_of(path, found), label(path), message, warning))
+            self.rest()
+        made = ordered(made)
         while found:  # see `drain`
             found.popitem()
         return made
 
 
+def nothing() -> None:
+    """No rest."""
+
+
 def contents(path: str) -> str | Finding:
     """The text of the file, or why there is none. The size is bounded before anything is read, and a pipe or
     a device is not opened, as that might wait for ever."""
@@ -180,7 +186,7 @@
         place = re.search(r"at line (\d+)", str(error))
         line = int(place[1]) if place else text.count("\n") + 1
         return Reading(file, None, (Finding("not-toml", line, "", f"is not TOML: {error}"),))
-    faults = Faults()
+    faults = Faults(rest)
     good = SHAPE.check(raw, (), faults)
     operator = build(good, facts, faults)
     findings = tuple(faults.findings(text))
@@ -279,6 +285,7 @@
     for at, row in enumerate(good.get("route", [])):
         if row is MISSING:
             continue
+        faults.rest()
         path: Path = ("route", at)
         own_sense(row, path, faults)
         name = row.get("name", "")
@@ -362,6 +369,7 @@
             table[name, plan] = base
             bare.add(name)
     for place, one in enumerate(cover.routes):
+        faults.rest()
         path: Path = ("route", one.at)
         if one.rank and one.at not in used and cover.known(one):
             over = cover.shadowing(place)
--- a/tests/test_operator_matching.py
+++ b/tests/test_operator_matching.py
@@ -336,5 +336,8 @@
     text = head + each_its_own(50)
     assert in_parts(text, lambda: rests.append(None)) == tomllib.loads(text)
     assert len(rests) == 50
+    rests.clear()
+    assert parse(text, plans_of(5), rest=lambda: rests.append(None)).operator is not None
+    assert len(rests) == 3 * 50  # read, made, and looked at beside the others
     assert in_parts(text + 'more = """\n[[route]]\n"""\n', lambda: None) is None
     assert in_parts("[defaults]\n", lambda: None) == {"defaults": {}} and in_parts("", lambda: None) == {}
