--- a/glenchute/cli/aside.py
+++ b/glenchute/cli/aside.py
@@ -16,7 +16,10 @@
 import threading
 import time
 from collections.abc import Callable
-from typing import Generic, TypeVar
+from typing import TYPE_CHECKING, Any, Generic, NamedTuple, TypeVar
+
+if TYPE_CHECKING:
+    from glenchute.deciders.routes import Routes
 
 SWITCH_S = 0.0001
 SLICE_S, REST_S = 0.0004, 0.001  # of work in parts: on so long, off so long
@@ -24,6 +27,14 @@
 T = TypeVar("T")
 
 
+class Reread(NamedTuple):
+    """What a sound operator's file brought when it was read again."""
+
+    routes: Routes
+    started: tuple[Any, ...]  # what holds from a start on
+    warnings: list[str]
+
+
 class Pace:
     """When a work in parts rests."""
 
--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -10,7 +10,7 @@
 import sys
 from dataclasses import replace
 from functools import partial
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
@@ -34,13 +34,12 @@
     from glenchute.capture.recorder import Recorder
     from glenchute.config.operator import Operator
     from glenchute.control.server import ControlServer
-    from glenchute.deciders.routes import Routes
     from glenchute.fronts.extproc.server import Server as ExtProc
     from glenchute.fronts.operations import OperationsServer
     from glenchute.peers.fleet.node import Fleet
     from heathglade.interface import ServerEntry
 
-    from .aside import Aside
+    from .aside import Aside, Reread
     from .succession import Succession
 
 LIST_WAIT_S = 0.3  # a start waits this long for the list of the day before it serves by the saved one ...
@@ -68,14 +67,6 @@
         return self.lines <= LOG_LINES_S
 
 
-class Reread(NamedTuple):
-    """What a sound operator's file brought when it was read again."""
-
-    routes: Routes
-    started: tuple[Any, ...]  # what holds from a start on
-    warnings: list[str]
-
-
 class Program:
     """One gateway process, from start to end."""
 
@@ -461,7 +452,7 @@
     nothing else, so that it may run beside the loop."""
     from glenchute.deciders.routes import Routes
 
-    from .aside import Pace
+    from .aside import Pace, Reread
 
     try:
         operator, warnings = checked(path, config, Pace().rest)
--- a/glenchute/config/matching.py
+++ b/glenchute/config/matching.py
@@ -91,21 +91,12 @@
     return (bits & -bits).bit_length() - 1
 
 
-class Span(NamedTuple):
-    """What a route matches: each of these classes with each of these plans, by number and ascending."""
-
-    classes: Sequence[int]
-    plans: Sequence[int]
-
-
-class Clash(NamedTuple):
-    """A route, the first one that names equally many things and matches the same request, and the first such
-    request: class and plan, by number."""
-
-    one: Matched
-    other: Matched
-    class_at: int
-    plan_at: int
+# Plain tuples, as making a named one takes as long as reading a small file. Of a route: the numbers of its
+# classes and of its plans, each ascending; it matches each of those with each of these.
+Span = tuple[Sequence[int], Sequence[int]]
+# A route, the first one that names equally many things and matches the same request, and the first such
+# request: class and plan, by number.
+Clash = tuple[Matched, Matched, int, int]
 
 
 class Claims:
@@ -119,22 +110,23 @@
         """Takes what is free of its span; the first that was not. A row in which nothing is free is not
         walked, so that each can be walked whole but once."""
         clash = None
-        if not span.plans:
+        classes, plans = span
+        if not plans:
             return None
-        for at in span.classes:
+        for at in classes:
             row = self.rows[at]
             if not self.left[at]:
-                first = row[span.plans[0]]
+                first = row[plans[0]]
                 if clash is None and first is not None:
-                    clash = Clash(one, first, at, span.plans[0])
+                    clash = one, first, at, plans[0]
                 continue
-            for plan in span.plans:
+            for plan in plans:
                 other = row[plan]
                 if other is None:
                     row[plan] = one
                     self.left[at] -= 1
                 elif clash is None:
-                    clash = Clash(one, other, at, plan)
+                    clash = one, other, at, plan
         return clash
 
 
@@ -165,7 +157,7 @@
             classes = [at for at in classes if self.commands[at] in one.commands]
         if one.plans:
             plans = sorted({self.plan_at[name] for name in one.plans if name in self.plan_at})
-        return Span(classes, plans)
+        return classes, plans
 
     def known(self, one: Matched) -> bool:
         """Whether the platform has each class and plan that it names."""
@@ -184,11 +176,11 @@
     def shadowing(self, place: int) -> set[str]:
         """The names of the routes that name more than the one at `place` and match a request of its."""
         by_class, by_plan, any_plan, higher = self.sets = self.sets or self.gathered()
-        one, span = self.routes[place], self.spans[place]
+        one, (class_ats, plan_ats) = self.routes[place], self.spans[place]
         classes, plans = 0, 0 if one.plans else any_plan
-        for at in span.classes:
+        for at in class_ats:
             classes |= by_class[at]
-        for at in span.plans if one.plans else ():
+        for at in plan_ats if one.plans else ():
             plans |= by_plan[at]
         found, names = classes & plans & higher[one.rank], set()
         while found:
@@ -201,15 +193,15 @@
         by_class, by_plan = [0] * len(self.classes), [0] * len(self.plans)
         open_ = any_plan = 0  # that match each plan, that match one at least
         ranked = dict.fromkeys((0, *RANKS), 0)
-        for place, (one, span) in enumerate(zip(self.routes, self.spans, strict=True)):
+        for place, (one, (classes, plans)) in enumerate(zip(self.routes, self.spans, strict=True)):
             bit = 1 << place
-            for at in span.classes:
+            for at in classes:
                 by_class[at] |= bit
-            any_plan |= bit if span.plans else 0
+            any_plan |= bit if plans else 0
             if not one.plans:
                 open_ |= bit
             else:
-                for at in span.plans:
+                for at in plans:
                     by_plan[at] |= bit
             for rank in range(one.rank):
                 ranked[rank] |= bit
--- a/glenchute/config/operator.py
+++ b/glenchute/config/operator.py
@@ -31,7 +31,7 @@
 LONGEST_MS = 600_000.0
 CAUSES = {e.value: e for e in (Ending.FULL, Ending.UNREACHABLE, Ending.ERROR, Ending.RESET, Ending.TIMEOUT)}
 COMMANDS = ("GET", "POST")
-HEAD = re.compile(r"^\[\[route\]\]", re.MULTILINE)
+HEAD = r"^\[\[route\]\]"
 
 BOUNDS: dict[str, Any] = {
     "attempt_timeout_ms": Number(0, LONGEST_MS, above=True),
@@ -205,7 +205,7 @@
     A part is read by itself, so that a line that looks like a route's head but stands in a string leaves a
     part that is no TOML, and that or a table in two parts makes for a reading of the whole, which tells what
     is wrong with its line."""
-    starts = [found.start() for found in HEAD.finditer(text)]
+    starts = [found.start() for found in re.finditer(HEAD, text, re.MULTILINE)]
     rows: list[Any] = []
     try:
         whole = tomllib.loads(text[: starts[0]] if starts else text)
@@ -308,7 +308,7 @@
         return Operator({}, tuple(routes), good.get("capture"), fronts, shared, *kept)
     cover = Cover(routes, facts)
     if not unknown_names(cover, facts, faults):
-        equal_ranks(((c.one, c.other, request(cover, c)) for c in cover.clashes), faults)
+        equal_ranks(((clash[0], clash[1], request(cover, clash)) for clash in cover.clashes), faults)
     table = resolved(cover, base, facts, faults)
     return Operator(table, tuple(routes), good.get("capture"), fronts, shared, *kept)
 
@@ -350,8 +350,8 @@
 
 def request(cover: Cover, clash: Clash) -> str:
     """What both routes match, in words."""
-    at = clash.class_at
-    return f"{cover.commands[at]} of class {cover.classes[at]}, plan {cover.plans[clash.plan_at]}"
+    _, _, at, plan = clash
+    return f"{cover.commands[at]} of class {cover.classes[at]}, plan {cover.plans[plan]}"
 
 
 def resolved(
@@ -373,11 +373,11 @@
         path: Path = ("route", one.at)
         if one.rank and one.at not in used and cover.known(one):
             over = cover.shadowing(place)
-            span = cover.spans[place]
+            classes, plans = cover.spans[place]
             if over:
                 names = ", ".join(sorted(over))
                 faults("never-matches", path, f"is shadowed by {names}; drop it or name less there")
-            elif not span.classes or not span.plans:
+            elif not classes or not plans:
                 faults("never-matches", path, "matches no class of the platform: safe classes come by GET, "
                        "the others by POST; mend match")  # fmt: skip
         for name in sorted(used.get(one.at, ())):
