--- a/glenchute/config/operator.py
+++ b/glenchute/config/operator.py
@@ -9,7 +9,8 @@
 import re
 import stat
 import tomllib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable
+from itertools import pairwise
 from typing import Any, NamedTuple
 
 from glenchute.deciders.routes import Backoff, BudgetRule, Route
@@ -20,15 +21,17 @@
 from .findings import Finding, fatal, ordered
 from .fleet import FLEET
 from .fronts import FRONTS
+from .matching import Clash, Cover, Matched, clashes, parts
 from .pipeline import MOST_DEPTH, PIPELINE
 from .rules import violations
 from .schema import MISSING, Number, Path, Rows, Switch, Table, Word, Words, label
 
-MOST_BYTES = 256 * 1024
-MOST_ROUTES = 500
+MOST_BYTES = 1024 * 1024
+MOST_ROUTES = 5_000
 LONGEST_MS = 600_000.0
 CAUSES = {e.value: e for e in (Ending.FULL, Ending.UNREACHABLE, Ending.ERROR, Ending.RESET, Ending.TIMEOUT)}
 COMMANDS = ("GET", "POST")
+HEAD = r"^\[\[route\]\]"
 
 BOUNDS: dict[str, Any] = {
     "attempt_timeout_ms": Number(0, LONGEST_MS, above=True),
@@ -90,26 +93,6 @@
 )
 
 
-class Matched(NamedTuple):
-    """A route of the file with what it matches; an empty tuple matches all."""
-
-    at: int
-    route: Route
-    classes: tuple[str, ...]
-    plans: tuple[str, ...]
-    commands: tuple[str, ...]
-
-    @property
-    def rank(self) -> int:
-        """How specific it is: the number of things that it names."""
-        return sum(1 for names in parts(self) if names)
-
-    def covers(self, class_name: str, plan: str, command: str) -> bool:
-        """Whether it matches such a request."""
-        pairs = zip(parts(self), (class_name, plan, command), strict=True)
-        return all(not names or name in names for names, name in pairs)
-
-
 class Operator(NamedTuple):
     """A file that may be loaded: what binds each class and plan."""
 
@@ -134,8 +117,9 @@
 class Faults:
     """Collects findings by path; lines are looked up at the end, and only where there are any."""
 
-    def __init__(self) -> None:
+    def __init__(self, rest: Callable[[], None] | None = None) -> None:
         self.rows: list[tuple[str, Path, str, bool]] = []
+        self.rest = rest or nothing  # called once a route, where others wait for the processor
 
     def __call__(self, code: str, path: Path, message: str, warning: bool = False) -> None:
         self.rows.append((code, path, message, warning))
@@ -146,10 +130,18 @@
         from .locate import line_of, positions  # only where something is wrong
 
         found = positions(text)
-        return ordered(
-            Finding(code, line_of(path, found), label(path), message, warning)
-            for code, path, message, warning in self.rows
-        )
+        made: list[Finding] = []
+        for code, path, message, warning in self.rows:
+            made.append(Finding(code, line_of(path, found), label(path), message, warning))
+            self.rest()
+        made = ordered(made)
+        while found:  # see `drain`
+            found.popitem()
+        return made
+
+
+def nothing() -> None:
+    """No rest."""
 
 
 def contents(path: str) -> str | Finding:
@@ -175,34 +167,79 @@
         return Finding("not-utf8", line, "", "holds bytes that are not UTF-8; save it as UTF-8")
 
 
-def read(path: str, facts: Facts | None) -> Reading:
-    """Reads and checks a file. Without `facts` only its own shape is checked."""
+def read(path: str, facts: Facts | None, rest: Callable[[], None] | None = None) -> Reading:
+    """Reads and checks a file. Without `facts` only its own shape is checked. `rest` is called between parts
+    of the reading, where others wait for the processor."""
     text = contents(path)
     if isinstance(text, Finding):
         return Reading(path, None, (text,))
-    return parse(text, facts, path)
+    return parse(text, facts, path, rest)
 
 
-def parse(text: str, facts: Facts | None, file: str = "operator.toml") -> Reading:
+def parse(
+    text: str, facts: Facts | None, file: str = "operator.toml", rest: Callable[[], None] | None = None
+) -> Reading:
     """The same for a text."""
     try:
-        raw = tomllib.loads(text)
+        raw = (in_parts(text, rest) if rest is not None else None) or tomllib.loads(text)
     except (tomllib.TOMLDecodeError, RecursionError) as error:
         place = re.search(r"at line (\d+)", str(error))
         line = int(place[1]) if place else text.count("\n") + 1
         return Reading(file, None, (Finding("not-toml", line, "", f"is not TOML: {error}"),))
-    faults = Faults()
+    faults = Faults(rest)
     good = SHAPE.check(raw, (), faults)
     operator = build(good, facts, faults)
     findings = tuple(faults.findings(text))
-    return Reading(file, None if fatal(findings) else operator, findings)
-
-
-def bounds_of(name: str, raw: dict[str, Any], base: Route | None = None) -> Route:
-    """The route that a table's keys make; keys that it leaves out are those of `base`."""
+    sound = not fatal(findings)
+    routes = [] if sound else list(operator.routes)
+    reading = Reading(file, operator if sound else None, findings)
+    del operator  # of a wrong file its parts are left, to be freed as the rest
+    for rows in (raw.get("route"), good.get("route"), faults.rows, routes):
+        drain(rows)
+    return reading
+
+
+def in_parts(text: str, rest: Callable[[], None]) -> dict[str, Any] | None:
+    """What tomllib makes of a text, read route by route; None where it has to be read whole.
+
+    A part is read by itself, so that a line that looks like a route's head but stands in a string leaves a
+    part that is no TOML, and that or a table in two parts makes for a reading of the whole, which tells what
+    is wrong with its line."""
+    starts = [found.start() for found in re.finditer(HEAD, text, re.MULTILINE)]
+    rows: list[Any] = []
+    try:
+        whole = tomllib.loads(text[: starts[0]] if starts else text)
+        for begin, end in pairwise([*starts, len(text)]):
+            if "route" in whole:
+                return None
+            part = tomllib.loads(text[begin:end])
+            rows += part.pop("route")
+            if part.keys() & whole.keys():
+                return None
+            whole.update(part)
+            rest()
+    except (tomllib.TOMLDecodeError, RecursionError):
+        return None
+    return {**whole, "route": rows} if rows else whole
+
+
+def drain(rows: object) -> None:
+    """Frees a list entry by entry. Thousands of tables freed at once take milliseconds in which no other
+    thread runs, and a gateway that reads its file again serves meanwhile."""
+    while isinstance(rows, list) and rows:
+        rows.pop()
+
+
+def bounds_of(
+    name: str, raw: dict[str, Any], base: Route | None = None, shared: dict[Any, Any] | None = None
+) -> Route:
+    """The route that a table's keys make; keys that it leaves out are those of `base`. Routes made with the
+    same `shared` hold equal values once."""
+    same = (shared if shared is not None else {}).setdefault
     made = base._replace(name=name) if base is not None else Route(name)
     if "attempt_timeout_ms" in raw:
-        made = made._replace(attempt_timeout_ms=raw["attempt_timeout_ms"])
+        timeout = raw["attempt_timeout_ms"]
+        made = made._replace(attempt_timeout_ms=same(timeout, timeout))
     if "attempts" in raw:
         made = made._replace(attempts=raw["attempts"])
     if "second_copy_after_ms" in raw:
@@ -210,15 +247,18 @@
     if "pipeline_depth" in raw:
         made = made._replace(depth=raw["pipeline_depth"])
     if "retry_on" in raw:
-        made = made._replace(causes=frozenset(CAUSES[word] for word in raw["retry_on"]))
+        causes = frozenset(CAUSES[word] for word in raw["retry_on"])
+        made = made._replace(causes=same(causes, causes))
     backoff, budget = raw.get("backoff", {}), raw.get("retry_budget", {})
     if "first_ms" in backoff:
         first = backoff["first_ms"]
         most = backoff.get("most_ms", max(first, 1000.0))
         factor, jitter = backoff.get("factor", 2.0), backoff.get("jitter", 0.0)
-        made = made._replace(backoff=Backoff(first, factor, most, jitter))
+        pauses = Backoff(first, factor, most, jitter)
+        made = made._replace(backoff=same(pauses, pauses))
     if "share" in budget:
-        made = made._replace(budget=BudgetRule(budget["share"], budget.get("least_per_s", 0.0)))
+        rule = BudgetRule(budget["share"], budget.get("least_per_s", 0.0))
+        made = made._replace(budget=same(rule, rule))
     return made
 
 
@@ -241,9 +281,11 @@
         own_sense(good["defaults"], ("defaults",), faults)
     routes: list[Matched] = []
     names: dict[str, int] = {}
+    values: dict[Any, Any] = {}
     for at, row in enumerate(good.get("route", [])):
         if row is MISSING:
             continue
+        faults.rest()
         path: Path = ("route", at)
         own_sense(row, path, faults)
         name = row.get("name", "")
@@ -256,27 +298,34 @@
         if "match" in row and not match:
             faults("empty-match", (*path, "match"), "matches everything; use [defaults] for that")
         found = tuple(match.get(key, ()) for key in ("class", "plan", "command"))
-        routes.append(Matched(at, bounds_of(name, row, base), *found))
+        routes.append(Matched(at, bounds_of(name, row, base, values), *found))
     narrow = good.get("subset", {})
     if narrow.get("calm", 0.5) >= narrow.get("busy", 2.0):
         faults("subset-order", ("subset",), "calm is not under busy, so servers would come and go; lower it")
     kept = good.get("fleet"), good.get("discovery"), good.get("subset")
     if facts is None:
-        equal_ranks(routes, None, faults)
+        equal_ranks(((one, other, "a request") for one, other in clashes(routes)), faults)
         return Operator({}, tuple(routes), good.get("capture"), fronts, shared, *kept)
-    known = True
-    for one in routes:
-        for key, given, there in (("class", one.classes, facts.classes), ("plan", one.plans, facts.plans)):
-            for word in given:
+    cover = Cover(routes, facts)
+    if not unknown_names(cover, facts, faults):
+        equal_ranks(((clash[0], clash[1], request(cover, clash)) for clash in cover.clashes), faults)
+    table = resolved(cover, base, facts, faults)
+    return Operator(table, tuple(routes), good.get("capture"), fronts, shared, *kept)
+
+
+def unknown_names(cover: Cover, facts: Facts, faults: Faults) -> int:
+    """Tells of the classes and plans that the platform doesn't have; how many names these are."""
+    count = 0
+    for key, there, names, pick in (("class", cover.class_at, facts.classes, 0),
+                                    ("plan", cover.plan_at, facts.plans, 1)):  # fmt: skip
+        known = ", ".join(names)
+        for one in cover.routes:
+            for word in parts(one)[pick]:
                 if word not in there:
-                    known = False
+                    count += 1
                     faults(f"unknown-{key}", ("route", one.at, "match", key),
-                           f"{word[:40]!r} is no {key} of the platform; write one of {', '.join(there)}",
-                           )  # fmt: skip
-    if known:
-        equal_ranks(routes, facts, faults)
-    table = resolved(routes, base, facts, faults)
-    return Operator(table, tuple(routes), good.get("capture"), fronts, shared, *kept)
+                           f"{word[:40]!r} is no {key} of the platform; write one of {known}")  # fmt: skip
+    return count
 
 
 def own_sense(raw: dict[str, Any], path: Path, faults: Faults) -> None:
@@ -290,73 +339,45 @@
         faults("budget-of-nothing", (*path, "retry_budget"), "allows no further attempt; write attempts = 1")
 
 
-def combinations(facts: Facts) -> Iterator[tuple[str, str, str]]:
-    """Every class with every plan, and the command that the class comes by."""
-    for name, cls in facts.classes.items():
-        for plan in facts.plans:
-            yield name, plan, cls.command
-
-
-def overlaps(one: tuple[str, ...], other: tuple[str, ...]) -> bool:
-    """Whether two lists of names have one in common; an empty one has all."""
-    return not one or not other or bool(set(one) & set(other))
-
-
-def equal_ranks(routes: list[Matched], facts: Facts | None, faults: Faults) -> None:
+def equal_ranks(found: Iterable[tuple[Matched, Matched, str]], faults: Faults) -> None:
     """Two routes that name equally many things and can match the same request: none of them is the more
     specific, and the order in the file must not decide."""
-    clashes: dict[int, tuple[Matched, str]] = {}
-    if facts is None:
-        for at, one in enumerate(routes):
-            for other in routes[:at]:
-                pairs = zip(parts(one), parts(other), strict=True)
-                if one.rank == other.rank and one.rank and all(overlaps(a, b) for a, b in pairs):
-                    clashes.setdefault(one.at, (other, "a request"))
-    else:
-        for name, plan, command in combinations(facts):
-            first: dict[int, Matched] = {}
-            for one in routes:
-                if one.rank and one.covers(name, plan, command):
-                    other = first.setdefault(one.rank, one)
-                    if other is not one:
-                        clashes.setdefault(one.at, (other, f"{command} of class {name}, plan {plan}"))
-    for at, (other, what) in clashes.items():
-        faults("equal-rank", ("route", at, "match"),
+    for one, other, what in found:
+        faults("equal-rank", ("route", one.at, "match"),
                f"{what} matches route[{other.at}] ({other.route.name}) too, and neither names more; "
                "name more in one of them, or take the common part out")  # fmt: skip
 
 
-def parts(one: Matched) -> tuple[tuple[str, ...], ...]:
-    """What it names, by kind."""
-    return one.classes, one.plans, one.commands
+def request(cover: Cover, clash: Clash) -> str:
+    """What both routes match, in words."""
+    _, _, at, plan = clash
+    return f"{cover.commands[at]} of class {cover.classes[at]}, plan {cover.plans[plan]}"
 
 
 def resolved(
-    routes: list[Matched], base: Route | None, facts: Facts, faults: Faults
+    cover: Cover, base: Route | None, facts: Facts, faults: Faults
 ) -> dict[tuple[str, str], Route]:
     """Which route binds each class and plan; tells of routes that bind nothing, and of what each breaks."""
     table: dict[tuple[str, str], Route] = {}
     used: dict[int, set[str]] = {}
     bare: set[str] = set()
-    for name, plan, command in combinations(facts):
-        matching = [one for one in routes if one.rank and one.covers(name, plan, command)]
-        best = max(matching, key=lambda one: one.rank, default=None)
+    for name, plan, best in cover.binding():
         if best is not None:
             table[name, plan] = best.route
             used.setdefault(best.at, set()).add(name)
         elif base is not None:
             table[name, plan] = base
             bare.add(name)
-    for one in routes:
+    for place, one in enumerate(cover.routes):
+        faults.rest()
         path: Path = ("route", one.at)
-        mine = [combo for combo in combinations(facts) if one.covers(*combo)]
-        known = all(n in facts.classes for n in one.classes) and all(p in facts.plans for p in one.plans)
-        if one.rank and one.at not in used and known:
-            over = {o.route.name for combo in mine for o in routes if o.rank > one.rank and o.covers(*combo)}
+        if one.rank and one.at not in used and cover.known(one):
+            over = cover.shadowing(place)
+            classes, plans = cover.spans[place]
             if over:
                 names = ", ".join(sorted(over))
                 faults("never-matches", path, f"is shadowed by {names}; drop it or name less there")
-            elif not mine:
+            elif not classes or not plans:
                 faults("never-matches", path, "matches no class of the platform: safe classes come by GET, "
                        "the others by POST; mend match")  # fmt: skip
         for name in sorted(used.get(one.at, ())):
