--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -49,7 +49,7 @@
     unreachable,
     whole_list,
 )  # fmt: skip
-from .capacity_members import copying, lease_messages, members_kib, replica_kib, talk
+from .capacity_members import lease_messages, members_kib, replica_kib, talk, telling
 from .machine import machine
 from .slopes import Measure, Probe, cpu_ms, kib, table
 
@@ -164,9 +164,10 @@
 BEYOND = (290, 350, 410), GATEWAYS, GATEWAYS  # what is stated binds from 240 and 275 gateways on
 RATES = (20, 40, 80), round(RATE), round(RATE)
 TALKING = (30, 60, 120), 240, GATEWAYS
+TOLD = (20, 40, 80), 163, 163
 ROUTES_ARE = (50, 100, 200), MOST_ROUTES, ROUTES
 ADDED, CPU, MEMORY, BYTES = 3.9, 2.4, 32e6 / 1024.0, 11.0 / 1.024  # ms, percent, KiB, KiB/s: the limits
-LISTED, MEMBERS_, ROWS_S, CORE = "servers listed", "members", "rows/s heard", "% of a core"
+LISTED, MEMBERS_, ASKED, CORE = "servers listed", "members", "requests/s", "% of a core"
 ALL = "all listed used"
 ROLES: dict[str, list[Probe]] = {
     "gateway": [
@@ -222,11 +223,14 @@
               lambda n, s: talk(n, s, True).worst, *TALKING, 1024 * BYTES),
         Probe("a zone gone", MEMBERS_, CORE, lambda n, s: talk(n, s, True).cpu_percent, *TALKING, CPU),
         Probe("memory of members", MEMBERS_, "KiB", members_kib, *GATEWAYS_ARE, MEMORY),
-        Probe("words of use", ROWS_S, CORE, lambda n, s: copying(n, s)[0], (50, 100, 200), 800, 85_000, CPU),
-        Probe("words of use", ROWS_S, "KiB/s sent",
-              lambda n, s: copying(n, s)[1], (5, 10, 20), 40, 85_000, BYTES),
+        Probe("words of use, sets of 3", ASKED, CORE, lambda n, s: telling(n, s)[0], *TOLD, CPU),
+        Probe("words of use, sets of 3", ASKED, "words/s", lambda n, s: telling(n, s)[2], *TOLD),
+        Probe("words of use, sets of 3", ASKED, "KiB/s sent", lambda n, s: telling(n, s)[1], *TOLD, BYTES),
+        Probe("words of use, sets by share", ASKED, CORE, lambda n, s: telling(n, s, True)[0], *TOLD, CPU),
+        Probe("words of use, sets by share", ASKED, "KiB/s sent",
+              lambda n, s: telling(n, s, True)[1], *TOLD, BYTES),
         Probe("memory of words", "rows held", "KiB",
-              replica_kib, (2_000, 4_000, 8_000), 24_000, 40_000, MEMORY),
+              replica_kib, (1_000, 2_000, 4_000), 8_000, 8_000, MEMORY),
     ],
     "lease": [
         Probe("messages of all, 20 tasks", MEMBERS_, "messages/s",
--- a/benchmarks/capacity_members.py
+++ b/benchmarks/capacity_members.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import functools
+import math
 import random
 from collections import Counter as Tally
 from typing import NamedTuple
 
-from glenchute.deciders.fleet.gossip import Gossip, Pace, Rows
+from glenchute.deciders.fleet.directmail import Post, Ring, numbers_of
 from glenchute.deciders.fleet.members import Members, Out, Rules, State
 from glenchute.deciders.fleet.replica import Kind, Replica, Row
+from glenchute.deciders.fleet.use import Use
 from glenchute.peers.fleet.wire import decode, encode
+from heathglade.interface import Plan
+from heathglade.windows import window_start
 from lab.fleet.holders import Swarm
 from lab.fleet.simulated import Net
 
@@ -60,40 +64,148 @@
     return Talk(100.0 * spent / per, sent / per, total / per, worst)
 
 
+class Tenant(NamedTuple):
+    """Whose set reaches into the neighbourhood."""
+
+    name: str
+    share: float  # of the fleet's requests
+    first: int
+    spread: int
+    plan: Plan
+
+
+BLOCK = 9  # gateways played: one, those that may share a set of three with it, and those of these
+CENTRE = BLOCK // 2
+TENANTS, PEAK = 41_000, 85_000
+
+
+def tenants(seed: int, wide: bool) -> list[Tenant]:
+    """Those that the block meets: Zipf's law with exponent 1, sets of three, or as large as they have to be
+    for a gateway to spend a quarter of its requests on one at most. Plans of 4 units a second and 12 at once;
+    with large sets at least a quarter over what is asked at the peak."""
+    rng, whole, found = random.Random(seed), sum(1.0 / n for n in range(1, TENANTS + 1)), []
+    for number in range(1, TENANTS + 1):
+        share = 1.0 / number / whole
+        spread = max(3, min(GATEWAYS, math.ceil(share * GATEWAYS / 0.25))) if wide else 3
+        first = rng.randrange(GATEWAYS)
+        if any((gateway - first) % GATEWAYS < spread for gateway in range(BLOCK)):
+            plan = max(4.0, 1.25 * share * PEAK) if wide else 4.0
+            found.append(
+                Tenant(f"{4096 + number:016x}", share, first, spread, Plan("p", rate=plan, burst=3.0 * plan))
+            )
+    return found
+
+
+class Played(NamedTuple):
+    """What goes on, by step of 50 ms: requests let in (gateway, tenant), datagrams to the centre."""
+
+    let_in: list[list[tuple[int, Tenant]]]
+    heard: list[list[bytes]]
+
+
+def post_of(number: int, seed: int) -> Post:
+    """A gateway's part; all others take part."""
+    names = [f"g{n}" for n in range(GATEWAYS)]
+    ring = Ring(names[number], names, numbers_of(dict.fromkeys(names)), GATEWAYS)
+    use = Use(f"{names[number]}#1")
+    return Post(use, Replica(), ring, lambda name: True, random.Random(seed * 100 + number))
+
+
+def turn(post: Post, number: int, at: float, rows: list[tuple[int, Tenant]]) -> None:
+    """A gateway's requests of one step: what is looked up and written down for each."""
+    for gateway, tenant in rows:
+        if gateway == number:
+            window = window_start(1000.0 * at, tenant.name, tenant.plan)
+            post.use.by_others(tenant.name, window)
+            post.known(at, tenant.spread)
+            post.tell(at, post.use.let_in(tenant.name, window, 1.0, tenant.spread, tenant.plan))
+
+
+@functools.cache
+def played(requests_s: int, seed: int, wide: bool) -> Played:
+    """Ten seconds after ten of getting there; an account's quota lets in what its store holds."""
+    rng, known = random.Random(seed), tenants(seed, wide)
+    posts = {number: post_of(number, seed) for number in range(BLOCK)}
+    stores = {tenant.name: (0.0, tenant.plan.burst) for tenant in known}
+    # By what each asks of the block: its share of the requests that come through gateways that are played.
+    inside = [sum((g - t.first) % GATEWAYS < t.spread for g in range(BLOCK)) for t in known]
+    weights = [t.share / t.spread * n for t, n in zip(known, inside, strict=True)]
+    rate = requests_s * GATEWAYS * sum(weights)
+    let_in, heard, asked = [], [], 0.0
+    for step in range(1, 401):
+        at, rows, to_centre = 0.05 * step, [], []
+        asked += rate * 0.05
+        for tenant in rng.choices(known, weights, k=int(asked)):
+            # The rest of its set asks for its part of the quota.
+            number = sum((g - tenant.first) % GATEWAYS < tenant.spread for g in range(BLOCK))
+            fill = tenant.plan.rate * number / tenant.spread
+            since, store = stores[tenant.name]
+            store = min(tenant.plan.burst, store + fill * (at - since))
+            stores[tenant.name] = at, store - (store >= 1.0)
+            if store >= 1.0:
+                ours = [g for g in range(BLOCK) if (g - tenant.first) % GATEWAYS < tenant.spread]
+                rows.append((rng.choice(ours), tenant))
+        asked -= int(asked)
+        for number, post in posts.items():
+            turn(post, number, at, rows)
+            for letter in post.tick(at):
+                other = int(letter.to[1:])
+                if other in posts:
+                    data = encode("site", f"g{number}", 1, letter.body)
+                    if other == CENTRE:
+                        to_centre.append(data)
+                    else:
+                        for answer in posts[other].heard(at, f"g{number}", 1, letter.body):
+                            if answer.to == f"g{CENTRE}":
+                                to_centre.append(encode("site", f"g{other}", 1, answer.body))
+                            elif int(answer.to[1:]) in posts:
+                                posts[int(answer.to[1:])].heard(at, f"g{other}", 1, answer.body)
+            post.replica.expire(at)
+            post.expire()
+        let_in.append(rows)
+        heard.append(to_centre)
+        deliver(posts, at, to_centre)
+    return Played(let_in, heard)
+
+
+def deliver(posts: dict[int, Post], at: float, datagrams: list[bytes]) -> None:
+    """The centre's mail, and its answers."""
+    for data in datagrams:
+        sender, boot, body = decode("site", data)
+        for answer in posts[CENTRE].heard(at, sender, boot, body):  # type: ignore[arg-type]
+            if int(answer.to[1:]) in posts:
+                posts[int(answer.to[1:])].heard(at, f"g{CENTRE}", 1, answer.body)
+
+
 @functools.cache
-def copying(rows_s: int, seed: int) -> tuple[float, float]:
-    """One copy that hears so many rows of use a second, from 40 members: percent of a core, KiB a second that
-    it sends (as it books them)."""
-    rng, replica = random.Random(seed), Replica()
-    gossip = Gossip(replica, Pace(), random.Random(seed))
-    gossip.known, names = True, [f"g{n}" for n in range(40)]
-    steps: list[list[bytes]] = []
-    number = 0
-    for step in range(1, 201):
-        batch = []
-        while number < rows_s * step * 0.05:
-            row = Row(Kind.USE, f"{rng.getrandbits(64):016x}/{number}", f"g{number % GATEWAYS}#1", 1, 1.0)
-            batch.append((row, 10))
-            number += 1
-        parts = [Rows(tuple(batch[i : i + 16])) for i in range(0, len(batch), 16)]
-        steps.append([encode("site", "g1", 1, part) for part in parts])
-
-    def run() -> None:
-        for step, datagrams in enumerate(steps, 1):
-            at = 0.05 * step
-            for data in datagrams:
-                gossip.heard(at, "g1", decode("site", data)[2], 40)  # type: ignore[arg-type]
-            gossip.taken()
-            for sent in gossip.tick(at, names):
-                encode("site", "g0", 1, sent.body)
-            replica.expire(at)
-
-    spent = cpu_ms(run)
-    return spent / 100.0, gossip.sent_bytes / 10.0 / 1024.0
+def telling(requests_s: int, seed: int, wide: bool = False) -> tuple[float, float, float]:
+    """One gateway that lets in its part of so many requests a second, among 520: percent of a core, KiB a
+    second that it sends as they are on the wire, words a second."""
+    block, post = played(requests_s, seed, wide), post_of(CENTRE, seed)
+    sent: Tally[str] = Tally()
+
+    def run(first: int, last: int) -> None:
+        for step in range(first, last):
+            at = 0.05 * (step + 1)
+            turn(post, CENTRE, at, block.let_in[step])
+            out = post.tick(at)
+            for data in block.heard[step]:
+                sender, boot, body = decode("site", data)
+                out += post.heard(at, sender, boot, body)  # type: ignore[arg-type]
+            for letter in out:
+                sent["bytes"] += len(encode("site", f"g{CENTRE}", 1, letter.body))
+            post.replica.expire(at)
+            post.expire()
+
+    run(0, 200)
+    sent.clear()
+    before = post.words_sent
+    spent = cpu_ms(lambda: run(200, 400))
+    return spent / 100.0, sent["bytes"] / 10.0 / 1024.0, (post.words_sent - before) / 10.0
 
 
 def replica_kib(rows: int, seed: int) -> float:
-    """What so many rows of use take, each held for 20 s."""
+    """What so many rows of use take."""
     def keep() -> Replica:
         replica, rng = Replica(), random.Random(seed)
         for n in range(rows):
--- a/glenchute/config/fleet.py
+++ b/glenchute/config/fleet.py
@@ -10,7 +10,8 @@
     from .facts import Facts
     from .operator import Faults
 
-MOST_MEMBERS = 500
+MOST_MEMBERS = 1_000
+MOST_NUMBER = 999_999
 MOST_TASKS = 50
 ADDRESS = Word(r"[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}", "an IPv4 address with its port, as 127.0.0.1:7946")
 NAME = Word("[A-Za-z0-9_.-]{1,64}", "1 to 64 letters, digits, '_', '.' or '-'")
@@ -41,12 +42,20 @@
         "fleet": NAME,
         "name": NAME,
         "listen": ADDRESS,
-        "members": Rows(Table({"name": NAME, "address": ADDRESS}, ("name", "address")), MOST_MEMBERS),
+        "number": Number(0, MOST_NUMBER, whole=True),
+        "members": Rows(
+            Table(
+                {"name": NAME, "address": ADDRESS, "number": Number(0, MOST_NUMBER, whole=True)},
+                ("name", "address"),
+            ),
+            MOST_MEMBERS,
+        ),
         "period_ms": Number(20, 10_000),
         "patience_ms": Number(500, 60_000),
         "push_ms": Number(10, 5_000),
         "compare_ms": Number(50, 60_000),
         "budget_kib_s": Number(4, 10_240),
+        "use_kib_s": Number(1, 10_240),
         "share_list": Switch(),
         "leases": LEASES,
         "control": Word("/[^\\x00-\\x1f]{1,100}", "the path of a socket, from the root"),
@@ -79,12 +88,29 @@
     if raw.get("patience_ms", 2500.0) < 5.0 * raw.get("period_ms", 200.0):
         message = "patience_ms is under 5 periods: one lost answer could bury a member; raise it"
         faults("impatient", PLACE, message)
+    of_numbers(raw, faults)
     if "leases" in raw:
         of_leases(raw, set(names), faults)
     if not names and "members" in raw:
         faults("no-members", PLACE, "has no members; list them, or leave [fleet] out", True)
 
 
+def of_numbers(raw: dict[str, Any], faults: Faults) -> None:
+    """What gateways' numbers must be to each other, where the file states any."""
+    rows = [(PLACE, raw), *(((*PLACE, "members", at), row) for at, row in enumerate(raw.get("members", [])))]
+    stated: dict[int, str] = {}
+    for place, row in rows:
+        number = row.get("number")
+        if number is None:
+            if any("number" in other for _, other in rows):
+                faults("number-missing", place, "has no number; number all gateways, or none")
+        elif number in stated:
+            message = f"{number} is {stated[number]}'s; each gateway has a number of its own, the platform's"
+            faults("number-twice", (*place, "number"), message)
+        else:
+            stated[number] = row.get("name", "this gateway")
+
+
 def of_leases(raw: dict[str, Any], names: set[str], faults: Faults) -> None:
     """What `[fleet.leases]` must be to the members and to itself."""
     from glenchute.deciders.fleet.leases import Terms, sound_voters  # only for a file that has it
--- a/glenchute/deciders/fleet/gossip.py
+++ b/glenchute/deciders/fleet/gossip.py
@@ -200,7 +200,7 @@
         body = sent.body
         cost = 24 + (ROW_BYTES * len(body.rows) if isinstance(body, Rows) else 0)
         cost += 5 * len(body.marks) if isinstance(body, Marks) else 0
-        cost += 9 * BUCKETS if isinstance(body, Digest) else 0
+        cost += BUCKETS + 8 * (BUCKETS - body.marks.count(0)) if isinstance(body, Digest) else 0
         self.allowance -= cost
         self.sent_bytes += cost
         out.append(sent)
@@ -213,7 +213,9 @@
         out: list[Sent] = []
         if isinstance(body, Rows):
             for row, age_ms in body.rows[:MOST_ROWS]:
-                if self.replica.put(now, row, age_ms / 1000.0, sender):
+                if not self.replica.rules[row.kind].copied:
+                    self.replica.refused += 1  # its writer alone tells it
+                elif self.replica.put(now, row, age_ms / 1000.0, sender):
                     self.rows_taken += 1
                     self.changed.append(Taken(row, age_ms / 1000.0, sender))
                     self.spread(row, size)
--- a/glenchute/deciders/fleet/replica.py
+++ b/glenchute/deciders/fleet/replica.py
@@ -30,7 +30,7 @@
     """What a row tells; the numbers stand in datagrams."""
 
     SERVER = 0  # a server drains or is gone; version: discovery's. Safe: what asks for more restraint
-    USE = 1  # units let in for an account in a window, by one process. Safe: the larger
+    USE = 1  # units let in for an account in a window, by one process. Safe: the larger; not copied to all
     TASK = 2  # what a task's holders did; version: token and serial. Safe: more failures
     HEALTH = 3  # milliseconds for which a process leaves a server that it could not reach. Safe: the longer
 
@@ -55,12 +55,13 @@
     life_s: float
     most: int
     whole: bool = True  # a copy that lacks some is not whole
-    urgency: int = 0  # the lowest is passed on first. Use is of every request, and all else of few moments
+    copied: bool = True  # all members have it, and compare; else it goes to some alone (`directmail`)
+    urgency: int = 0  # the lowest is passed on first
 
 
 RULES = {
     Kind.SERVER: KindRules(60.0, 5_000),
-    Kind.USE: KindRules(20.0, 40_000, urgency=2),
+    Kind.USE: KindRules(20.0, 8_000, whole=False, copied=False),
     Kind.TASK: KindRules(3600.0, 200, whole=False, urgency=1),
     Kind.HEALTH: KindRules(20.0, 4_000, whole=False, urgency=1),
 }
@@ -140,12 +141,14 @@
             if len(self.order[row.kind]) >= self.rules[row.kind].most:
                 self.drop(next(iter(self.order[row.kind])))
                 self.evicted[row.kind] += 1
-            self.leaves.setdefault(place_of(*at), set()).add(at)
-        made, mark = now - age_s, mark_of(row)
+            if self.rules[row.kind].copied:
+                self.leaves.setdefault(place_of(*at), set()).add(at)
+        copied, made = self.rules[row.kind].copied, now - age_s
+        mark = mark_of(row) if copied else 0
         self.rows[at] = Held(row, made, mark)
         self.uncount(at)
         young = COMPARED * self.rules[row.kind].life_s
-        if age_s < young:
+        if copied and age_s < young:
             self.counted[at] = mark
             self.turn(at, mark)
             heapq.heappush(self.aging, (made + young, at, mark))
@@ -182,6 +185,8 @@
         self.uncount(at)
         del self.rows[at]
         del self.order[at[0]][at]
+        if not self.rules[at[0]].copied:
+            return
         leaf = place_of(*at)
         self.leaves[leaf].discard(at)
         if not self.leaves[leaf]:
--- a/glenchute/deciders/fleet/use.py
+++ b/glenchute/deciders/fleet/use.py
@@ -2,13 +2,25 @@
 
 One writer a row (a process: name and boot), so that a gateway that has been restarted counts what its
 predecessor let in as another's. No I/O; times are seconds by this process' clock.
+
+Not all use is told. Of an account that used less than `2 x TOLD_SHARE` of its `allowance` in each window no
+store can have run empty, whatever each gateway knows, so no word on it changes a decision. A process says
+what it let in once its own units reach its even part of `TOLD_SHARE`, or all that it knows of reaches
+`TOLD_SHARE`. What stays unsaid for want of the first is less than `TOLD_SHARE` in sum, so once twice as much
+was let in, everybody has heard of `TOLD_SHARE` at least, and everything is said.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
+from heathglade.interface import Plan
+from heathglade.windows import span_of
+
 from .replica import Kind, Row
 
-MOST_WINDOWS = 40_000
+MOST_WINDOWS = 10_000
+TOLD_SHARE = 0.25
 
 
 def key_of(customer: str, window_ms: float) -> str:
@@ -16,42 +28,79 @@
     return f"{customer}/{window_ms:.0f}"
 
 
+def allowance(plan: Plan) -> float:
+    """Units of a window of which half can be let in, in any two windows in a row, out of any store."""
+    return min(plan.burst, plan.rate * span_of(plan) / 1000.0)
+
+
+@dataclass(slots=True)
+class Own:
+    """What this process let in of a window. `spread`: gateways of the account's set; `allowance`: units."""
+
+    version: int = 0
+    units: float = 0.0
+    spread: int = 1
+    allowance: float = 0.0
+    before: str = ""  # the key of the window before
+
+
 class Use:
     """Sums by window."""
 
     def __init__(self, writer: str) -> None:
         self.writer = writer
         self.others: dict[str, dict[str, float]] = {}  # window's key: units by writer
-        self.own: dict[str, tuple[int, float]] = {}  # window's key: version, units
+        self.sums: dict[str, float] = {}  # ... and of all of them
+        self.own: dict[str, Own] = {}  # by window's key
 
-    def let_in(self, customer: str, window_ms: float, units: float) -> Row:
+    def let_in(
+        self, customer: str, window_ms: float, units: float, spread: int = 1, plan: Plan | None = None
+    ) -> Row:
         """This process has let in so much more; the row that says so."""
         key = key_of(customer, window_ms)
-        version, before = self.own.pop(key, (0, 0.0))
-        self.own[key] = version + 1, before + units
+        own = self.own.pop(key, None) or Own()
+        self.own[key] = own
+        own.version, own.units, own.spread = own.version + 1, own.units + units, spread
+        if plan is not None:
+            own.allowance, own.before = allowance(plan), key_of(customer, window_ms - span_of(plan))
         if len(self.own) > MOST_WINDOWS:
             del self.own[next(iter(self.own))]
-        return Row(Kind.USE, key, self.writer, version + 1, round(before + units, 3))
+        return self.row(key, own)
+
+    def row(self, key: str, own: Own) -> Row:
+        """What this process has to say of a window."""
+        return Row(Kind.USE, key, self.writer, own.version, round(own.units, 3))
+
+    def matters(self, key: str) -> bool:
+        """Whether the others have to know what this process let in of a window."""
+        own = self.own.get(key)
+        if own is None:
+            return False
+        enough = TOLD_SHARE * own.allowance
+        return own.units * own.spread >= enough or own.units + self.sums.get(key, 0.0) >= enough
 
     def heard(self, row: Row) -> None:
         """A row of another process."""
         if row.writer == self.writer:
             return
-        window = self.others.pop(row.key, {})
+        window, units = self.others.pop(row.key, {}), self.sums.pop(row.key, 0.0)
+        units += row.value - window.get(row.writer, 0.0)
         window[row.writer] = row.value
-        self.others[row.key] = window  # those that changed last stand last
+        # Those that changed last stand last.
+        self.others[row.key], self.sums[row.key] = window, units
         if len(self.others) > MOST_WINDOWS:
-            del self.others[next(iter(self.others))]
+            oldest = next(iter(self.others))
+            del self.others[oldest], self.sums[oldest]
 
     def by_others(self, customer: str, window_ms: float) -> float:
         """Units that others are known to have let in."""
-        return sum(self.others.get(key_of(customer, window_ms), {}).values())
+        return self.sums.get(key_of(customer, window_ms), 0.0)
 
 
 def trusted_share(known: bool, health: int, alive: int, gateways: int, silent_s: float) -> float:
-    """The share of the fleet, this gateway included, whose use is known here; 0 where this copy is not whole,
-    where this process doubts its own hearing, or where nothing has come for a second. Those in doubt are not
-    counted as heard."""
+    """The share of an account's gateways, this one included, whose use is known here: `alive` others of
+    `gateways`. 0 where this copy is not whole, where this process doubts its own hearing, or where nothing
+    has come for a second. Those in doubt are not counted as heard."""
     if not known or health >= 4 or silent_s > 1.0 or gateways < 2:
         return 0.0
     return min(1.0, (1 + alive) / gateways)
--- a/glenchute/peers/fleet/node.py
+++ b/glenchute/peers/fleet/node.py
@@ -23,13 +23,14 @@
 from glenchute.deciders.fleet import members as membership
 from glenchute.deciders.fleet.audit import Audit, Look
 from glenchute.deciders.fleet.coldstart import ASKER_WAIT_S, ListShare
+from glenchute.deciders.fleet.directmail import Asked, Mail, Post, Ring, numbers_of
 from glenchute.deciders.fleet.gossip import Gossip, Pace, Rows, Taken
 from glenchute.deciders.fleet.health import Health
 from glenchute.deciders.fleet.leases import Lease, Terms
 from glenchute.deciders.fleet.members import Members, Rules, State
 from glenchute.deciders.fleet.replica import Kind, Replica, Row
 from glenchute.deciders.fleet.restraint import Restraint
-from glenchute.deciders.fleet.use import Use, trusted_share
+from glenchute.deciders.fleet.use import TOLD_SHARE, Use, allowance, trusted_share
 from heathglade import interface as api
 
 from .events import tell
@@ -70,6 +71,11 @@
         self.gossip = Gossip(self.replica, pace, rng, now)
         writer = f"{self.name}#{self.boot:x}"
         self.use, self.restraint = Use(writer), Restraint()
+        numbers = numbers_of({row["name"]: row.get("number") for row in (raw, *raw["members"])})
+        ring = Ring(self.name, list(self.addresses), numbers, made.gateways)
+        self.post = Post(
+            self.use, self.replica, ring, self.takes_part, rng, now, raw.get("use_kib_s", 6.0) * 1024.0
+        )
         health = Health(writer, random.Random(rng.getrandbits(60)))
         self.telling = Telling(module, made, self.use, health, self.told, self.share, loop.time)
         self.lists = ListShare(self.name, now, rng) if raw.get("share_list") else None
@@ -119,6 +125,8 @@
         if self.counter is not None and self.gossip.known:
             held = (self.replica.rows[at].row for at in self.replica.order[Kind.USE])
             looks = self.use_audit.due(self.telling.now_ms, held)
+            # Of an account's window with less than this not all is told.
+            looks = [look for look in looks if look.told >= TOLD_SHARE * allowance(look.plan)]
             totals = await asyncio.gather(*map(self.total, looks))
             if looks and guard.step and totals.count(None) == len(totals):
                 raise LeaseLost  # another may reach the counter. The first step has to end well, or it failed
@@ -199,16 +207,22 @@
 
     # --- for the core ------------------------------------------------------------------------------------
 
-    def share(self) -> float:
-        """The share of the gateways whose use is known here, this one's included."""
-        now = self.loop.time()
-        alive = sum(m.state is State.ALIVE for m in self.members.members.values())
+    def share(self, spread: int) -> float:
+        """The share of a set of so many gateways whose use is known here, this one's included."""
+        now, spread = self.loop.time(), min(spread, self.gateways)
         return trusted_share(
-            self.gossip.known, self.members.health, alive, self.gateways, now - self.heard_at
+            self.gossip.known, self.members.health, self.post.known(now, spread), spread, now - self.heard_at
         )
 
+    def takes_part(self, name: str) -> bool:
+        """Whether a member is there beyond doubt."""
+        return self.members.members[name].state is State.ALIVE
+
     def told(self, row: Row) -> None:
         """A word of this process' own."""
+        if row.kind is Kind.USE:
+            self.post.tell(self.loop.time(), row)
+            return
         self.gossip.tell(self.loop.time(), row, len(self.members.members))
 
     def begin(self, known: News | None, discovery: Discovery) -> bool:
@@ -332,6 +346,10 @@
             if self.runner is not None:
                 self.runner.heard(name, body)
             return
+        if isinstance(body, Mail | Asked):
+            for letter in self.post.heard(now, name, boot, body):
+                self.send(letter.to, letter.body)
+            return
         for sent in self.gossip.heard(now, name, body, len(self.members.members)):
             self.send(sent.to, sent.body)
         if isinstance(body, Rows):
@@ -345,6 +363,8 @@
             self.send(out.to, out.message)
         for sent in self.gossip.tick(now, self.members.alive()):
             self.send(sent.to, sent.body)
+        for letter in self.post.tick(now):
+            self.send(letter.to, letter.body)
         if self.runner is not None:
             self.runner.tick()
             if self.lists is not None and coldstart.TASK in self.runner.running:
@@ -354,6 +374,7 @@
         if self.lists is not None:
             self.shared(self.lists.tick(now, self.there()), [])
         self.replica.expire(now)
+        self.post.expire()
         self.telling.health.expire(now)
         self.part()
         for change in self.members.taken():
@@ -418,8 +439,12 @@
         held |= {"denied": self.restraint.denied, "on_trial": len(self.restraint.words),
                  "avoided": len(self.telling.health.words), "audited": self.use_audit.compared,
                  "use_apart": len(self.use_audit.apart)}  # fmt: skip
-        return [{**held, **evicted, "known": self.gossip.known, "share": round(self.share(), 3),
-                 "health": self.members.health, "sent_bytes": self.gossip.sent_bytes,
+        return [{**held, **evicted, "known": self.gossip.known,
+                 "share": round(self.share(self.post.widest), 3), "health": self.members.health,
+                 "sent_bytes": self.gossip.sent_bytes + self.post.sent_bytes,
+                 "numbered": bool(self.post.ring.steps), "use_bytes": self.post.sent_bytes,
+                 "words_sent": self.post.words_sent, "words_owed": self.post.owing,
+                 "mail_dropped": self.post.dropped,
                  "rows_sent": self.gossip.rows_sent, "rows_taken": self.gossip.rows_taken,
                  "datagrams": self.received,
                  **{f"dropped_{why}": n for why, n in sorted(self.bad.items())}}]  # fmt: skip
--- a/glenchute/peers/fleet/telling.py
+++ b/glenchute/peers/fleet/telling.py
@@ -21,16 +21,17 @@
 
     def __init__(
         self, module: Decisions, made: api.Settings, use: Use, health: Health, tell: Callable[[Row], None],
-        share: Callable[[], float], clock: Callable[[], float],
+        share: Callable[[int], float], clock: Callable[[], float],
     ) -> None:  # fmt: skip
-        """`clock`: seconds, as the rows' ages are counted."""
+        """`share`: of a set of so many gateways, the part whose use is known here. `clock`: seconds, as the
+        rows' ages are counted."""
         self.seen: Callable[[str, api.Plan], None] = lambda customer, plan: None  # for the audit of use
         self.now_ms = 0.0  # of the windows' clock, at the last event
         self.module, self.use, self.health, self.clock = module, use, health, clock
         self.tell, self.share = tell, share
         self.servers: set[str] = set()  # on the list
         self.plans = {plan.name: plan for plan in made.plans}
-        self.open: dict[str, tuple[str, api.Plan, float]] = {}  # requests that have not gone on; units
+        self.open: dict[str, api.Request] = {}  # requests that have not gone on
 
     def handle(self, now_ms: float, event: api.Event) -> list[api.Action]:
         """One event for the module."""
@@ -41,12 +42,12 @@
             plan = self.plans.get(event.plan)
             if plan is not None and plan.rate and len(self.open) < MOST_OPEN:
                 self.seen(event.customer, plan)
-                window, share = window_start(now_ms, event.customer, plan), self.share()
+                window, share = window_start(now_ms, event.customer, plan), self.share(event.spread)
                 units = self.use.by_others(event.customer, window)
                 last = window_start(window - 1.0, event.customer, plan)
                 before = self.use.by_others(event.customer, last)
                 self.module.handle(now_ms, api.Used(event, window, units, before, share))
-                self.open[event.request_id] = event.customer, plan, event.units
+                self.open[event.request_id] = event
         elif isinstance(event, api.RequestGone):
             self.open.pop(event.request_id, None)
         elif isinstance(event, api.AttemptEnded):
@@ -60,7 +61,9 @@
             if isinstance(action, api.Send | api.Refuse | api.Fail):
                 found = self.open.pop(action.request_id, None)
                 if found is not None and isinstance(action, api.Send):
-                    self.tell(self.use.let_in(found[0], window_start(now_ms, *found[:2]), found[2]))
+                    plan = self.plans[found.plan]
+                    window = window_start(now_ms, found.customer, plan)
+                    self.tell(self.use.let_in(found.customer, window, found.units, found.spread, plan))
         return actions
 
     def listed(self, event: api.ServerList) -> None:
@@ -73,7 +76,5 @@
 
     def heard(self, taken: Taken) -> None:
         """A row of another process that the module is to know of."""
-        if taken.row.kind is Kind.USE:
-            self.use.heard(taken.row)
-        elif taken.row.kind is Kind.HEALTH:
+        if taken.row.kind is Kind.HEALTH:
             self.health.heard(self.clock(), taken.row, taken.age_s)
--- a/glenchute/peers/fleet/wire.py
+++ b/glenchute/peers/fleet/wire.py
@@ -6,15 +6,16 @@
 from __future__ import annotations
 
 import math
+import re
 
 import msgspec
 
-from glenchute.deciders.fleet import coldstart, gossip, leases, members
+from glenchute.deciders.fleet import coldstart, directmail, gossip, leases, members
 from glenchute.deciders.fleet.gossip import Body
 from glenchute.deciders.fleet.replica import BUCKETS, Kind, Row
 from glenchute.peers.discovery import address
 
-VERSION = 1
+VERSION = 2
 MOST_BYTES = 4096  # of a datagram; a longer one is not read
 
 NAME = 64
@@ -61,9 +62,14 @@
 )
 ASK = msgspec.msgpack.Decoder(tuple[int, int])
 WANT = msgspec.msgpack.Decoder(tuple[int, list[int]])
+ASKED = msgspec.msgpack.Decoder(int)
+# An account of 16 hex digits goes as a number. Then the window, after that of the first word; version,
+# thousandths of units, and the writer's boot where it is not the sender.
+MAIL = msgspec.msgpack.Decoder(tuple[int, bool, bool, int, list[tuple[int | str, int, int, int, int]]])
+HEX = re.compile("[0-9a-f]{16}")
 
 
-Said = members.Message | Body | coldstart.Body | leases.Lease
+Said = members.Message | Body | coldstart.Body | leases.Lease | directmail.Mail | directmail.Asked
 
 
 def encode(fleet: str, name: str, boot: int, body: Said) -> bytes:
@@ -82,6 +88,10 @@
         form, raw = 9, ENCODER.encode((body.marks, body.answer))
     elif isinstance(body, gossip.Done):
         form, raw = 4, ENCODER.encode((body.buckets, body.known))
+    elif isinstance(body, directmail.Mail):
+        form, raw = 10, ENCODER.encode(mail_of(body))
+    elif isinstance(body, directmail.Asked):
+        form, raw = 11, ENCODER.encode(body.serial)
     elif isinstance(body, leases.Lease):
         form, raw = 8, ENCODER.encode((int(body.kind), *body[1:]))
     else:  # about the list of servers
@@ -89,6 +99,17 @@
     return ENCODER.encode(Packet(VERSION, fleet, name, boot, form, msgspec.Raw(raw)))
 
 
+def mail_of(mail: directmail.Mail) -> tuple[object, ...]:
+    """Words of use as they stand in a datagram, 12 to 18 bytes each for the platform's accounts."""
+    base, rows = None, []
+    for word in mail.words:
+        account, _, window = word.key.rpartition("/")
+        base = int(window) if base is None else base
+        said = int(account, 16) if HEX.fullmatch(account) else account
+        rows.append((said, int(window) - base, word.version, round(1000.0 * word.units), word.boot))
+    return mail.serial, mail.first, mail.whole, base or 0, rows
+
+
 def decode(fleet: str, data: bytes) -> tuple[str, int, Said]:
     """Sender's name, its boot, and what it says; Bad where any of it is not sound."""
     if len(data) > MOST_BYTES:
@@ -168,4 +189,21 @@
         if len(marks) > gossip.FEW:
             raise ValueError
         return gossip.Marks(tuple(marks), answer)
+    if packet.form == 10:
+        serial, first, whole, base, words = MAIL.decode(packet.body)
+        if len(words) > directmail.MOST_WORDS or not 0 <= serial < 1 << 62:
+            raise ValueError
+        return directmail.Mail(serial, first, whole, tuple(word_of(base, *word) for word in words))
+    if packet.form == 11:
+        return directmail.Asked(ASKED.decode(packet.body))
     raise ValueError
+
+
+def word_of(
+    base: int, account: int | str, window: int, version: int, units: int, boot: int
+) -> directmail.Word:  # fmt: skip
+    """One word. ValueError where its account or a number can be none."""
+    name = f"{account:016x}" if isinstance(account, int) else account
+    if not 0 < len(name) <= NAME or not 0 <= boot < 1 << 63 or units < 0 or version < 0:
+        raise ValueError
+    return directmail.Word(f"{name}/{base + window}", version, units / 1000.0, boot)
--- /dev/null
+++ b/lab/fleet/posted.py
@@ -0,0 +1,89 @@
+"""Use told straight, over a simulated network, at sizes that processes do not reach. Seeded."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+
+from glenchute.deciders.fleet.directmail import Asked, Letter, Mail, Post, Ring, numbers_of
+from glenchute.deciders.fleet.replica import Replica
+from glenchute.deciders.fleet.use import Use
+from heathglade.interface import Plan
+
+TICK = 0.025
+
+
+class Posts:
+    """So many gateways that let in as told, and what happens to their mail."""
+
+    def __init__(
+        self, count: int, seed: int, names: Sequence[str] = (), gateways: int = 0, budget: float = 6_144.0,
+        numbered: bool = True,
+    ) -> None:  # fmt: skip
+        self.rng, self.now, self.lose, self.gateways = random.Random(seed), 0.0, 0.0, gateways or count
+        self.names = list(names) or [f"g{n}" for n in range(count)]
+        self.budget, self.numbered = budget, numbered
+        self.cut: Callable[[str, str], bool] = lambda sender, to: False
+        self.gone: set[str] = set()  # by the probes of all
+        self.due: list[tuple[float, int, str, str, int, Mail | Asked]] = []
+        self.order = itertools.count()
+        self.boots = dict.fromkeys(self.names, 1)
+        self.sent: Counter[tuple[str, str]] = Counter()  # words, by sender and receiver
+        self.letters: Counter[str] = Counter()
+        self.posts = {name: self.made(name) for name in self.names}
+
+    def made(self, name: str) -> Post:
+        numbers = numbers_of(dict.fromkeys(self.names)) if self.numbered else None
+        ring = Ring(name, self.names, numbers, self.gateways)
+        use = Use(f"{name}#{self.boots[name]:x}")
+        rng = random.Random(self.rng.getrandbits(60))
+        there = lambda other: other not in self.gone  # noqa: E731
+        return Post(use, Replica(), ring, there, rng, self.now, self.budget)
+
+    def restart(self, name: str) -> None:
+        """Another process under the name, which knows nothing."""
+        self.boots[name] += 1
+        self.posts[name] = self.made(name)
+
+    def let_in(
+        self, name: str, account: str, units: float = 1.0, spread: int = 3, plan: Plan | None = None,
+        window: float = 0.0,
+    ) -> None:  # fmt: skip
+        """A request goes on."""
+        post = self.posts[name]
+        post.tell(self.now, post.use.let_in(account, window, units, spread, plan))
+
+    def hears(self, name: str, account: str, window: float = 0.0) -> float:
+        """What a gateway knows of the others."""
+        return self.posts[name].use.by_others(account, window)
+
+    def known(self, name: str, spread: int) -> int:
+        return self.posts[name].known(self.now, spread)
+
+    def carry(self, sender: str, letters: list[Letter]) -> None:
+        for to, body in letters:
+            self.letters[sender] += 1
+            if isinstance(body, Mail):
+                self.sent[sender, to] += len(body.words)
+            if self.rng.random() >= self.lose and not self.cut(sender, to):
+                at = self.now + self.rng.uniform(0.001, 0.005)
+                heapq.heappush(self.due, (at, next(self.order), sender, to, self.boots[sender], body))
+
+    def run(self, seconds: float, until: Callable[[], bool] = lambda: False) -> float:
+        """Lets time pass; how long it took until the condition held."""
+        began, end = self.now, self.now + seconds
+        while self.now < end and not until():
+            step = self.now + TICK
+            while self.due and self.due[0][0] <= step:
+                when, _, sender, to, boot, body = heapq.heappop(self.due)
+                self.now = max(self.now, when)
+                self.carry(to, self.posts[to].heard(self.now, sender, boot, body))
+            self.now = step
+            for name, post in self.posts.items():
+                self.carry(name, post.tick(self.now))
+                post.replica.expire(self.now)
+                post.expire()
+        return self.now - began
--- a/lab/fleet/simulated.py
+++ b/lab/fleet/simulated.py
@@ -112,7 +112,7 @@
         self.order = itertools.count()
         self.cut: Callable[[str, str], bool] = lambda sender, to: False
         for number, name in itertools.product(range(rows), self.names):
-            self.nodes[name].replica.put(0.0, Row(Kind.USE, f"account{number}/0", "seed#1", 1, 1.0))
+            self.nodes[name].replica.put(0.0, Row(Kind.HEALTH, f"account{number}/0", "seed#1", 1, 1.0))
 
     def restart(self, name: str) -> None:
         self.nodes[name] = Gossip(Replica(), self.nodes[name].pace, random.Random(99), self.now)
@@ -152,5 +152,5 @@
         """Each copy's own words on accounts of this moment."""
         for name in self.names:
             for number in range(count):
-                row = Row(Kind.USE, f"new{number}/1", f"{name}#1", 1, 2.0)
+                row = Row(Kind.HEALTH, f"new{number}/1", f"{name}#1", 1, 2.0)
                 self.nodes[name].tell(self.now, row, len(self.names))
--- a/lab/sim/members.py
+++ b/lab/sim/members.py
@@ -9,10 +9,11 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from glenchute.deciders.fleet.directmail import Asked, Mail, Post, Ring, numbers_of
 from glenchute.deciders.fleet.gossip import Gossip, Pace, Rows
 from glenchute.deciders.fleet.health import Health
 from glenchute.deciders.fleet.members import Members, Message, Rules, State
-from glenchute.deciders.fleet.replica import Replica
+from glenchute.deciders.fleet.replica import Kind, Replica
 from glenchute.deciders.fleet.use import Use, trusted_share
 from glenchute.peers.fleet.telling import Telling
 from heathglade import Gateway
@@ -39,6 +40,8 @@
         self.gossip = Gossip(Replica(), Pace(), rng, now)
         writer = f"{names[number]}#{self.members.boot:x}"
         self.use = Use(writer)
+        ring = Ring(names[number], names, numbers_of(dict.fromkeys(names)), len(names))
+        self.post = Post(self.use, self.gossip.replica, ring, self.takes_part, rng, now)
         self.heard_at = -1e9
         health = Health(writer, random.Random(seed + 1))
         self.telling = Telling(
@@ -46,13 +49,18 @@
         )
 
     def told(self, row: Any) -> None:
+        if row.kind is Kind.USE:
+            self.post.tell(self.world.now / 1000.0, row)
+            return
         self.gossip.tell(self.world.now / 1000.0, row, len(self.members.members))
 
-    def share(self) -> float:
-        alive = sum(m.state is State.ALIVE for m in self.members.members.values())
-        silent = self.world.now / 1000.0 - self.heard_at
-        gateways = self.world.settings.gateways
-        return trusted_share(self.gossip.known, self.members.health, alive, gateways, silent)
+    def takes_part(self, name: str) -> bool:
+        return self.members.members[name].state is State.ALIVE
+
+    def share(self, spread: int) -> float:
+        now = self.world.now / 1000.0
+        known = self.post.known(now, spread)
+        return trusted_share(self.gossip.known, self.members.health, known, spread, now - self.heard_at)
 
     def tick(self) -> None:
         """What is due, again and again as long as this life goes on."""
@@ -66,7 +74,10 @@
             world.carry(self, out.to, out.message)
         for sent in self.gossip.tick(now, self.members.alive()):
             world.carry(self, sent.to, sent.body)
+        for letter in self.post.tick(now):
+            world.carry(self, letter.to, letter.body)
         self.gossip.replica.expire(now)
+        self.post.expire()
         self.telling.health.expire(now)
 
     def take(self, sender: str, boot: int, body: Any) -> None:
@@ -79,6 +90,10 @@
             for out in self.members.heard(now, sender, boot, body):
                 world.carry(self, out.to, out.message)
             return
+        if isinstance(body, Mail | Asked):
+            for letter in self.post.heard(now, sender, boot, body):
+                world.carry(self, letter.to, letter.body)
+            return
         for sent in self.gossip.heard(now, sender, body, len(self.members.members)):
             world.carry(self, sent.to, sent.body)
         if isinstance(body, Rows):
--- /dev/null
+++ b/tests/test_directmail.py
@@ -0,0 +1,327 @@
+"""Use told straight: to whom, what is left unsaid, what is lost on the way, and what is taken for known."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from glenchute.config.operator import parse
+from glenchute.deciders.fleet import directmail
+from glenchute.deciders.fleet.directmail import ASKS_PER_S, MOST_WORDS, Mail, Post, Ring, Word, numbers_of
+from glenchute.deciders.fleet.gossip import Gossip, Pace, Rows
+from glenchute.deciders.fleet.replica import RULES, Kind, Replica, Row
+from glenchute.deciders.fleet.use import TOLD_SHARE, Use, allowance
+from glenchute.peers.fleet.wire import encode
+from heathglade.interface import Plan
+from heathglade.windows import span_of
+from lab.fleet.posted import Posts
+
+PLAN = Plan("p", rate=4.0, burst=12.0)
+
+
+def settled(count: int, **more: object) -> Posts:
+    """Gateways that know each other's use."""
+    posts = Posts(count, 1, **more)  # type: ignore[arg-type]
+    posts.run(20.0, lambda: all(posts.known(name, 3) == 2 for name in posts.names))
+    return posts
+
+
+# --- whom it concerns ------------------------------------------------------------------------------------
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.integers(2, 40), st.integers(0, 39), st.integers(1, 40), st.integers(0, 39))
+def test_all_that_share_a_set_are_told_and_counted(count: int, me: int, spread: int, first: int) -> None:
+    me, spread, first = me % count, min(spread, count), first % count
+    names = [f"gw-{n:03d}" for n in range(count)]
+    ring = Ring(names[me], names, numbers_of(dict.fromkeys(names)), count)
+    members = [names[(first + step) % count] for step in range(spread)]
+    if names[me] not in members:
+        return
+    near = ring.near(spread)
+    assert set(members) - {names[me]} <= set(near) and names[me] not in near
+    assert len(near) == len(set(near)) == ring.others(spread) <= 2 * spread
+    # Whoever of the set has been heard of takes nobody of it away, and the whole set leaves nobody else.
+    others = [name for name in members if name != names[me]]
+    for seen in (others[:1], others[-1:], others):
+        assert set(others) <= set(ring.near(spread, seen)) <= set(near)
+    if 2 * spread <= count:
+        assert set(ring.near(spread, others)) == set(others)
+
+
+@pytest.mark.parametrize(
+    ("rows", "numbers"),
+    [
+        ({"g0": None, "g12": None}, {"g0": 0, "g12": 12}), ({"a": 3, "b9": 4}, {"a": 3, "b9": 4}),
+        ({"zagreb": None, "g1": None}, None), ({"a-1": None, "b-01": None}, None),
+        ({"a1": 2, "b2": None}, None), ({"g\u0663": None, "g1": None}, None),
+    ],
+)  # fmt: skip
+def test_numbers_are_stated_or_the_names_end(rows: dict[str, int | None], numbers: object) -> None:
+    assert numbers_of(rows) == numbers
+
+
+@pytest.mark.parametrize(
+    ("names", "gateways", "numbered"),
+    [
+        ([f"g{n + 1}" for n in range(12)], 12, True),  # counted from 1: distances are the same
+        ([f"g{n}" for n in range(12)], 6, True),  # more members than the platform has gateways
+        (["zagreb", "split", *(f"g{n}" for n in range(10))], 12, True), ([], 12, False),
+    ],
+)  # fmt: skip
+def test_without_sound_numbers_the_set_is_told_all_the_same(
+    names: list[str], gateways: int, numbered: bool
+) -> None:
+    posts = Posts(12, 1, names, gateways, numbered=numbered)
+    posts.run(3.0)
+    posts.let_in(posts.names[0], "a", 5.0)
+    posts.run(0.3)
+    assert [posts.hears(name, "a") for name in posts.names[1:3]] == [5.0, 5.0]
+
+
+def test_with_wrong_numbers_words_are_lost_and_none_is_made_up() -> None:
+    """Numbers of another order: the set hears nothing, and never more than was let in."""
+    names = [f"g{7 * n % 12}" for n in range(12)]
+    posts = Posts(12, 1, names)
+    posts.run(3.0)
+    posts.let_in(names[0], "a", 5.0)
+    posts.run(1.0)
+    assert sorted(posts.hears(name, "a") for name in names) == [0.0] * 8 + [5.0] * 4
+    assert posts.hears(names[1], "a") == 0.0
+
+
+# --- cost --------------------------------------------------------------------------------------------------
+
+
+def test_what_a_row_costs_is_by_its_set_and_not_by_the_members() -> None:
+    words, letters = [], []
+    for count in (12, 120):
+        posts = settled(count)
+        posts.sent.clear()
+        posts.letters.clear()
+        for n in range(200):
+            posts.let_in(f"g{n % 3}", "a", plan=PLAN)
+            posts.run(0.05)
+        words.append(sum(posts.sent.values()))
+        letters.append(posts.letters["g0"])
+        assert {to for _, to in posts.sent if posts.sent[_, to]} <= {f"g{n % count}" for n in range(-2, 5)}
+    assert words[0] == words[1] and abs(letters[0] - letters[1]) <= 0.1 * letters[0]
+    assert words[0] <= 2 * 200 + 12  # each goes to the two others, once the set has shown itself
+
+
+def test_use_is_not_passed_on_and_lies_in_no_comparison() -> None:
+    gossip = Gossip(Replica(), Pace(), random.Random(1))
+    blank = gossip.replica.children(0.0, None)
+    gossip.heard(0.0, "g1", Rows(((Row(Kind.USE, "a/0", "g2#1", 1, 5.0), 0),)), 5)
+    assert not gossip.news and not gossip.replica.rows and gossip.replica.refused == 1
+    assert gossip.replica.put(0.0, Row(Kind.USE, "a/0", "g2#1", 1, 5.0))
+    assert gossip.replica.children(0.0, None) == blank and not gossip.replica.leaves
+
+
+def test_a_word_is_small() -> None:
+    def size(count: int) -> int:
+        words = tuple(Word(f"{4096 + n:016x}/{1_700_000_000_000 + 37 * n}", 9, 7.0) for n in range(count))
+        return len(encode("zagreb", "g17", 1 << 60, Mail(9, False, True, words)))
+
+    assert (size(MOST_WORDS) - size(0)) / MOST_WORDS <= directmail.WORD_BYTES
+    assert size(0) <= directmail.HEAD_BYTES and size(MOST_WORDS) <= 1_400
+
+
+@pytest.mark.parametrize("spread", [3, 30])
+def test_the_budget_holds_and_who_is_behind_is_not_taken_for_known(spread: int) -> None:
+    posts = Posts(60, 2, budget=1_000.0)
+    posts.run(8.0)
+    before, began = posts.posts["g0"].sent_bytes, posts.now
+    for n in range(400):  # far more than it may say
+        for account in range(5):
+            posts.let_in("g0", f"a{n % 40}{account}", 5.0, spread, PLAN)
+        posts.run(0.05)
+    post = posts.posts["g0"]
+    assert post.sent_bytes - before <= 1_000.0 * (posts.now - began + 0.25) + 64 * 18 + 48
+    assert post.owing == sum(map(len, post.owed.values())) <= directmail.MOST_OWED
+    assert post.owing and posts.known("g1", 3) < 2
+    posts.run(60.0, lambda: posts.known("g1", 3) == 2 and not post.owing)
+    assert posts.known("g1", 3) == 2 and not post.owing
+
+
+def test_what_is_owed_and_kept_is_bounded_and_what_fell_out_is_asked_for(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(directmail, "MOST_OWED", 50)
+    monkeypatch.setattr(directmail, "MOST_TOLD", 40)
+    posts = settled(6)
+    for n in range(300):
+        posts.let_in("g0", f"a{n}", 5.0)
+    post = posts.posts["g0"]
+    post.hand_out(posts.now)
+    assert post.owing <= 50 and post.dropped and len(post.told) == 40
+    posts.run(10.0)
+    assert posts.hears("g1", "a299") == 5.0 == posts.hears("g1", "a290")
+    assert len(Replica().rules) == len(RULES) and RULES[Kind.USE].most <= 8_000
+
+
+# --- what is left unsaid ----------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("plan", [PLAN, Plan("short", rate=8.0, burst=2.0), Plan("long", 1.0, 0.1, 30.0)])
+def test_half_of_the_allowance_in_each_window_empties_no_store(plan: Plan) -> None:
+    """The claim on which silence rests, by the store itself: all of it at the end of a window and at the
+    beginning of the next, for ever."""
+    store, at = plan.burst, 0.0
+    for window in range(50):
+        moment = (window + window % 2) * span_of(plan) / 1000.0  # of every second one its end
+        store = min(plan.burst, store + plan.rate * (moment - at)) - 2.0 * TOLD_SHARE * allowance(plan)
+        at = moment
+        assert store >= -1e-9
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.integers(0, 2), st.sampled_from((0.5, 1.0, 3.0))), max_size=30))
+def test_once_half_of_an_allowance_is_used_all_of_it_is_said(requests: list[tuple[int, float]]) -> None:
+    posts = settled(8)
+    asked = [0.0] * 3
+    for number, units in requests:
+        posts.let_in(f"g{number}", "a", units, 3, PLAN)
+        asked[number] += units
+    posts.run(1.0)
+    for number in range(3):
+        heard, others = posts.hears(f"g{number}", "a"), sum(asked) - asked[number]
+        assert heard <= others
+        if sum(asked) >= 2.0 * TOLD_SHARE * allowance(PLAN):
+            assert heard == others
+        assert others - heard < TOLD_SHARE * allowance(PLAN)
+
+
+def test_nothing_is_said_of_an_account_far_from_its_limit() -> None:
+    posts = settled(8)
+    posts.sent.clear()
+    for number in range(3):
+        posts.let_in(f"g{number}", "a", 0.9, 3, PLAN)
+    posts.run(1.0)
+    assert not sum(posts.sent.values())
+
+
+# --- what is lost ------------------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("lose", [0.1, 0.4])
+def test_lost_mail_is_asked_for(lose: float) -> None:
+    posts = settled(10)
+    posts.lose = lose
+    for n in range(60):
+        posts.let_in(f"g{n % 3}", f"a{n % 7}", 1.0, 3)
+        posts.run(0.02)
+    want = {(name, f"a{a}"): sum(n % 7 == a and f"g{n % 3}" != name for n in range(60))
+            for name in ("g0", "g1", "g2") for a in range(7)}  # fmt: skip
+    assert posts.run(15.0, lambda: all(posts.hears(*at) == units for at, units in want.items())) < 15.0
+
+
+def test_a_way_that_is_cut_for_two_alone_is_no_longer_trusted_and_is_made_up_for() -> None:
+    """Others reach both, so the probes go on calling them alive."""
+    posts = settled(8)
+    posts.cut = lambda sender, to: {sender, to} == {"g0", "g1"}
+    posts.let_in("g0", "a", 5.0)
+    posts.run(2.0)
+    assert posts.hears("g1", "a") == 0.0 and posts.hears("g2", "a") == 5.0
+    assert posts.known("g1", 3) < 2 and posts.known("g0", 3) < 2
+    posts.cut = lambda sender, to: False
+    assert posts.run(5.0, lambda: posts.hears("g1", "a") == 5.0 and posts.known("g1", 3) == 2) < 5.0
+
+
+def test_one_lost_message_is_enough_not_to_be_known() -> None:
+    posts = settled(8)
+    posts.cut = lambda sender, to: (sender, to) == ("g0", "g1")
+    posts.let_in("g0", "a", 5.0)
+    posts.run(0.05)
+    posts.cut = lambda sender, to: to == "g0"  # questions do not come through
+    posts.let_in("g0", "b", 5.0)
+    posts.run(2.0)
+    assert posts.hears("g1", "b") == 5.0 and posts.hears("g1", "a") == 0.0 and posts.known("g1", 3) < 2
+    posts.cut = lambda sender, to: False
+    posts.run(3.0)
+    assert posts.hears("g1", "a") == 5.0
+
+
+def test_who_returns_is_told_all_and_what_its_predecessor_let_in() -> None:
+    posts = settled(8)
+    posts.let_in("g0", "a", 5.0)
+    posts.let_in("g1", "a", 4.0)
+    posts.let_in("g2", "a", 3.0)
+    posts.run(0.5)
+    posts.restart("g1")
+    assert posts.known("g1", 3) == 0
+    assert posts.run(5.0, lambda: posts.known("g1", 3) == 2) < 5.0
+    assert posts.hears("g1", "a") == 5.0 + 4.0 + 3.0  # its own of before too, once though two tell it
+    posts.let_in("g1", "a", 1.0)
+    posts.run(0.5)
+    assert posts.hears("g0", "a") == 4.0 + 1.0 + 3.0  # two writers under one name
+
+
+def test_who_is_not_there_is_sent_nothing_and_told_all_when_it_is_back() -> None:
+    posts = settled(8)
+    posts.gone.add("g1")
+    posts.cut = lambda sender, to: "g1" in (sender, to)
+    posts.sent.clear()
+    posts.let_in("g0", "a", 5.0)
+    posts.run(1.0)
+    assert not posts.sent["g0", "g1"] and posts.known("g0", 3) < 2
+    posts.gone.clear()
+    posts.cut = lambda sender, to: False
+    assert posts.run(5.0, lambda: posts.hears("g1", "a") == 5.0 and posts.known("g0", 3) == 2) < 5.0
+
+
+def test_mail_that_is_late_repeated_or_foreign_tells_no_more_than_it_says() -> None:
+    use, replica = Use("g1#2"), Replica()
+    names = ["g0", "g1", "g2"]
+    ring = Ring("g1", names, numbers_of(dict.fromkeys(names)), 3)
+    post = Post(use, replica, ring, lambda name: True, random.Random(1))
+    late, new = Mail(5, True, True, (Word("a/0", 1, 2.0),)), Mail(6, False, True, (Word("a/0", 2, 3.0),))
+    for mail in (late, new, late, new, new):
+        post.heard(1.0, "g0", 7, mail)
+    assert use.by_others("a", 0.0) == 3.0
+    post.heard(1.0, "g0", 7, Mail(7, False, True, (Word("a/0", 9, 50.0, boot=2),)))  # of this very process
+    post.heard(1.0, "g0", 7, Mail(8, False, True, (Word("a/0", 1, 4.0, boot=1),)))  # of the one before
+    assert use.by_others("a", 0.0) == 7.0
+    post.heard(1.0, "g0", 7, Mail(9, False, True, (Word("", 1, 4.0), Word("a/0", 3, float("nan")))))
+    assert use.by_others("a", 0.0) == 7.0 and replica.refused == 2
+    post.heard(1.0, "g0", 7, Mail(9, False, True, (Word("a/0", 2, 9.0),)))  # two copies of one version
+    assert replica.conflicted == 1 and use.by_others("a", 0.0) == 13.0
+
+
+def test_questions_are_bounded_however_many_members_there_are() -> None:
+    for count, spread in ((8, 8), (300, 300)):
+        posts = Posts(count, 1)
+        post = posts.posts["g0"]
+        post.known(0.0, spread)
+        asked = sum(len(post.tick(0.025 * n)) for n in range(400))
+        assert asked <= 10.0 * ASKS_PER_S + 5
+
+
+# --- the operator's file -----------------------------------------------------------------------------------
+
+HEAD = "[fleet]\nfleet = 'lab'\nname = 'g0'\nlisten = '127.0.0.1:7000'\n"
+
+
+def members(count: int) -> str:
+    return "".join(f"[[fleet.members]]\nname = 'g{n}'\naddress = '127.0.0.1:{7000 + n}'\n"
+                   for n in range(1, count))  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ("text", "codes"),
+    [
+        (HEAD + members(4), []), (HEAD + members(520), []), (HEAD + members(1_001), []),
+        (HEAD + members(1_002), ["too-many"]),
+        (HEAD + "number = 0\n" + members(2) + "number = 1\n", []),
+        (HEAD + "number = 0\n" + members(2), ["number-missing"]),
+        (HEAD + members(2) + "number = 1\n", ["number-missing"]),
+        (HEAD + "number = 1\n" + members(2) + "number = 1\n", ["number-twice"]),
+        (HEAD + "number = -1\n" + members(2) + "number = 1.5\n", ["out-of-range", "wrong-type"]),
+        (HEAD + "use_kib_s = 0\n" + members(2), ["out-of-range"]),
+    ],
+)  # fmt: skip
+def test_numbers_and_members_in_the_operators_file(text: str, codes: list[str]) -> None:
+    assert [finding.code for finding in parse(text, None).findings] == codes
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -18,6 +18,7 @@
 import pytest
 
 from glenchute.cli import fleet as cli
+from glenchute.deciders.fleet.directmail import Mail, Word
 from glenchute.deciders.fleet.gossip import Rows
 from glenchute.deciders.fleet.replica import Kind as RowKind
 from glenchute.deciders.fleet.replica import Row
@@ -296,6 +297,8 @@
             gone = Row(RowKind.SERVER, "s2", "", 10**9, 2.0)
             for fleet, lie in (("lab", used), ("lab", gone), ("other", gone)):
                 site.links[0, 1].send_as(1, encode(fleet, "g1", boot, Rows(((lie, 0),))))
+            words = tuple(Word(used.key, 9, used.value, of) for of in (0, 7))  # and of g0 before
+            site.links[0, 1].send_as(1, encode("lab", "g1", boot, Mail(1 << 40, True, True, words)))
             await site.until(lambda: dropped(site, 0, "dropped_fleet"))
 
             site.send_signal(3, signal.SIGSTOP)  # longer than a burial takes; it goes on with old beliefs
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -12,10 +12,11 @@
 from hypothesis import strategies as st
 
 from glenchute.deciders.fleet.coldstart import MOST_ROWS, Ask, Part, Server, Told
+from glenchute.deciders.fleet.directmail import MOST_WORDS, Asked, Mail, Word
 from glenchute.deciders.fleet.gossip import FEW, Digest, Done, Marks, Rows, Want
 from glenchute.deciders.fleet.leases import Ballot, Lease
-from glenchute.deciders.fleet.leases import Kind as Asked
-from glenchute.deciders.fleet.members import Kind as Asks
+from glenchute.deciders.fleet.leases import Kind as Asks
+from glenchute.deciders.fleet.members import Kind as Probes
 from glenchute.deciders.fleet.members import Message, State, Update
 from glenchute.deciders.fleet.replica import OF_PROCESS, RULES, Kind, KindRules, Replica, Row
 from glenchute.deciders.fleet.use import Use, trusted_share
@@ -136,10 +137,10 @@
     monkeypatch.setattr(Replica, "differing", lambda self, now, bucket, theirs: [])
     mesh = Mesh(3, 7)
     mesh.nodes["g0"].replica.put(0.0, Row(Kind.SERVER, "s1", "", 5, 2.0))
-    mesh.nodes["g0"].replica.put(0.0, Row(Kind.USE, "a/0", "g0#1", 1, 1.0))
+    mesh.nodes["g0"].replica.put(0.0, Row(Kind.HEALTH, "a/0", "g0#1", 1, 1.0))
     mesh.run(4.0)
     assert all(node.replica.get(Kind.SERVER, "s1") for node in mesh.nodes.values())
-    assert mesh.nodes["g1"].replica.get(Kind.USE, "a/0", "g0#1") is None  # the others wait for a change
+    assert mesh.nodes["g1"].replica.get(Kind.HEALTH, "a/0", "g0#1") is None  # the others wait for a change
 
 
 def bug_lower_wins(self: Replica, now: float, row: Row, age_s: float = 0.0, seen_from: str = "") -> bool:
@@ -171,12 +172,14 @@
 @pytest.mark.parametrize(
     "body",
     [
-        Message(Asks.PING_REQ, 4, "g2", (Update("g1", State.SUSPECT, 3, 7),)),
+        Message(Probes.PING_REQ, 4, "g2", (Update("g1", State.SUSPECT, 3, 7),)),
         Rows(((Row(Kind.USE, "a", "b", 1, 2.0), 9),)),
         Digest(-1, (0, (1 << 64) - 1) * 32, True), Want(3, (1, 2)), Done((1, 5), False),
         Marks(tuple(range(1 << 31, (1 << 31) + FEW)), True), Told(1, 2, 3), Ask(4, -1),
         Part(1, 5, 0, 2, (Server(5, "s0", "127.0.0.1:80", "a", 1, 1.0, 0.0, 1),) * MOST_ROWS),
-        Lease(Asked.PROPOSE, "task", Ballot(7, "g1", 9), Ballot(6, "g2", 8), 3.5),
+        Lease(Asks.PROPOSE, "task", Ballot(7, "g1", 9), Ballot(6, "g2", 8), 3.5), Asked(-1),
+        Mail(1 << 40, True, False, (Word(f"{4242:016x}/170", 1, 0.125), Word("a/b/5", 9, 2e6, 7))),
+        Mail(3, False, True, (Word(f"{'f' * 16}/17", 1 << 40, 1e9, 1 << 62),) * MOST_WORDS),
     ],
 )  # fmt: skip
 def test_datagrams_come_back_and_no_cut_or_flip_of_one_raises(body: Said) -> None:
@@ -203,7 +206,12 @@
         (encode("lab", "g1", 1, Want(0, tuple(range(300)))), "body"),
         (encode("lab", "g1", 1, Part(1, 5, 0, 1, (Server(5, "s", "x", "a", 1, 1.0, 0.0, 1),))), "body"),
         (encode("lab", "g1", 1, Part(1, 5, 0, 1, (Server(5, "s", "", "a", 1, -1.0, 0.0, 1),))), "body"),
-        (encode("lab", "g1", 1, Lease(Asked.PROPOSE, "t", Ballot(7, "g", 9), span=math.nan)), "body"),
+        (encode("lab", "g1", 1, Lease(Asks.PROPOSE, "t", Ballot(7, "g", 9), span=math.nan)), "body"),
+        (encode("lab", "g1", 1, Mail(1, True, True, (Word("a/0", 1, 1.0),) * (MOST_WORDS + 1))), "body"),
+        (encode("lab", "g1", 1, Mail(-1, True, True, ())), "body"),
+        (encode("lab", "g1", 1, Mail(1, True, True, (Word("a/0", 1, -1.0),))), "body"),
+        (encode("lab", "g1", 1, Mail(1, True, True, (Word("a" * 65 + "/0", 1, 1.0),))), "body"),
+        (encode("lab", "g1", 1, Mail(1, True, True, (Word("a/0", 1, 1.0, -3),))), "body"),
     ],
 )  # fmt: skip
 def test_datagrams_that_are_not_ours_are_named(data: bytes, why: str) -> None:
