--- a/glenchute/deciders/fleet/use.py
+++ b/glenchute/deciders/fleet/use.py
@@ -5,8 +5,8 @@
 
 Not all use is told. Of an account that used less than `2 x TOLD_SHARE` of its `allowance` in each window no
 store can have run empty, whatever each gateway knows, so no word on it changes a decision. A process says
-what it let in once its own units reach its even part of `TOLD_SHARE`, or all that it knows of reaches
-`TOLD_SHARE`. What stays unsaid for want of the first is less than `TOLD_SHARE` in sum, so once twice as much
+what it let in once its own units pass its even part of `TOLD_SHARE`, or all that it knows of reaches
+`TOLD_SHARE`. What stays unsaid for want of the first is `TOLD_SHARE` in sum at most, so once twice as much
 was let in, everybody has heard of `TOLD_SHARE` at least, and everything is said.
 """
 
@@ -77,7 +77,7 @@
         if own is None:
             return False
         enough = TOLD_SHARE * own.allowance
-        return own.units * own.spread >= enough or own.units + self.sums.get(key, 0.0) >= enough
+        return own.units * own.spread > enough or own.units + self.sums.get(key, 0.0) >= enough
 
     def heard(self, row: Row) -> None:
         """A row of another process."""
