--- a/glenchute/deciders/fleet/directmail.py
+++ b/glenchute/deciders/fleet/directmail.py
@@ -308,7 +308,7 @@
         if body.first or (way.heard >= 0 and body.serial == way.heard + 1):
             way.heard = body.serial
         elif body.serial != way.heard:
-            if way.heard >= 0:
+            if way.heard >= 0 and len(self.round) <= 2 * len(self.ring.members):
                 way.ask_at = -1e9
                 self.round.append(sender)  # the next to be asked
             way.heard = -1
--- a/glenchute/deciders/fleet/use.py
+++ b/glenchute/deciders/fleet/use.py
@@ -20,6 +20,7 @@
 from .replica import Kind, Row
 
 MOST_WINDOWS = 10_000
+MOST_WRITERS = 2_000  # of a window; further ones are not added up
 TOLD_SHARE = 0.25
 
 
@@ -84,8 +85,9 @@
         if row.writer == self.writer:
             return
         window, units = self.others.pop(row.key, {}), self.sums.pop(row.key, 0.0)
-        units += row.value - window.get(row.writer, 0.0)
-        window[row.writer] = row.value
+        if row.writer in window or len(window) < MOST_WRITERS:
+            units += row.value - window.get(row.writer, 0.0)
+            window[row.writer] = row.value
         # Those that changed last stand last.
         self.others[row.key], self.sums[row.key] = window, units
         if len(self.others) > MOST_WINDOWS:
--- a/tests/test_directmail.py
+++ b/tests/test_directmail.py
@@ -13,7 +13,7 @@
 from glenchute.deciders.fleet.directmail import ASKS_PER_S, MOST_WORDS, Mail, Post, Ring, Word, numbers_of
 from glenchute.deciders.fleet.gossip import Gossip, Pace, Rows
 from glenchute.deciders.fleet.replica import RULES, Kind, Replica, Row
-from glenchute.deciders.fleet.use import TOLD_SHARE, Use, allowance
+from glenchute.deciders.fleet.use import MOST_WINDOWS, MOST_WRITERS, TOLD_SHARE, Use, allowance
 from glenchute.peers.fleet.wire import encode
 from heathglade.interface import Plan
 from heathglade.windows import span_of
@@ -292,6 +292,18 @@
     assert replica.conflicted == 1 and use.by_others("a", 0.0) == 13.0
 
 
+def test_a_member_that_makes_things_up_makes_nothing_grow_without_a_bound() -> None:
+    posts = settled(8)
+    post = posts.posts["g1"]
+    for n in range(12_000):
+        words = (Word("a/0", 1, 1.0, boot=n + 5), Word(f"{n}/0", 1, 1.0))
+        post.heard(posts.now, ("g0", "g2")[n % 2], 1, Mail(7 * n, n % 4 < 2, True, words))
+    assert len(post.replica.order[Kind.USE]) <= RULES[Kind.USE].most
+    assert len(post.use.others) == len(post.use.sums) <= MOST_WINDOWS
+    assert len(post.use.others["a/0"]) == MOST_WRITERS == post.use.by_others("a", 0.0)
+    assert len(post.ways) <= 7 and len(post.round) <= 2 * 7 + 1
+
+
 def test_questions_are_bounded_however_many_members_there_are() -> None:
     for count, spread in ((8, 8), (300, 300)):
         posts = Posts(count, 1)
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -106,6 +106,32 @@
     play(scenario())
 
 
+def test_a_way_cut_between_two_that_all_others_reach_lowers_their_share_alone(tmp_path: Path) -> None:
+    """The probes go round it, mail of use does not: who can't be heard is not taken for known."""
+
+    async def scenario() -> None:
+        async with FleetSite(tmp_path, 5) as site:
+            await ready(site)
+            assert (await site.asked(0, "state"))[0]["numbered"]
+            for link in site.to_counter:
+                link.cut()
+            site.links[0, 1].cut()
+            await site.until(lambda: less(site))
+            assert await site.whole([2, 3, 4], 1.0)
+            assert "now=dead" not in site.gateways[0].log.read_text()
+            outcomes = await site.load(3.0, 3.0, [ONE], [0, 1, 2])
+            assert checks.overshoot(site.site.nodes, ONE.customer, RATE, BURST) <= 9.0 * 0.4 + 5.0
+            site.links[0, 1].cut(cut=False)
+            await site.until(lambda: site.whole(EVERY, 1.0))
+            assert checks.lost(outcomes) == 0 and checks.refused_and_ran(site.site.nodes, outcomes) == 0
+
+    async def less(site: FleetSite) -> bool:
+        rows = [float((await site.asked(number, "state"))[0]["share"]) for number in (0, 1)]
+        return max(rows) < 1.0
+
+    play(scenario())
+
+
 def test_stops_kills_leaves_and_noise_among_five(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with FleetSite(tmp_path, 5) as site:
