A member's tick walks over all members only when one of them has changed

The list is kept until a change of a member is taken; the new test fails where it is made at each tick.

--- a/glenchute/peers/fleet/node.py
+++ b/glenchute/peers/fleet/node.py
@@ -65,6 +65,7 @@
         now = loop.time()
         rules = Rules(raw.get("period_ms", 200.0) / 1000.0, raw.get("patience_ms", 2500.0) / 1000.0)
         self.members = Members(self.name, self.boot, list(self.addresses), rules, rng, now)
+        self.alive: list[str] = []  # those that take part
         pace = Pace(raw.get("push_ms", 50.0) / 1000.0, raw.get("compare_ms", 500.0) / 1000.0,
                     raw.get("budget_kib_s", 32.0) * 1024.0)  # fmt: skip
         self.replica = Replica()
@@ -361,7 +362,13 @@
         now = self.loop.time()
         for out in self.members.tick(now):
             self.send(out.to, out.message)
-        for sent in self.gossip.tick(now, self.members.alive()):
+        for change in self.changed():
+            if change.conflict:
+                tell("member.doubled", member=change.name)
+            else:
+                now_is, was = change.now.name.lower(), change.was.name.lower()
+                tell("member.changed", member=change.name, now=now_is, was=was)
+        for sent in self.gossip.tick(now, self.alive):
             self.send(sent.to, sent.body)
         for letter in self.post.tick(now):
             self.send(letter.to, letter.body)
@@ -377,12 +384,6 @@
         self.post.expire()
         self.telling.health.expire(now)
         self.part()
-        for change in self.members.taken():
-            if change.conflict:
-                tell("member.doubled", member=change.name)
-            else:
-                now_is, was = change.now.name.lower(), change.was.name.lower()
-                tell("member.changed", member=change.name, now=now_is, was=was)
         while self.shown < self.replica.conflicted:
             self.shown = self.replica.conflicted
             conflict = self.replica.conflicts[-1]
@@ -391,6 +392,13 @@
                  version=kept.version, kept=kept.value, other=conflict.other.value,
                  sender=conflict.seen_from)  # fmt: skip
 
+    def changed(self) -> list[membership.Change]:
+        """What has changed of the members since the last call; only then they are walked over."""
+        changes = self.members.taken()
+        if changes:
+            self.alive = self.members.alive()
+        return changes
+
     def send(self, to: str, body: Any) -> None:
         """One datagram, or none if the machine takes none now."""
         if self.transport is not None and not self.transport.is_closing():
--- a/lab/fleet/crowd.py
+++ b/lab/fleet/crowd.py
@@ -1,8 +1,9 @@
 """Two hundred members of which one is a process: the others are sockets that say to it what that many would.
 
 In a fleet of n each member gets as much as it sends: mail of use, probes. So the others together say to the
-process what one member sends, and answer its probes and its questions about use; among themselves they are
-mute. Use comes from those that share sets with the process, who are its neighbours by number.
+process what one member sends, and answer its probes, its questions about use and, with nothing to tell, its
+comparisons; among themselves they are mute. Use comes from those that share sets with the process, who are
+its neighbours by number.
 """
 
 from __future__ import annotations
@@ -13,8 +14,10 @@
 from typing import Any, cast
 
 from glenchute.deciders.fleet.directmail import Asked, Mail, Word
+from glenchute.deciders.fleet.gossip import Digest, Done
 from glenchute.deciders.fleet.members import Kind as Said
 from glenchute.deciders.fleet.members import Message, State, Update
+from glenchute.deciders.fleet.replica import BUCKETS
 from glenchute.peers.fleet.wire import Bad, decode, encode
 
 from ..site import free_port
@@ -39,6 +42,8 @@
             return
         if isinstance(body, Message) and body.kind in (Said.PING, Said.PING_REQ):
             self.say(Message(Said.ACK, body.serial, "", (self.alive(),)))
+        elif isinstance(body, Digest) and not body.known:
+            self.say(Done(tuple(range(BUCKETS)), True))
         elif isinstance(body, Mail):
             self.crowd.words += len(body.words)
         elif isinstance(body, Asked):
--- a/tests/test_directmail.py
+++ b/tests/test_directmail.py
@@ -12,9 +12,14 @@
 from glenchute.deciders.fleet import directmail
 from glenchute.deciders.fleet.directmail import ASKS_PER_S, MOST_WORDS, Mail, Post, Ring, Word, numbers_of
 from glenchute.deciders.fleet.gossip import Gossip, Pace, Rows
+from glenchute.deciders.fleet.members import Kind as Probes
+from glenchute.deciders.fleet.members import Members, Message, State, Update
 from glenchute.deciders.fleet.replica import RULES, Kind, Replica, Row
 from glenchute.deciders.fleet.use import MOST_WINDOWS, MOST_WRITERS, TOLD_SHARE, Use, allowance
+from glenchute.peers.fleet.node import TICK_S, Fleet
 from glenchute.peers.fleet.wire import encode
+from heathglade import Gateway
+from heathglade import interface as api
 from heathglade.interface import Plan
 from heathglade.windows import span_of
 from lab.fleet.posted import Posts
@@ -313,6 +318,42 @@
         assert asked <= 10.0 * ASKS_PER_S + 5
 
 
+class Clock:
+    """A loop that only tells the time."""
+
+    now = 0.0
+
+    def time(self) -> float:
+        return self.now
+
+    def call_later(self, *later: object) -> None:
+        self.now += TICK_S
+
+
+def test_a_quiet_tick_walks_over_no_list_of_who_is_there(monkeypatch: pytest.MonkeyPatch) -> None:
+    walks: list[int] = []
+    sound = Members.alive
+
+    def counted(self: Members) -> list[str]:
+        walks.append(1)
+        return sound(self)
+
+    monkeypatch.setattr(Members, "alive", counted)
+    rows = [{"name": f"g{n}", "address": f"127.0.0.1:{7000 + n}"} for n in range(1, 520)]
+    raw = {"fleet": "lab", "name": "g0", "listen": "127.0.0.1:7000", "members": rows}
+    made = api.Settings("a", 520, (), (), api.Safety())
+    fleet = Fleet(raw, Clock(), Gateway(made, 1), made, 1)  # type: ignore[arg-type]
+    probes = [Message(Probes.ACK, n, "", (Update(f"g{n}", State.ALIVE, 0, n),)) for n in (1, 2)]
+    for n, probe in enumerate(probes, 1):
+        walks.clear()
+        for _ in range(3):
+            fleet.tick()
+        assert len(walks) <= 1 and len(fleet.alive) == n - 1
+        fleet.datagram_received(encode("lab", f"g{n}", n, probe), ("127.0.0.1", 7000 + n))
+        fleet.tick()
+        assert fleet.alive == [f"g{m}" for m in range(1, n + 1)]
+
+
 # --- the operator's file -----------------------------------------------------------------------------------
 
 HEAD = "[fleet]\nfleet = 'lab'\nname = 'g0'\nlisten = '127.0.0.1:7000'\n"
