--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -18,6 +18,7 @@
 import pytest
 
 from glenchute.cli import fleet as cli
+from glenchute.deciders.fleet.directmail import Mail, Word
 from glenchute.deciders.fleet.gossip import Rows
 from glenchute.deciders.fleet.replica import Kind as RowKind
 from glenchute.deciders.fleet.replica import Row
@@ -105,6 +106,32 @@
     play(scenario())
 
 
+def test_a_way_cut_between_two_that_all_others_reach_lowers_their_share_alone(tmp_path: Path) -> None:
+    """The probes go round it, mail of use does not: who can't be heard is not taken for known."""
+
+    async def scenario() -> None:
+        async with FleetSite(tmp_path, 5) as site:
+            await ready(site)
+            assert (await site.asked(0, "state"))[0]["numbered"]
+            for link in site.to_counter:
+                link.cut()
+            site.links[0, 1].cut()
+            await site.until(lambda: less(site))
+            assert await site.whole([2, 3, 4], 1.0)
+            assert "now=dead" not in site.gateways[0].log.read_text()
+            outcomes = await site.load(3.0, 3.0, [ONE], [0, 1, 2])
+            assert checks.overshoot(site.site.nodes, ONE.customer, RATE, BURST) <= 9.0 * 0.4 + 5.0
+            site.links[0, 1].cut(cut=False)
+            await site.until(lambda: site.whole(EVERY, 1.0))
+            assert checks.lost(outcomes) == 0 and checks.refused_and_ran(site.site.nodes, outcomes) == 0
+
+    async def less(site: FleetSite) -> bool:
+        rows = [float((await site.asked(number, "state"))[0]["share"]) for number in (0, 1)]
+        return max(rows) < 1.0
+
+    play(scenario())
+
+
 def test_stops_kills_leaves_and_noise_among_five(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with FleetSite(tmp_path, 5) as site:
@@ -296,6 +323,8 @@
             gone = Row(RowKind.SERVER, "s2", "", 10**9, 2.0)
             for fleet, lie in (("lab", used), ("lab", gone), ("other", gone)):
                 site.links[0, 1].send_as(1, encode(fleet, "g1", boot, Rows(((lie, 0),))))
+            words = tuple(Word(used.key, 9, used.value, of) for of in (0, 7))  # and of g0 before
+            site.links[0, 1].send_as(1, encode("lab", "g1", boot, Mail(1 << 40, True, True, words)))
             await site.until(lambda: dropped(site, 0, "dropped_fleet"))
 
             site.send_signal(3, signal.SIGSTOP)  # longer than a burial takes; it goes on with old beliefs
