--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -10,12 +10,13 @@
 import threading
 from collections.abc import Callable
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
 import glenchute.config.operator as operators
 from glenchute.cli import aside
-from glenchute.cli.aside import SWITCH_S, Aside
+from glenchute.cli.aside import REST_S, SLICE_S, SWITCH_S, Aside, Pace
 from glenchute.cli.run import LINES_A_TURN, read_again
 from glenchute.config.facts import Facts
 from glenchute.config.operator import Reading
@@ -190,6 +191,22 @@
     assert told == [] and sys.getswitchinterval() > SWITCH_S
 
 
+def test_work_in_parts_rests_when_its_slice_is_over(monkeypatch: pytest.MonkeyPatch) -> None:
+    now, slept = 5.0, list[float]()
+
+    def sleep(seconds: float) -> None:
+        nonlocal now
+        slept.append(seconds)
+        now += seconds
+
+    monkeypatch.setattr(aside, "time", SimpleNamespace(perf_counter=lambda: now, sleep=sleep))
+    pace = Pace()
+    for _ in range(100):
+        now += SLICE_S / 4.0
+        pace.rest()
+    assert 20 <= len(slept) <= 25 and set(slept) == {REST_S}
+
+
 HOLD = """\
 import sys, threading
 import glenchute.config.operator as operators
