--- a/benchmarks/added.py
+++ b/benchmarks/added.py
@@ -5,17 +5,23 @@
 at which a request has been read (`taken`), its attempt is written (`written`), the server's answer has come
 whole (`answered`) and the client's has been written (`told`). For each part: p50 and p99, and its mean among
 the slowest 2 in 100 by what was added; parts at clients and servers are this measurement's own process.
+Before and after, the same load goes through a bare relay, a process that only passes bytes on to one of the
+servers: what is added there is the machine's.
 """
 
 from __future__ import annotations
 
 import asyncio
 import atexit
+import contextlib
+import itertools
 import json
 import os
+import subprocess
 import sys
 import tempfile
 import time
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -75,6 +81,26 @@
     atexit.register(lambda: Path(os.environ["ADDED_PROBE"]).write_text(json.dumps(moments)))
 
 
+async def relay(ports: list[int]) -> None:
+    """Passes bytes on, each connection to one of the servers in turn; prints its port, ends with its
+    input."""
+    turn = itertools.cycle(ports)
+
+    async def passed(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(65536):
+            writer.write(data)
+        writer.close()
+
+    async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        beyond = await asyncio.open_connection("127.0.0.1", next(turn))
+        with contextlib.suppress(asyncio.CancelledError, ConnectionError):  # the end
+            await asyncio.gather(passed(reader, beyond[1]), passed(beyond[0], writer))
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    print(server.sockets[0].getsockname()[1], flush=True)
+    await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
+
+
 class NotedNode(Node):
     """A server that notes when a command came and when its answer was ready."""
 
@@ -101,6 +127,27 @@
         return found
 
 
+async def relayed(nodes: Sequence[Node], accounts: Sequence[Account], seed: int) -> str:
+    """What a bare relay adds to the same load."""
+    ports = [str(node.port) for node in nodes]
+    process = subprocess.Popen([sys.executable, "-m", "benchmarks.added", "relay", *ports],
+                               stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)  # fmt: skip
+    assert process.stdout is not None
+    port = int(process.stdout.readline())
+    await NotedLoad(lambda: port, READS, accounts, RATE, seed).run(1.0)
+    load = NotedLoad(lambda: port, READS, accounts, RATE, seed + 1)
+    waits = waited_s(process.pid)
+    await load.run(SECONDS / 2.0)
+    waits = 1000.0 * (waited_s(process.pid) - waits) / len(load.outcomes)
+    process.communicate()
+    added = []
+    for outcome in load.outcomes:
+        one = NotedLoad.moments[outcome.request_id.decode()]
+        added.append(1000.0 * (one["got"] - outcome.asked - one["ended"] + one["began"]))
+    return (f"  through a bare relay: added p50, p99 {percentile(added, 50):.1f}, "
+            f"{percentile(added, 99):.1f} ms; waits {waits:.2f} ms for a core")  # fmt: skip
+
+
 async def measure(listed: int, folder: Path) -> None:
     """One gateway before so many names; prints its table."""
     moments: Moments = {}
@@ -126,12 +173,14 @@
             assert gateway.process is not None
             pid = gateway.process.pid
             accounts = [Account(b"%016x" % (1000 + i), "korporativni") for i in range(400)]
+            beside = [await relayed(nodes, accounts, 10)]
             await NotedLoad(lambda: gateway.port, READS, accounts, RATE, 1).run(2.0)
             load = NotedLoad(lambda: gateway.port, READS, accounts, RATE, 2)
             before, waits = cpu_s(pid), waited_s(pid)
             await load.run(SECONDS)
             used = 1000.0 * (cpu_s(pid) - before) / len(load.outcomes)
             waits = 1000.0 * (waited_s(pid) - waits) / len(load.outcomes)
+            beside.append(await relayed(nodes, accounts, 20))
         finally:
             await gateway.stop()
             await lists.stop()
@@ -148,6 +197,7 @@
     print(f"{listed} listed: {len(found)} of {len(load.outcomes)} served; added p50, p99 "
           f"{percentile(added, 50):.1f}, {percentile(added, 99):.1f} ms; a request has {used:.2f} ms of CPU, "
           f"and waits {waits:.2f} ms for a core")  # fmt: skip
+    print("\n".join(beside))
     for at, (name, _, _) in enumerate(PARTS):
         own = [parts[at] for _, parts in found]
         mean = sum(parts[at] for _, parts in slow) / len(slow)
@@ -159,6 +209,9 @@
 
 def main() -> int:
     """A table for each size."""
+    if sys.argv[1:2] == ["relay"]:
+        uvloop.run(relay([int(port) for port in sys.argv[2:]]))
+        return 0
     print(machine())
     for listed in map(int, sys.argv[1:] or ("20", "5700")):
         with tempfile.TemporaryDirectory() as folder:
