A name that is no text has a place on the ring

Cause: an id with half of a surrogate pair, which JSON can hold, could not be hashed: in a list of over 256 rows the decision module failed on the event, so that the whole list stayed unknown to it. It is hashed by its code points now. Test seen to fail: without the change the list is not in force.

--- a/glenchute/deciders/rings.py
+++ b/glenchute/deciders/rings.py
@@ -17,15 +17,15 @@
 
 from .sizing import WHOLE
 
-SORTED = 512
+SORTED = 512  # rows of rings put in order in one step
 
 Spot = tuple[bytes, str]  # a server's place on its ring
 Pair = tuple[ServerEntry, tuple[str, int] | None]  # a server and where it listens
 
 
 def spot(server: str) -> Spot:
-    """Where a server stands on its ring."""
-    return blake2b(server.encode(), digest_size=8).digest(), server
+    """Where a server stands on its ring. Any name that JSON can hold has a place."""
+    return blake2b(server.encode(errors="surrogatepass"), digest_size=8).digest(), server
 
 
 class Placed(tuple[ServerEntry, ...]):
--- a/tests/test_list_parts.py
+++ b/tests/test_list_parts.py
@@ -328,6 +328,15 @@
     assert all(entry.entry.size == 2.0 for entry in chain.policy.fleet.servers.values())
 
 
+def test_a_name_that_is_no_text_hides_nothing_of_a_long_list(chain: Chain) -> None:
+    """Half of a surrogate pair, as JSON can have it: the list is in force, that server like the others."""
+    odd = {**row("x\ud83d", 9), "zone": "z"}
+    chain.tell([*zoned(0, 600), odd])
+    assert len(chain.servers.known()) == 601 and len(chain.used()) >= 48 and odd["id"] in chain.used()
+    chain.tell([{**odd, "state": "Gone"}], False)
+    assert odd["id"] not in chain.servers.known() and odd["id"] not in chain.used()
+
+
 def test_connections_to_processes_that_ended_are_closed(
     chain: Chain, monkeypatch: pytest.MonkeyPatch
 ) -> None:
