--- a/glenchute/deciders/rings.py
+++ b/glenchute/deciders/rings.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from hashlib import blake2b
 
 from heathglade.interface import ServerEntry, ServerState
@@ -46,25 +46,27 @@
 class Placing:
     """A list on its way to `Placed`, row by row."""
 
-    def __init__(self) -> None:
+    def __init__(self, before: Mapping[str, Spot]) -> None:
+        """`before`: servers' places that are known."""
+        self.before = before
+        self.spots: dict[str, Spot] = {}  # of those in service
         self.entries: list[ServerEntry] = []
         self.listed: dict[str, ServerEntry] = {}
         self.rings: dict[str, list[Spot]] = {}
         self.started: dict[str, float] = {}
         self.pairs: dict[str, Pair] = {}
 
-    def take(self, pair: Pair, at: Spot | None = None) -> Spot | None:
-        """One more row; its place on the ring, if it is in service, may be known from before."""
+    def take(self, pair: Pair) -> None:
+        """One more row."""
         entry = pair[0]
+        server = entry.server
         self.entries.append(entry)
-        self.pairs[entry.server] = pair
-        if entry.state is not ServerState.ACTIVE:
-            return None
-        at = at or spot(entry.server)
-        self.listed[entry.server] = entry
-        self.started[entry.server] = entry.started_ms
-        self.rings.setdefault(entry.zone, []).append(at)
-        return at
+        self.pairs[server] = pair
+        if entry.state is ServerState.ACTIVE:
+            at = self.spots[server] = self.before.get(server) or spot(server)
+            self.listed[server] = entry
+            self.started[server] = entry.started_ms
+            self.rings.setdefault(entry.zone, []).append(at)
 
     def sort(self) -> Iterator[None]:
         """Puts the rings in order, some `SORTED` rows a step, or a ring that has more. All rows have been
--- a/glenchute/peers/discovery.py
+++ b/glenchute/peers/discovery.py
@@ -15,7 +15,7 @@
 import random
 import re
 from collections.abc import Callable, Generator
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import TYPE_CHECKING, Any
 
 from glenchute.core.types import Address, News
 from glenchute.deciders.pacing import Doubt, Pacing, Terms
@@ -68,21 +68,16 @@
     )
 
 
-class Known(NamedTuple):
-    """What a row says."""
-
-    pair: tuple[ServerEntry, Address | None]
-    at: tuple[bytes, str] | None  # its place on the ring, if it is in service
-
-
 class Held:
     """The list in force, for rows of the next that can't be read: their servers stay as they are."""
 
     def __init__(self) -> None:
         self.rows: dict[str, tuple[ServerEntry, Address | None]] = {}
-        # What was made of each row's text of the last long list that was read whole, for the next one. What
-        # a text says does not hang on the list, so it counts whether or not that list came into force.
-        self.texts: dict[str, Known] = {}
+        # What was made of each row's text of the last long list that was read whole, and each server's place
+        # on its ring, for the next one. That does not hang on the list: it counts whether or not that list
+        # came into force.
+        self.texts: dict[str, tuple[ServerEntry, Address | None]] = {}
+        self.spots: dict[str, tuple[bytes, str]] = {}
 
     def follow(self, news: News) -> None:
         """This is in force now."""
@@ -130,7 +125,7 @@
         self.addresses: dict[str, Address] = {}
         self.unreadable: list[Any] = []
 
-    def take(self, row: Any) -> Known | None:
+    def take(self, row: Any) -> tuple[ServerEntry, Address | None] | None:
         """One more; what it says, if it can be read."""
         try:
             pair = read_row(row)
@@ -139,14 +134,16 @@
                 raise
             self.unreadable.append(row)
             return None
-        return self.add(pair, None)
+        self.add(pair)
+        return pair
 
-    def add(self, pair: tuple[ServerEntry, Address | None], at: tuple[bytes, str] | None) -> Known:
+    def add(self, pair: tuple[ServerEntry, Address | None]) -> None:
         """One more that has been read."""
         self.read.append(pair)
         if pair[1] is not None:
             self.addresses[pair[0].server] = pair[1]
-        return Known(pair, self.placing.take(pair, at) if self.placing is not None else None)
+        if self.placing is not None:
+            self.placing.take(pair)
 
     def news(self, raw: Any, saved: bool = False) -> News:
         """The list that they make, with what else its text says."""
@@ -159,7 +156,7 @@
                         len(unreadable), len(unreadable) + len(read))  # fmt: skip
             if kind is ListKind.FULL:
                 for pair in self.held.instead({one.server for one, _ in read}, unreadable):
-                    self.add(pair, None)
+                    self.add(pair)
         placing = self.placing if len(read) > WHOLE else None
         entries = placing.done() if placing is not None else tuple(one for one, _ in read)
         return News(version, ServerList(kind, entries), self.addresses)
@@ -190,18 +187,18 @@
     head = HEAD.match(text)
     if head is None:
         return read_list(json.loads(text), held=held)
-    placing = Placing()
+    placing = Placing(held.spots if held is not None else {})
     rows, at = Rows(held, placing), skipped(text, head.end())
     more = not text.startswith("]", at)
-    before: dict[str, Known] = held.texts if held is not None else {}
-    texts: dict[str, Known] = {}
+    before = held.texts if held is not None else {}
+    texts: dict[str, tuple[ServerEntry, Address | None]] = {}
     try:
         while more:
             one = text[at : text.find("}", at) + 1] if before and text.startswith("{", at) else ""
             known = before.get(one)
             if known is not None:
                 at += len(one)
-                rows.add(*known)
+                rows.add(known)
             else:
                 start = at
                 row, at = JSON.raw_decode(text, at)
@@ -219,7 +216,7 @@
         yield from placing.sort()
         raw = json.loads(text[: head.end()] + text[at:])
         if held is not None and raw.get("full") and len(texts) > WHOLE:
-            held.texts = texts
+            held.texts, held.spots = texts, placing.spots
         before = texts = {}
         yield  # what the list before left behind is not let go in the turn in which this one comes into force
         return rows.news(raw) if not raw["servers"] else read_list(json.loads(text), held=held)
