--- a/benchmarks/choosing.py
+++ b/benchmarks/choosing.py
@@ -96,7 +96,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     took: list[float] = []
     print("begun", flush=True)
-    while not select.select([0], [], [], PING_EVERY_S)[0]:  # until its input has ended
+    while not took or not select.select([0], [], [], PING_EVERY_S)[0]:  # until its input has ended
         began = time.perf_counter()
         sock.sendall(b"*1\r\n$4\r\nPING\r\n")
         sock.recv(64)
