--- a/tests/test_list_parts.py
+++ b/tests/test_list_parts.py
@@ -4,14 +4,21 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+import random
+import sys
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from benchmarks.list_turns import LISTS, Chain, zoned
+from glenchute.backends.resp2 import GRACE_MARGIN_S, Pool
+from glenchute.core import gateway as gateways
 from glenchute.core.types import News
+from glenchute.deciders.sizing import WHOLE
 from glenchute.peers import discovery as discoveries
 from glenchute.peers.discovery import PART_ROWS, Held, read_in_parts, read_list
 from heathglade.interface import ListKind, ServerList
@@ -87,6 +94,45 @@
     assert outcome(parted, body, held) == outcome(whole, body, held)
 
 
+LONG = json.dumps({"version": 3, "full": True, "servers": [row(f"n{n}", 9) for n in range(WHOLE + 9)]})
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(
+    st.integers(0, len(LONG)), st.integers(0, 40), st.text('{}[],:"09 \n', max_size=3),
+    st.sampled_from([", ", ",", " , \n"]),
+)  # fmt: skip
+def test_a_row_whose_text_was_read_before_is_read_alike(at: int, cut: int, put: str, comma: str) -> None:
+    """After a long list, of which the texts are kept: the same list spoilt somewhere or written otherwise."""
+    held, other = Held(), Held()
+    held.follow(parted(LONG.encode(), held))
+    other.rows = dict(held.rows)
+    assert len(held.texts) == WHOLE + 9
+    body = (LONG[:at] + put + LONG[at + cut :]).replace("}, {", "}" + comma + "{").encode()
+    assert outcome(parted, body, held) == outcome(whole, body, other)
+
+
+def test_a_row_that_is_known_is_not_read_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Of a whole list read anew only the rows that differ are; no more texts are kept than it has rows."""
+    read: list[str] = []
+    sound = discoveries.read_row
+    held, rows = Held(), [row(f"n{n}", 9) for n in range(1_000)]
+
+    def read_row(one: Any) -> Any:
+        read.append(one["id"])
+        return sound(one)
+
+    monkeypatch.setattr(discoveries, "read_row", read_row)
+    for changed, expected in (([], 1_000), ([], 0), ([3, 999], 2), (list(range(1_000)), 1_000)):
+        read.clear()
+        for n in changed:
+            rows[n] = {**rows[n], "weight": 1.5 + len(changed)}
+        news = parted(json.dumps({"version": 3, "full": True, "servers": rows}).encode(), held)
+        assert len(read) == expected and [entry.server for entry in news.event.entries][3] == "n3"
+        assert [entry.size for entry in news.event.entries] == [one.get("weight", 1.0) for one in rows]
+        assert len(held.texts) == len(rows)
+
+
 class Parts:
     """Holds the reading of a list between two parts until the test lets it go on."""
 
@@ -195,3 +241,182 @@
     for _ in read_in_parts(json.dumps({"version": 3, "full": True, "servers": rows}).encode(), Held()):
         most, read = max(most, read), 0
     assert 0 < most <= PART_ROWS
+
+
+# --- what a list costs in one turn -----------------------------------------------------------------------
+
+
+@pytest.fixture
+def chain() -> Iterator[Chain]:
+    one = Chain()
+    yield one
+    one.close()
+
+
+@contextmanager
+def calls() -> Iterator[list[int]]:
+    """Counts the calls made meanwhile, of Python's functions and built-in ones alike."""
+    count = [0]
+
+    def one(frame: Any, event: str, arg: Any) -> None:
+        count[0] += event in ("call", "c_call")
+
+    sys.setprofile(one)
+    try:
+        yield count
+    finally:
+        sys.setprofile(None)
+
+
+def longest(chain: Chain, rows: list[dict[str, Any]], full: bool = True) -> int:
+    """The calls made in the turn that makes most."""
+    most, turns, ended = 0, chain.turns(rows, full), False
+    while not ended:
+        with calls() as count:
+            ended = next(turns, True) is True
+        most = max(most, count[0])
+    return most
+
+
+@pytest.mark.parametrize("name", LISTS)
+def test_no_turn_of_a_long_list_walks_all_of_it(name: str, chain: Chain) -> None:
+    """From one list to another: calls in the longest turn, some 2,300 of which read `PART_ROWS` rows, where
+    5,700 rows are 20,000 and more if each has its own. What drains has some, and rows that leave rings or
+    come on them by changes."""
+    before, after, full = LISTS[name]
+    chain.tell(before)
+    most = longest(chain, after, full)
+    more = {"half of it drains": 4 * 2_850, "a zone gone": 10_000, "a zone back": 10_000}
+    assert most <= 3_000 + more.get(name, 0)
+    listed = {one["id"] for one in after if one["state"] == "Ready"}
+    if full:
+        assert chain.used() <= listed
+    assert chain.used()
+
+
+def test_nothing_of_a_list_is_in_force_before_all_of_it(chain: Chain) -> None:
+    """Whole lists and changes: between two turns all is as before, to requests as to the next list; after the
+    last all is as told, drains among it."""
+    chain.tell(zoned(0, 5_700))
+    used = chain.used()
+    drained = sorted(used)[:10]
+    for full in (True, False):
+        rows = [{**one, "state": "Terminating"} if one["id"] in drained else one for one in zoned(0, 3_000)]
+        before, turns = json.dumps(sorted(chain.used())), 0
+        state = chain.state()
+        for _ in chain.turns(rows, full):
+            turns += 1
+            assert json.dumps(sorted(chain.used())) == before and chain.state() == state
+        assert turns > 3_000 // PART_ROWS
+        assert all(chain.servers.stops(name) for name in drained) and chain.used().isdisjoint(drained)
+        drained = sorted(chain.used())[:10]
+
+
+def test_a_list_given_up_half_way_leaves_nothing(chain: Chain) -> None:
+    """As where its line is closed, another answer is taken, or the process ends: the next list is taken in
+    full, also one of the same rows."""
+    chain.tell(zoned(0, 600))
+    state = chain.state()
+    for stop in (1, 30, 90):
+        turns = chain.turns(zoned(100, 5_700, weight=2.0))
+        for _ in range(stop):
+            next(turns)
+        turns.close()
+        assert chain.state() == state
+    chain.tell(zoned(100, 5_700, weight=2.0))
+    assert set(chain.servers.known()) == {f"n{n}" for n in range(100, 5_800)}
+    assert all(entry.entry.size == 2.0 for entry in chain.policy.fleet.servers.values())
+
+
+def test_a_name_that_is_no_text_hides_nothing_of_a_long_list(chain: Chain) -> None:
+    """Half of a surrogate pair, as JSON can have it: the list is in force, that server like the others."""
+    odd = {**row("x\ud83d", 9), "zone": "z"}
+    chain.tell([*zoned(0, 600), odd])
+    assert len(chain.servers.known()) == 601 and len(chain.used()) >= 48 and odd["id"] in chain.used()
+    chain.tell([{**odd, "state": "Gone"}], False)
+    assert odd["id"] not in chain.servers.known() and odd["id"] not in chain.used()
+
+
+def test_connections_to_processes_that_ended_are_closed(
+    chain: Chain, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """By a whole list as by changes: those of the servers started anew, and no others."""
+    chain.tell(zoned(0, 5_700))
+    opened = sorted(chain.used())[:20]
+    assert all(chain.servers.open_pool(name) is not None for name in opened)
+    where = {id(pool): name for name, pool in chain.servers.pools.items()}
+    closed: list[str] = []
+    monkeypatch.setattr(Pool, "close_idle", lambda self, before=None: closed.append(where[id(self)]))
+    for step, full in ((1, True), (2, False)):
+        anew = set(opened[:step])
+        rows = [{**one, "started_ms": float(step)} if one["id"] in anew else one for one in zoned(0, 5_700)]
+        chain.tell(rows, full)
+        chain.tell(rows, full)  # the same again closes none
+        assert closed == opened[:step] and len(chain.servers.pools) == len(opened)
+        closed.clear()
+
+
+def test_servers_without_pools_drain_as_others_do(chain: Chain, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Nothing new by the list's word; attempts that were sent before may start until the grace is over, which
+    runs from the first word; and one that comes back takes work."""
+    chain.tell(zoned(0, 5_700))
+    now = 100.0
+    monkeypatch.setattr(Chain, "time", lambda self: now, raising=False)
+    chain.servers.loop = chain  # type: ignore[assignment]
+    drain = zoned(300, 600, state="Terminating")
+    for full in (True, False):
+        chain.tell([*zoned(0, 300), *drain, *zoned(900, 4_800)] if full else drain, full)
+        assert all(chain.servers.stops(one["id"]) for one in drain)
+        now += 0.1
+    grace_s = chain.servers.limits.grace_s - GRACE_MARGIN_S
+    now = 100.0 + grace_s
+    pool = chain.servers.open_pool("n300")
+    assert pool is not None and pool.stop_at == now and chain.servers.stops("n300")
+    now += 0.01
+    assert all(chain.servers.open_pool(one["id"]) is None for one in drain[:20])
+    chain.tell(zoned(300, 300), False)
+    assert all(not chain.servers.stops(one["id"]) for one in drain[:300])
+    assert all(chain.servers.stops(one["id"]) for one in drain[300:])
+    assert chain.servers.open_pool("n300") is not None and chain.servers.open_pool("n599") is not None
+    chain.tell([*zoned(0, 600), *zoned(900, 4_800)])
+    assert len(chain.servers.known()) == 5_400 and chain.servers.open_pool("n700") is None
+
+
+def drawn(rng: random.Random, names: int) -> list[dict[str, Any]]:
+    """Rows of all kinds, also of such as no service should send."""
+    rows: list[Any] = []
+    for n in rng.sample(range(names), rng.randint(names // 3, names)):
+        one = {**row(f"n{n}", 9 + rng.randint(0, 9) // 9), "zone": rng.choice("aaab")}
+        one["started_ms"] = float(rng.randint(0, 9) // 9)
+        one["state"] = rng.choice(["Ready"] * 20 + ["Terminating", "Gone", "Odd"])
+        rows.append(one)
+    fault = rng.random()
+    if fault < 0.15:
+        rows.append({**rng.choice(rows), "state": rng.choice(["Ready", "Gone", "Terminating"])})
+    elif fault < 0.3:
+        rows.insert(rng.randrange(len(rows)), rng.choice([7, {"id": "n3"}, {"id": 5}]))
+    return rows
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_parts_and_tables_made_ahead_change_nothing(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Lists and changes of all lengths, one after another: read in parts, with what follows from them worked
+    out ahead, they leave what they leave read at once and brought into force row by row."""
+    rng = random.Random(seed)
+    new, old = Chain(), Chain(parted=False)
+    for step in range(25):
+        names = rng.choice([60, 600, 900])
+        rows, full = drawn(rng, names), step == 0 or rng.random() < 0.5
+        new.tell(rows, full)
+        with monkeypatch.context() as patch:
+            patch.setattr(gateways, "MANY_ROWS", 10**9)
+            old.tell(rows, full)
+        for name in rng.sample(sorted(new.used()), len(new.used()) // 3):  # pools that are made by use
+            assert new.servers.open_pool(name) is not None
+        for name in rng.sample(sorted(new.servers.known()), 9):  # ... also of some that drain
+            first, second = new.servers.open_pool(name), old.servers.open_pool(name)
+            assert first is None or second is None or first.address == second.address
+        ours, theirs = new.state(), old.state()
+        assert ours == theirs, step
+    new.close()
+    old.close()
