Members' numbers count only where this gateway's own is the platform's

Cause, found on reading the part: numbers are inferred from the digits of members' names, and nothing held them to the platform's own `me`. Where they are others, use goes to gateways that do not share the account, and those that do are taken for idle: with a mute counter each may let in a whole quota. Change: `Fleet` is handed `config.number`; where its own number is another all are told, which is sound, and `numbers.foreign` is logged with the mend. The new cases fail without it.

--- a/glenchute/cli/run.py
+++ b/glenchute/cli/run.py
@@ -206,7 +206,8 @@
             from glenchute.peers.fleet.node import Fleet
         except ImportError as error:
             raise ConfigError(f"fleet needs glenchute[fleet]: {error}") from None
-        self.fleet = Fleet(raw, self.loop, decisions, self.config.settings, self.config.seed)
+        config = self.config
+        self.fleet = Fleet(raw, self.loop, decisions, config.settings, config.seed, config.number)
         if "control" in raw:
             self.control = ControlServer(raw["control"])
             self.control.register("fleet", self.fleet.verbs())
--- a/glenchute/peers/fleet/events.py
+++ b/glenchute/peers/fleet/events.py
@@ -25,6 +25,11 @@
     "member.doubled": Event(
         logging.WARNING, ("member",), "two processes run under one name at once; stop one of them"
     ),
+    "numbers.foreign": Event(
+        logging.WARNING,
+        ("member", "platform", "here"),
+        "the members' numbers are not the platform's, so use is told to all; state `number` for each",
+    ),
     "address.taken": Event(
         logging.WARNING, ("address",), "another process has this one's address; tried on until it is free"
     ),
--- a/glenchute/peers/fleet/node.py
+++ b/glenchute/peers/fleet/node.py
@@ -52,8 +52,10 @@
 
     def __init__(
         self, raw: dict[str, Any], loop: asyncio.AbstractEventLoop, module: Decisions, made: api.Settings,
-        seed: int,
+        seed: int, number: int | None = None,
     ) -> None:  # fmt: skip
+        """`number`: this gateway's, where the platform tells it: members' numbers count only if its own is
+        the same there, as others would else be told than those that share its accounts."""
         rng = random.Random(seed)
         self.loop, self.fleet, self.name, self.gateways = loop, raw["fleet"], raw["name"], made.gateways
         # Not of the seed: a platform that starts a process again with an old file gives it the old seed, and
@@ -73,6 +75,9 @@
         writer = f"{self.name}#{self.boot:x}"
         self.use, self.restraint = Use(writer), Restraint()
         numbers = numbers_of({row["name"]: row.get("number") for row in (raw, *raw["members"])})
+        if numbers is not None and number is not None and numbers[self.name] != number:
+            tell("numbers.foreign", member=self.name, platform=number, here=numbers[self.name])
+            numbers = None
         ring = Ring(self.name, list(self.addresses), numbers, made.gateways)
         self.post = Post(
             self.use, self.replica, ring, self.takes_part, rng, now, raw.get("use_kib_s", 6.0) * 1024.0
--- a/tests/test_directmail.py
+++ b/tests/test_directmail.py
@@ -354,6 +354,34 @@
         assert fleet.alive == [f"g{m}" for m in range(1, n + 1)]
 
 
+@pytest.mark.parametrize(
+    ("name", "number", "stated", "numbered"),
+    [
+        ("g0", 0, None, True), ("g0", None, None, True), ("g0", 3, None, False),
+        ("g0", 3, 3, True), ("g0", 3, 4, False), ("edge", 3, 3, True), ("edge", 3, None, False),
+    ],
+)  # fmt: skip
+def test_numbers_that_are_not_the_platforms_are_not_gone_by(
+    name: str, number: int | None, stated: int | None, numbered: bool, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Those that share an account with this gateway would be told nothing, and be taken for idle."""
+    rows: list[dict[str, object]] = [
+        {"name": f"g{n}", "address": f"127.0.0.1:{7000 + n}"} for n in range(10, 19)
+    ]
+    raw: dict[str, object] = {"fleet": "lab", "name": name, "listen": "127.0.0.1:7000", "members": rows}
+    if stated is not None:
+        raw["number"] = stated
+        for n, row in enumerate(rows, 10):
+            row["number"] = n
+    made = api.Settings("a", 20, (), (), api.Safety())
+    fleet = Fleet(raw, Clock(), Gateway(made, 1), made, 1, number)  # type: ignore[arg-type]
+    assert bool(fleet.post.ring.steps) is numbered
+    if not numbered:
+        assert fleet.post.ring.near(3) == tuple(f"g{n}" for n in range(10, 19))
+    foreign = (name != "edge" and not numbered) or (number, stated) == (3, 4)
+    assert ("numbers.foreign" in caplog.text) is foreign
+
+
 # --- the operator's file -----------------------------------------------------------------------------------
 
 HEAD = "[fleet]\nfleet = 'lab'\nname = 'g0'\nlisten = '127.0.0.1:7000'\n"
