--- a/glenchute/deciders/fleet/coldstart.py
+++ b/glenchute/deciders/fleet/coldstart.py
@@ -13,7 +13,8 @@
   drains or is gone here, nor makes one warmer: those are discovery's to say.
 - A list is never held for newer than what discovery said to somebody: versions come from its answers, what
   changed is applied whole and without a gap, and ages add up on the way.
-- With no word of an asker this gateway has made a call of its own `FRESH_S` and one spread later at most.
+- With no word of an asker this gateway has made a call of its own `FRESH_S` and `told.left_alone` later at
+  most.
 
 Not covered: a listed member that makes up versions and ages. What it withholds is found out when an honest
 asker tells of a newer version, or when it is silent.
@@ -25,13 +26,14 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
+from glenchute.deciders import told
 from heathglade.interface import ServerState
 
 from .tasks import CANDIDATES, rank
 
 ASKERS = CANDIDATES  # the same members, whether they ask by rank or by lease
 TASK = "ask"  # the lease by which one of the askers asks, where there are leases
-FRESH_S = 3.0  # a list confirmed so long ago needs no call
+FRESH_S = told.FRESH_S  # a list confirmed so long ago needs no call
 ASK_S = 1.0  # an asker is asked this often
 ASKER_WAIT_S = 1.5  # an asker's watch waits so long, so that its word is never older
 MOST_ROWS = 12  # in a message
