--- a/benchmarks/quota_errors.py
+++ b/benchmarks/quota_errors.py
@@ -2,6 +2,7 @@
 
     python -m benchmarks.quota_errors causes          # which truth, handed to it, takes which error away
     python -m benchmarks.quota_errors options         # other ways to keep the store, on the same tries
+    python -m benchmarks.quota_errors owed            # the main rows where a try beyond is owed
 
 Each row tells units beyond quotas (share of the units sent on), tries refused with half of the store or more
 unused, tries refused though the store held them (shares of all tries), and calls to the counter for each try.
@@ -87,9 +88,24 @@
         yield row(f"model: {name}", Model(day, seed, scheme, missing).run())
 
 
+def owed(day: Day, seed: int, lost: float) -> Iterable[str]:
+    """The main rows by the other book: what goes beyond is owed."""
+    for name, exact in (
+        ("module: as it is", frozenset[str]()),
+        ("module: exact: window", frozenset({"window"})),
+        ("module: exact: refused", frozenset({"refused"})),
+        ("module: exact: ceiling", frozenset({"ceiling"})),
+        ("module: the state, refused asks off at once", STATE | {"refused"}),
+        ("module: the same, no ceiling", STATE | {"refused", "ceiling"}),
+    ):
+        yield row(name, play(day, seed, exact, lost, owed=True))
+    for name, scheme in (("asks add", Scheme(0.25)), ("asks near empty read", Scheme(0.25, read_below=0.5))):
+        yield row(f"model: overflow over 1/4 burst, {name}", Model(day, seed, scheme, lost, owed=True).run())
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
-    parser.add_argument("what", choices=("causes", "options"))
+    parser.add_argument("what", choices=("causes", "options", "owed"))
     parser.add_argument("--site", choices=sorted(SITES), action="append")
     parser.add_argument("--seed", type=int, action="append")
     parser.add_argument("--seconds", type=float, default=SECONDS)
@@ -97,7 +113,9 @@
     parser.add_argument("--tries", type=float, default=TRIES_PER_S, help="first tries a second")
     parser.add_argument("--lost", type=float, default=0.05, help="calls without an answer in time, share")
     args = parser.parse_args()
-    rows: Callable[[Day, int, float], Iterable[str]] = causes if args.what == "causes" else options
+    tables: dict[str, Callable[[Day, int, float], Iterable[str]]]
+    tables = {"causes": causes, "options": options, "owed": owed}
+    rows = tables[args.what]
     began = time.monotonic()
     for site in args.site or sorted(SITES):
         for seed in args.seed or SEEDS:
--- a/lab/sim/quotas.py
+++ b/lab/sim/quotas.py
@@ -236,12 +236,14 @@
 class Books:
     """Every try, by the true stores. A try that is sent on with less than its units in the store (by more
     than `BLUR`) is beyond, whole, and takes nothing; a refusal has room where half of each quota or more is
-    unused. What comes before `warm` moves the stores and is not counted."""
+    unused. What comes before `warm` moves the stores and is not counted. With `owed`, what goes beyond is
+    taken all the same, and later tries stand before a store that holds less than nothing."""
 
     began: float
     stores: dict[str, Store] = field(default_factory=dict)
     out: Counter[str] = field(default_factory=Counter)  # attempts, by customer
     warm: float = 0.0  # what comes before this time is not counted
+    owed: bool = False
     tries: int = 0
     calls: int = 0
     units: float = 0.0  # sent on
@@ -262,7 +264,7 @@
         """A try's first sending; whether it was inside."""
         store = self.store(account)
         inside = store.fill(now) >= units - BLUR
-        if inside:
+        if inside or self.owed:
             store.take(now, units)
         if now < self.warm:
             return inside
@@ -419,13 +421,14 @@
     `lost`: share of the calls to the counter that have no answer in time; half of these were added."""
 
     def __init__(
-        self, day: Day, seed: int, exact: frozenset[str] = frozenset(), lost: float = 0.05, retry: float = 0.5
-    ) -> None:
+        self, day: Day, seed: int, exact: frozenset[str] = frozenset(), lost: float = 0.05,
+        retry: float = 0.5, owed: bool = False,
+    ) -> None:  # fmt: skip
         self.day, self.exact, self.retry = day, exact, retry
         self.lost = 0.0 if "answers" in exact else lost
         self.accounts = {account.key: account for account in day.accounts}
         self.luck = random.Random(seed + 1)
-        self.books = Books(0.0)
+        self.books = Books(0.0, owed=owed)
         self.told_stores: dict[str, Store] = {}
         # Added and not answered, by gateway and name; own use on its way, by customer and gateway.
         self.arrived: defaultdict[tuple[int, int], float] = defaultdict(float)
@@ -622,10 +625,11 @@
 
 
 def play(
-    day: Day, seed: int, exact: frozenset[str] = frozenset(), lost: float = 0.05, retry: float = 0.5
-) -> Books:
+    day: Day, seed: int, exact: frozenset[str] = frozenset(), lost: float = 0.05, retry: float = 0.5,
+    owed: bool = False,
+) -> Books:  # fmt: skip
     """One day on the real modules."""
-    world = QuotaWorld(day, seed, exact, lost, retry)
+    world = QuotaWorld(day, seed, exact, lost, retry, owed)
     world.run((day.tries[-1].at if day.tries else 0.0) + 2000.0)
     return world.books
 
@@ -670,7 +674,9 @@
     tells the later of two that it was not alone, and it takes its own back. What was asked for and refused is
     taken back at once. Lost calls are never put in again."""
 
-    def __init__(self, day: Day, seed: int, scheme: Scheme, lost: float = 0.05, retry: float = 0.5) -> None:
+    def __init__(
+        self, day: Day, seed: int, scheme: Scheme, lost: float = 0.05, retry: float = 0.5, owed: bool = False
+    ) -> None:
         self.day, self.scheme, self.lost, self.retry = day, scheme, lost, retry
         self.rng = random.Random(seed + 1)
         self.skew = [self.rng.uniform(0.0, 50.0) for _ in range(day.gateways)]
@@ -678,7 +684,7 @@
         self.words: dict[tuple[int, str], Word] = {}
         self.now, self.order = 0.0, itertools.count()
         self.due: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.books = Books(0.0, warm=WARM_MS)
+        self.books = Books(0.0, warm=WARM_MS, owed=owed)
         self.corrections = self.taken_back = 0
         self.gone: set[tuple[Any, ...]] = set()  # refused without an answer, which may come late
 
--- a/tests/test_quota_errors.py
+++ b/tests/test_quota_errors.py
@@ -52,6 +52,15 @@
     assert books.shares() == pytest.approx((1 / 12, 0.1, 0.2, 0.0))
 
 
+def test_by_the_other_book_what_goes_beyond_is_owed() -> None:
+    books = Books(0.0, owed=True)
+    for _ in range(12):
+        books.sent(0.0, ACCOUNT, 1.0)
+    assert not books.sent(1000.0, ACCOUNT, 1.0)  # two were owed
+    assert books.beyond == 3.0
+    assert books.store(ACCOUNT).level == pytest.approx(-1.0)
+
+
 def test_what_comes_before_the_books_begin_moves_the_stores_only() -> None:
     books = Books(0.0, warm=100.0)
     for at in (0.0, 100.0):
