Tests of turns share one way to see who goes on

Two tests had the same wrapper of a connection's turn. Behaviour of both as before: they fail where turns have no time and don't look at who waits to be accepted.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1065,26 +1065,30 @@
     play(scenario())
 
 
-def test_what_is_left_of_all_connections_has_a_time_in_each_turn(monkeypatch: pytest.MonkeyPatch) -> None:
-    """With no time at all one connection goes on in each turn of the loop, and all come to their end."""
-    monkeypatch.setattr(clients, "TURN_S", 0.0)
-    went_on = most = 0
-    turn = Connection.turn
+def turns_of(monkeypatch: pytest.MonkeyPatch) -> list[Connection]:
+    """The connections that go on with what is left of their commands, as they do."""
+    turn, gone_on = Connection.turn, list[Connection]()
 
     def counted(self: Connection) -> None:
-        nonlocal went_on
-        went_on += 1
+        gone_on.append(self)
         turn(self)
 
     monkeypatch.setattr(Connection, "turn", counted)
+    return gone_on
+
+
+def test_what_is_left_of_all_connections_has_a_time_in_each_turn(monkeypatch: pytest.MonkeyPatch) -> None:
+    """With no time at all one connection goes on in each turn of the loop, and all come to their end."""
+    monkeypatch.setattr(clients, "TURN_S", 0.0)
+    gone_on, most = turns_of(monkeypatch), 0
 
     async def scenario() -> None:
-        nonlocal went_on, most
+        nonlocal most
         async with site(always(SERVED)) as one, crowd(one, 20, packed(b"PING") * 10 * TURN) as socks:
             for _ in range(400):
-                went_on = 0
+                gone_on.clear()
                 await asyncio.sleep(0)
-                most = max(most, went_on)
+                most = max(most, len(gone_on))
             expected = b"+PONG\r\n" * 10 * TURN
             assert all([(await received(sock, len(expected))) == expected for sock in socks])
             assert most == 1
@@ -1122,28 +1126,19 @@
 def test_turns_are_short_while_connections_wait_to_be_accepted(monkeypatch: pytest.MonkeyPatch) -> None:
     """The loop accepts one in a turn: behind a crowd's large turns a newcomer would wait for all of them."""
     monkeypatch.setattr(clients, "TURN_S", 60.0)
-    went_on = 0
-    turn = Connection.turn
-
-    def counted(self: Connection) -> None:
-        nonlocal went_on
-        went_on += 1
-        turn(self)
-
-    monkeypatch.setattr(Connection, "turn", counted)
+    gone_on = turns_of(monkeypatch)
 
     async def scenario() -> None:
-        nonlocal went_on
         async with site(always(SERVED)) as one, crowd(one, 20, packed(b"PING") * 40 * TURN):
             listener = one.program.listener
             await until(lambda: len(listener.booked) == 20)
             newcomers = [socket.create_connection(("127.0.0.1", one.port)) for _ in range(10)]
             waited = 0
             while listener.called():
-                went_on = 0
+                gone_on.clear()
                 await asyncio.sleep(0)
                 if listener.called():  # as before: they waited all the time
-                    assert went_on <= 1
+                    assert len(gone_on) <= 1
                     waited += 1
             assert waited and listener.booked  # there was more to do than that
             for sock in newcomers:
