--- a/glenchute/deciders/routes.py
+++ b/glenchute/deciders/routes.py
@@ -200,10 +200,6 @@
             budget.deposit(now)
         return Course(route, budget, self.rng)
 
-    def replaced(self, table: Mapping[tuple[str, str], Route]) -> Routes:
-        """Other routes from now on."""
-        return Routes(table, 0).after(self)
-
     def after(self, old: Routes) -> Routes:
         """These, in place of `old`. Budgets of routes that keep their name and rule go on: a reload must not
         hand out fresh ones. Costs a step for each budget in use, whatever the table's size."""
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -257,9 +257,9 @@
         routes.course(0.0, "c", "p")
     budget = routes.budgets["r"]
     assert budget.withdraw(0.0) and budget.withdraw(0.0) and not budget.withdraw(0.0)
-    again = routes.replaced({("c", "p"): Route("r", attempts=2, budget=rule)})
+    again = Routes({("c", "p"): Route("r", attempts=2, budget=rule)}, 0).after(routes)
     assert again.budgets["r"] is budget
-    other = again.replaced({("c", "p"): Route("r", budget=rule._replace(share=0.9))})
+    other = Routes({("c", "p"): Route("r", budget=rule._replace(share=0.9))}, 0).after(again)
     assert "r" not in other.budgets
 
 
