A server listed twice is what its last row says, for the engine as for the pools

Cause: SubsettingEngine.track_list dropped the rows that are not active before it took the last row of each server, so an earlier Ready won; the pools apply row by row and drained.

Change: an EndpointList has each server at most once. RowDecoder and RingBuilder reduce a list to the last rows where it is decoded, the simulator's adapter likewise.

--- a/glenchute/policy/balancing/hash_ring.py
+++ b/glenchute/policy/balancing/hash_ring.py
@@ -77,9 +77,12 @@
                 rows = 0
 
     def build(self) -> tuple[Endpoint, ...]:
-        """The list. A plain tuple where a server is in it more than once, of which the last row counts, and
-        where it is short enough to be used whole."""
-        if len(self.listed_servers) < len(self.endpoints) or len(self.active) <= MAX_SUBSET_SIZE:
+        """The endpoints, each once; of several rows with one name the last counts. A plain tuple where there
+        are such rows, as the tables would hold them all, and where the list is short enough to be used
+        whole."""
+        if len(self.listed_servers) < len(self.endpoints):
+            return tuple(endpoint for endpoint, _ in self.listed_servers.values())
+        if len(self.active) <= MAX_SUBSET_SIZE:
             return tuple(self.endpoints)
         for _ in self.sort():
             pass  # the rows that came last; next to nothing where they are sorted
--- a/glenchute/policy/events.py
+++ b/glenchute/policy/events.py
@@ -69,7 +69,7 @@
 
 @record(frozen=True, slots=True)
 class EndpointList:
-    """The server list, or changes to it."""
+    """The server list, or changes to it, each server at most once."""
 
     kind: EndpointListKind
     endpoints: tuple[Endpoint, ...] = ()
--- a/glenchute/protocol/endpoint_list.py
+++ b/glenchute/protocol/endpoint_list.py
@@ -147,12 +147,13 @@
         if self.unreadable and self.current is not None:
             self._replace_unreadable(self.current, kind)
         ring_builder = self.ring_builder if len(self.rows) > MAX_SUBSET_SIZE else None
-        if ring_builder is not None:
-            endpoints = ring_builder.build()
-        else:
-            endpoints = tuple(endpoint for endpoint, _ in self.rows)
+        endpoints = ring_builder.build() if ring_builder is not None else self._last_rows()
         return EndpointUpdate(version, EndpointList(kind, endpoints), self.addresses)
 
+    def _last_rows(self) -> tuple[Endpoint, ...]:
+        """The endpoints, each once; of several rows with one name the last counts."""
+        return tuple({endpoint.address: endpoint for endpoint, _ in self.rows}.values())
+
     def _replace_unreadable(self, current: CurrentList, kind: EndpointListKind) -> None:
         """Leaves the endpoints of unreadable rows as they are. A list without a readable row is an error."""
         if not self.rows:
--- a/glenchute/simulator.py
+++ b/glenchute/simulator.py
@@ -147,7 +147,8 @@
             raise WireError(f"unknown event {kind!r}")
         arguments += [None] * (count - len(arguments))
         if kind == "directory":
-            self.endpoint_lists[int(arguments[0])] = tuple(endpoint(row) for row in arguments[1])
+            last_rows = {one.address: one for one in map(endpoint, arguments[1])}
+            self.endpoint_lists[int(arguments[0])] = tuple(last_rows.values())
             return None
         gateway = int(arguments[0])
         if kind == "create":
--- a/tests/clients/test_list_parts.py
+++ b/tests/clients/test_list_parts.py
@@ -432,3 +432,43 @@
         assert ours == theirs, step
     new.close()
     old.close()
+
+
+@pytest.mark.parametrize("parted", [True, False])
+@pytest.mark.parametrize("full", [True, False])
+@pytest.mark.parametrize("names", [20, 600])
+@pytest.mark.parametrize("last", ["Ready", "Terminating", "Gone"])
+def test_the_last_row_of_a_server_listed_twice_counts(
+    last: str, names: int, full: bool, parted: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests decided for a server whose pool drains: both follow the last of its rows."""
+    now = 100.0
+    chain = Chain(parted)
+    monkeypatch.setattr(chain.loop, "time", lambda: now)
+    chain.tell(zoned(0, names))
+    server = min(chain.used())
+    first = "Terminating" if last == "Ready" else "Ready"
+    row_of_server = next(one for one in zoned(0, names) if one["id"] == server)
+    rows = zoned(0, names) if full else []
+    rows = [one for one in rows if one["id"] != server]
+    chain.tell([{**row_of_server, "state": first}, *rows, {**row_of_server, "state": last}], full)
+    now += chain.servers.limits.drain_grace_s
+    assert (server in chain.used()) == (last == "Ready")
+    assert (chain.servers.open_pool(server) is not None) == (last == "Ready")
+    assert all(chain.servers.open_pool(used) is not None for used in chain.used())
+    chain.close()
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_no_server_in_use_has_a_draining_pool(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against the same fault after any sequence of lists, each a second after the one before."""
+    now = 100.0
+    rng = random.Random(seed)
+    chain = Chain()
+    monkeypatch.setattr(chain.loop, "time", lambda: now)
+    for step in range(25):
+        now += 1.0
+        rows = random_rows(rng, rng.choice([60, 600, 900]))
+        chain.tell(rows, full=step == 0 or rng.random() < 0.5)
+        assert not [server for server in chain.used() if chain.servers.is_stopping(server)], step
+    chain.close()
