Clients that do not read: one bound on their memory, and their slots go to newcomers

Cause: each client's buffers were bounded, their sum was not; a client that does not read kept its slot for 30 s; of a rejected client up to 4 MB of input were read and thrown away.

Change: ClientMemory bounds all buffers by a fifth of memory_mb; past it clients that do not read are cut off, short responses first, and no connection with pending commands begins more. Such a client's slot goes to a newcomer after 0.5 s. Connections that never carried a request have 256 KB of input discarded. Reads are of 32 KB (BufferedProtocol), the write buffer has 128 KB, the kernel's send buffer 128 KB.

--- a/benchmarks/floods.py
+++ b/benchmarks/floods.py
@@ -146,6 +146,8 @@
     Scene("the same, all in one moment", 200, reading_slowly, spread_s=0.0),
     Scene("one node of four trickles", trickling=1),
     Scene("quiet again"),
+    Scene("450 read a byte a second", 450, reading_slowly),
+    Scene("800 read a byte a second, all in one moment", 800, reading_slowly, spread_s=0.0),
 )
 
 
--- a/glenchute/cli/program.py
+++ b/glenchute/cli/program.py
@@ -145,7 +145,7 @@
         """The listener for clients."""
         settings = self.config.settings
         parser = CommandParser(settings, self.config.request_bounds)
-        listener = Listener(self.loop, self.gateway, parser, self.config.budget)
+        listener = Listener(self.loop, self.gateway, parser, self.config.budget, self.config.max_client_bytes)
         if pipelined is not None:
             self.gateway.max_attempts = settings.max_attempts
             self.gateway.reports_assignments = self.recorder is not None
--- a/glenchute/config/platform.py
+++ b/glenchute/config/platform.py
@@ -26,6 +26,8 @@
 DEFAULT_MEMORY_MB = 192.0
 MIN_STREAMED_VALUES = 4
 STREAMING_MEMORY_FRACTION = 0.25  # of the memory, for long values on their way through
+MIN_CLIENT_BYTES = 1024 * 1024
+CLIENT_MEMORY_FRACTION = 0.2  # of the memory, for clients' commands and unread replies
 DEFAULT_CONNECT_TIMEOUT_MS = 250.0
 DEFAULT_IDLE_TIMEOUT_MS = 15_000.0
 DEFAULT_DRAIN_GRACE_MS = 250.0
@@ -49,6 +51,7 @@
     cached_endpoints: the endpoint list from before the start
     passed_descriptor: of the clients' listening socket, where the platform holds that socket
     gateway_number: of this gateway among `settings.gateway_count`; None where the platform does not say
+    max_client_bytes: what may be buffered for all clients together
     stated_number: the number that the platform gave, though it may not be below `settings.gateway_count`
     """
 
@@ -67,6 +70,7 @@
     stated_number: int | None
     limits: UpstreamLimits
     request_bounds: RequestBounds
+    max_client_bytes: int
     facts: PlatformFacts
 
 
@@ -115,15 +119,20 @@
         stated_number=gateway_number(raw["settings"].get("me"), MAX_GATEWAYS),
         limits=connection_limits(raw, budget),
         request_bounds=request_bounds(raw["settings"]),
+        max_client_bytes=max(MIN_CLIENT_BYTES, int(memory_bytes(raw) * CLIENT_MEMORY_FRACTION)),
         facts=platform_facts(settings, raw["settings"]),
     )
 
 
+def memory_bytes(raw: dict[str, Any]) -> float:
+    """The memory that the process may use."""
+    return number(table(raw, "limits").get("memory_mb"), DEFAULT_MEMORY_MB) * 1e6
+
+
 def connection_limits(raw: dict[str, Any], budget: DescriptorBudget) -> UpstreamLimits:
     """The limits of connections to servers."""
     limits, safety = table(raw["settings"], "limits"), table(raw["settings"], "safety")
-    memory_mb = number(table(raw, "limits").get("memory_mb"), DEFAULT_MEMORY_MB)
-    streamed_values = int(memory_mb * 1e6 * STREAMING_MEMORY_FRACTION / STREAM_BYTES)
+    streamed_values = int(memory_bytes(raw) * STREAMING_MEMORY_FRACTION / STREAM_BYTES)
     server_idle_s = number(limits.get("conn_idle_ms"), DEFAULT_IDLE_TIMEOUT_MS) / 1000.0
     return UpstreamLimits(
         connect_timeout_s=number(limits.get("connect_timeout_ms"), DEFAULT_CONNECT_TIMEOUT_MS) / 1000.0,
--- a/glenchute/listeners/resp2/connection.py
+++ b/glenchute/listeners/resp2/connection.py
@@ -30,20 +30,27 @@
 MAX_COMMANDS_PER_TURN = 16  # of one connection, before others get their turn
 MAX_COMMAND_ERRORS = 8  # commands that can't be served, after which a connection is closed
 MAX_LINGER_BYTES = 4 * 1024 * 1024  # input that is discarded while the last replies leave
+MAX_UNUSED_LINGER_BYTES = 256 * 1024  # the same, of a connection that never carried a request
 STREAM_BUFFER_BYTES = 64 * 1024  # of a streamed value, before its source is paused
-WRITE_BUFFER_BYTES = 256 * 1024  # replies that may wait for a slow reader before its commands are left unread
+WRITE_BUFFER_BYTES = 128 * 1024  # replies that may wait for a slow reader before its commands are left unread
+WRITE_RESUME_BYTES = 64 * 1024  # of these left, at which its commands are read again
 # The transport writes at the end of an iteration of the loop: after so many bytes that is awaited.
 MAX_QUEUED_REPLY_BYTES = 64 * 1024
+READ_BYTES = 32 * 1024  # the most that is read from a connection at a time
 MAX_TURN_REPLY_BYTES = 16 * MAX_QUEUED_REPLY_BYTES  # of all connections, in one iteration of the loop
 
 
-class ClientConnection(asyncio.Protocol):
-    """One client connection. Streamed values are written to it as to a `ResponseSink`."""
+class ClientConnection(asyncio.BufferedProtocol):
+    """One client connection. Streamed values are written to it as to a `ResponseSink`.
+
+    Buffered, as the event loop's own reads are four times as large as a command may be.
+    """
 
     __slots__ = (
         "descriptor",
         "discarded_bytes",
         "error_count",
+        "has_carried_request",
         "has_partial_command",
         "has_sent_command",
         "is_closed_by_peer",
@@ -59,6 +66,7 @@
         "slots",
         "streaming",
         "transport",
+        "waiting_reply_bytes",
     )
 
     def __init__(self, listener: Listener) -> None:
@@ -73,11 +81,13 @@
         self.is_closed_by_peer = False  # though input of it may still wait to be read
         # Bytes of replies since the transport could last tell whether the client reads.
         self.queued_reply_bytes = 0
+        self.waiting_reply_bytes = 0  # of replies whose turn in the connection's order has not come
         self.descriptor = -1
         self.is_reading_paused = False
         self.is_parsing = False
         self.is_turn_scheduled = False  # the listener will call `run_turn`
         self.has_sent_command = False  # a complete command has been received
+        self.has_carried_request = False
         self.error_count = 0
         self.has_partial_command = False  # the rest of a command is awaited
         self.streaming: ResponseSource | None = None  # the value that is being written
@@ -86,7 +96,7 @@
         """The connection is up."""
         self.transport = transport  # type: ignore[assignment]
         assert self.transport is not None
-        self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES, low=WRITE_RESUME_BYTES)
         self.listener.closed_peers.add(self, self.transport.get_extra_info("socket"))
         self.listener.on_connected(self)
 
@@ -102,6 +112,7 @@
         if look is not None:
             look.cancel()
         self.listener.connection_slots.remove(self)
+        self.listener.client_memory.remove(self)
         self.listener.paused_clients.discard(self)
         self.abandon_replies()
 
@@ -116,6 +127,7 @@
     def abandon_replies(self) -> None:
         """The client does not wait for the pending replies any more."""
         slots, self.slots = self.slots, deque()
+        self.waiting_reply_bytes = 0
         for slot in slots:
             slot.release()
             live, slot.active_request = slot.active_request, None
@@ -125,17 +137,27 @@
                 slot.source.discard()
         self.streaming = None
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where the event loop writes what it reads. All connections share it: it is copied at once."""
+        return self.listener.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """The event loop has read into the buffer."""
+        self.data_received(bytes(self.listener.read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Bytes have arrived."""
         if self.is_closing:
             self.discarded_bytes += len(data)
-            if self.discarded_bytes > MAX_LINGER_BYTES and not self.slots and self.transport is not None:
+            limit = MAX_LINGER_BYTES if self.has_carried_request else MAX_UNUSED_LINGER_BYTES
+            if self.discarded_bytes > limit and not self.slots and self.transport is not None:
                 self.transport.abort()
             return
         self.parser.feed(data)
         if self.is_turn_scheduled:
             return
-        if len(data) > MAX_QUEUED_REPLY_BYTES and self.listener.queued_reply_bytes > MAX_TURN_REPLY_BYTES:
+        is_turn_used_up = self.listener.queued_reply_bytes > MAX_TURN_REPLY_BYTES
+        if is_turn_used_up and self.parser.buffered_bytes >= READ_BYTES:
             self.schedule_turn()  # the rest of this iteration is for others; small commands don't wait
             self.update_reading()
         else:
@@ -154,7 +176,7 @@
                 and not self.is_write_blocked
                 and len(self.slots) < MAX_PENDING_COMMANDS
             ):
-                if self.queued_reply_bytes > MAX_QUEUED_REPLY_BYTES:
+                if self.queued_reply_bytes > MAX_QUEUED_REPLY_BYTES or self.is_held_back():
                     break
                 words = self.parser.next_message()
                 if words is False:
@@ -172,6 +194,11 @@
             self.schedule_turn()
         self.flush()
 
+    def is_held_back(self) -> bool:
+        """Whether no further command begins before a pending one has its reply, as clients' buffers are
+        full."""
+        return bool(self.slots) and self.listener.client_memory.is_exhausted
+
     def schedule_turn(self) -> None:
         """Has the listener go on with the remaining input later. Nothing is read before that: one iteration
         of the loop may read megabytes, in many calls."""
@@ -208,6 +235,7 @@
     def count_reply_bytes(self, reply: bytes) -> None:
         """A reply is buffered here until it is next in order, and written at the end of an iteration."""
         self.queued_reply_bytes += len(reply)
+        self.waiting_reply_bytes += len(reply)
         self.listener.queued_reply_bytes += len(reply)
 
     def execute_command(self, slot: ReplySlot, words: list[bytes]) -> None:
@@ -225,6 +253,7 @@
             slot.reply = resp.encode_busy(0.0)
             return
         self.listener.connection_slots.on_request(now, self)
+        self.has_carried_request = True
         self.listener.open_ids.add(call.request_id)
         slot.request_id = call.request_id
         self.listener.request_count += 1
@@ -270,7 +299,11 @@
         while self.slots and self.next_reply(self.slots[0]):
             ready.append(self.slots.popleft().reply or b"")
         if ready:
-            self.transport.write(b"".join(ready))
+            written = b"".join(ready)
+            self.waiting_reply_bytes = max(0, self.waiting_reply_bytes - len(written))
+            if not self.slots:
+                self.waiting_reply_bytes = 0  # short replies that replace others are not counted
+            self.transport.write(written)
             if (
                 not self.slots
                 and self.listener.closes_after_reply()
@@ -290,6 +323,13 @@
             self.schedule_turn()
         self.update_state()
         self.update_reading()
+        self.update_memory()
+
+    def update_memory(self) -> None:
+        """Reports what this connection buffers."""
+        unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
+        buffered = unsent + self.waiting_reply_bytes + self.parser.buffered_bytes
+        self.listener.update_memory(self, buffered)
 
     @staticmethod
     def next_reply(slot: ReplySlot) -> bool:
@@ -320,7 +360,7 @@
         """Ends it, once."""
         if self.transport is not None and self.streaming is not None:
             self.streaming = None
-            self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+            self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES, low=WRITE_RESUME_BYTES)
             slot = self.slots[0]
             slot.release()
             slot.reply, slot.source = b"\r\n", None
@@ -341,9 +381,9 @@
         if self.is_write_blocked or (
             self.is_closing and self.transport is not None and self.transport.is_closing()
         ):
-            self.set_state(
-                ConnectionState.WRITE_BLOCKED
-            )  # also when some has been read: the rest has no other time
+            # Also when some has been read: the rest has no other time.
+            is_streaming = self.streaming is not None
+            self.set_state(ConnectionState.STREAM_BLOCKED if is_streaming else ConnectionState.WRITE_BLOCKED)
         elif self.slots or self.is_closing:
             self.set_state(ConnectionState.ACTIVE)
         elif self.parser.has_unparsed():
@@ -383,7 +423,10 @@
     def update_reading(self) -> None:
         """Backpressure: a client that does not read, or has too many commands pending, is not read from."""
         stop = not self.is_closing and (
-            self.is_write_blocked or self.is_turn_scheduled or len(self.slots) >= MAX_PENDING_COMMANDS
+            self.is_write_blocked
+            or self.is_turn_scheduled
+            or len(self.slots) >= MAX_PENDING_COMMANDS
+            or self.is_held_back()
         )
         if self.transport is None or self.transport.is_closing() or stop == self.is_reading_paused:
             return
@@ -402,6 +445,7 @@
             self.streaming.pause()
         self.update_state()
         self.update_reading()
+        self.update_memory()
 
     def resume_writing(self) -> None:
         """The transport takes bytes again."""
@@ -411,6 +455,7 @@
         self.update_state()
         self.schedule_turn()
         self.update_reading()
+        self.update_memory()
 
     def has_unread_input(self) -> bool:
         """Whether bytes, or the end of the connection, wait in the kernel."""
--- a/glenchute/listeners/resp2/listener.py
+++ b/glenchute/listeners/resp2/listener.py
@@ -13,17 +13,21 @@
 from collections.abc import KeysView
 
 from glenchute.core.executor import RequestExecutor
+from glenchute.policy.connections.client_memory import ClientMemory
 from glenchute.policy.connections.client_slots import CloseConnection, ConnectionSlots
 from glenchute.policy.connections.descriptor_budget import DescriptorBudget
 from glenchute.policy.lifecycle.draining import ProcessLifecycle
 
 from .closed_peers import PAUSED_POLL_INTERVAL_S, ClosedPeerDetector, has_socket_event
 from .commands import CommandParser
-from .connection import MAX_TURN_REPLY_BYTES, ClientConnection
+from .connection import MAX_TURN_REPLY_BYTES, READ_BYTES, ClientConnection
 
 log = logging.getLogger("glenchute")
 
 ACCEPT_BACKLOG = 512  # connections that the kernel keeps until they are accepted
+SEND_BUFFER_BYTES = (
+    128 * 1024
+)  # of the kernel for each client, so that it holds no megabytes for a slow reader
 MAX_TURN_S = 0.002  # of an iteration of the loop, for the commands that all connections have left
 REPORT_INTERVAL_S = 10.0
 RELEASE_MARGIN_S = 0.02  # before a finished reply's deadline, an unfinished one before it may be abandoned
@@ -39,8 +43,10 @@
         gateway: RequestExecutor,
         catalogue: CommandParser,
         made: DescriptorBudget,
+        max_client_bytes: int,
     ) -> None:
-        """`made` tells how many of the process's descriptors are for clients."""
+        """`made` tells how many of the process's descriptors are for clients, `max_client_bytes` how much may
+        be buffered for all of them."""
         self.loop = loop
         self.gateway = gateway
         self.catalogue = catalogue
@@ -48,6 +54,9 @@
         self.connection_slots: ConnectionSlots[ClientConnection] = ConnectionSlots(
             made.client_connections, made.requesting_connections, made.overflow_connections
         )
+        self.client_memory: ClientMemory[ClientConnection] = ClientMemory(max_client_bytes)
+        self.is_relief_scheduled = False
+        self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.open_ids: set[bytes] = set()
         # Unfinished idempotent requests may be abandoned for finished replies behind them.
         self.may_release_replies = False
@@ -144,6 +153,24 @@
         if self.paused_clients:
             self.closed_check_timer = self.loop.call_later(PAUSED_POLL_INTERVAL_S, self.check_paused)
 
+    def update_memory(self, client: ClientConnection, buffered_bytes: int) -> None:
+        """A connection buffers this much now."""
+        self.client_memory.update(client, buffered_bytes)
+        if self.client_memory.is_exhausted and not self.is_relief_scheduled:
+            self.is_relief_scheduled = True
+            self.loop.call_soon(self.relieve_memory)
+
+    def relieve_memory(self) -> None:
+        """Gives up connections whose clients do not read until all buffers are within their bound."""
+        self.is_relief_scheduled = False
+        blocked = self.connection_slots.blocked()
+        for client in blocked:
+            client.update_memory()  # some may have been read since
+        now = self.loop.time()
+        for client in self.client_memory.choose_victims(blocked):
+            self.client_memory.remove(client)
+            self.close_connection(self.connection_slots.close_unread(now, client))
+
     def has_pending_accept(self) -> bool:
         """Whether connections wait to be accepted."""
         return self.server is not None and any(
@@ -153,6 +180,7 @@
     async def start(self, host: str, port: int, passed: socket.socket | None = None) -> None:
         """Listens on this address, or accepts from a socket that is listening already."""
         if passed is not None:
+            passed.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
             self.server = await self.loop.create_server(
                 lambda: ClientConnection(self), sock=passed, backlog=ACCEPT_BACKLOG
             )
@@ -160,6 +188,8 @@
             self.server = await self.loop.create_server(
                 lambda: ClientConnection(self), host, port, backlog=ACCEPT_BACKLOG
             )
+            for listening in self.server.sockets:  # what it accepts inherits the size
+                listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self.lifecycle.begin_serving(self.loop.time())
 
     def on_connected(self, client: ClientConnection) -> None:
--- a/glenchute/policy/connections/client_slots.py
+++ b/glenchute/policy/connections/client_slots.py
@@ -14,9 +14,9 @@
 - At most ``max_connections`` connections are not lingering, and at most ``max_connections + max_overflow``
   exist.
 - A connection with a request in flight, or whose next command may be arriving, is never evicted, nor closed
-as
-  idle. It is closed where its command takes longer than ``PARTIAL_COMMAND_TIMEOUT_S`` to arrive, or its
-  client reads nothing for ``WRITE_BLOCKED_TIMEOUT_S``.
+  as idle. It is closed where its command takes longer than ``PARTIAL_COMMAND_TIMEOUT_S`` to arrive.
+- A connection whose client does not read is aborted after ``WRITE_BLOCKED_TIMEOUT_S``; for a new connection
+  after ``MIN_WRITE_BLOCKED_S``, short responses before streamed ones.
 - A connection that was reused after a response outlives one with a single request that is idle for as long.
 - A new connection is not evicted before ``MIN_FIRST_COMMAND_S``.
 """
@@ -36,6 +36,7 @@
 MIN_FIRST_COMMAND_S = 0.1  # the same, with no slot free: a round trip and some delay
 PARTIAL_COMMAND_TIMEOUT_S = 2.4  # a slow client may take 2 s to complete a command
 WRITE_BLOCKED_TIMEOUT_S = 30.0
+MIN_WRITE_BLOCKED_S = 0.5  # without progress, before the slot is given to a new connection
 LINGER_TIMEOUT_S = 0.5  # from the shutdown of the write side to the peer's close; input is discarded
 GAP_SMOOTHING = 0.3  # weight of the newest idle gap in a connection's exponential moving average
 GAP_BUCKETS = 14  # each twice as wide as the one before; the last begins at 4 s
@@ -56,9 +57,11 @@
     PARTIAL_COMMAND = "partial"  # a command has begun, and no request is in flight
     ACTIVE = "busy"  # requests are in flight; their deadlines bound the wait
     WRITE_BLOCKED = "stuck"  # the client does not read its replies
+    STREAM_BLOCKED = "stuck stream"  # the client does not read its streamed response
     LINGERING = "leaving"  # all replies are written and the write side is shut down
 
 
+BLOCKED_STATES = (ConnectionState.WRITE_BLOCKED, ConnectionState.STREAM_BLOCKED)
 IDLE_STATES = (ConnectionState.IDLE_UNUSED, ConnectionState.IDLE_USED_ONCE, ConnectionState.IDLE_REUSED)
 
 
@@ -73,10 +76,16 @@
     EVICTED = "room"  # gives its slot to a new connection
     NO_SLOT = "full"  # a new connection, with nothing to evict
     OVERFLOW = "flood"  # too many connections are lingering
+    UNREAD = "unread"  # does not read its replies, and its slot or its memory is needed
 
 
 # The connection is aborted and its record dropped at once, instead of lingering.
-ABORT_REASONS = (CloseReason.WRITE_BLOCKED, CloseReason.LINGER_TIMEOUT, CloseReason.OVERFLOW)
+ABORT_REASONS = (
+    CloseReason.WRITE_BLOCKED,
+    CloseReason.LINGER_TIMEOUT,
+    CloseReason.OVERFLOW,
+    CloseReason.UNREAD,
+)
 
 
 @record(frozen=True, slots=True)
@@ -169,7 +178,7 @@
                 return max(MAX_IDLE_S * float(free**UNPROVEN_EXPONENT), MAX_IDLE_S * free - slot.mean_gap_s)
             case ConnectionState.PARTIAL_COMMAND:
                 return PARTIAL_COMMAND_TIMEOUT_S
-            case ConnectionState.WRITE_BLOCKED:
+            case ConnectionState.WRITE_BLOCKED | ConnectionState.STREAM_BLOCKED:
                 return WRITE_BLOCKED_TIMEOUT_S
             case ConnectionState.LINGERING:
                 return LINGER_TIMEOUT_S
@@ -200,7 +209,8 @@
             if victim is None:
                 closes.append(self._close(now, self.slots[newcomer], CloseReason.NO_SLOT))
                 break
-            closes.append(self._close(now, victim, CloseReason.EVICTED))
+            reason = CloseReason.UNREAD if victim.state in BLOCKED_STATES else CloseReason.EVICTED
+            closes.append(self._close(now, victim, reason))
         lingering = self.slots_by_state[ConnectionState.LINGERING]
         while len(self.slots) > self.max_connections + self.max_overflow and lingering:
             closes.append(self._close(now, self._oldest(ConnectionState.LINGERING), CloseReason.OVERFLOW))
@@ -234,6 +244,15 @@
         if state is not slot.state:
             self._enter_state(now, slot, state)
 
+    def blocked(self) -> list[Key]:
+        """The connections whose clients do not read: first those with short responses, then those with
+        streamed ones, and of each kind the longest without progress first."""
+        return [key for state in BLOCKED_STATES for key in self.slots_by_state[state]]
+
+    def close_unread(self, now: float, key: Key) -> CloseConnection[Key]:
+        """Gives up a connection of `blocked`, as its memory is needed."""
+        return self._close(now, self.slots[key], CloseReason.UNREAD)
+
     def remove(self, key: Key) -> None:
         """The connection is closed; unknown keys are ignored."""
         slot = self.slots.pop(key, None)
@@ -259,6 +278,7 @@
         for state, reason in (
             (ConnectionState.LINGERING, CloseReason.LINGER_TIMEOUT),
             (ConnectionState.WRITE_BLOCKED, CloseReason.WRITE_BLOCKED),
+            (ConnectionState.STREAM_BLOCKED, CloseReason.WRITE_BLOCKED),
             (ConnectionState.PARTIAL_COMMAND, CloseReason.PARTIAL_COMMAND),
             (ConnectionState.AWAITING_COMMAND, CloseReason.NO_COMMAND),
             (ConnectionState.IDLE_UNUSED, CloseReason.IDLE),
@@ -310,11 +330,14 @@
         return max(heads, key=lambda slot: slot.mean_gap_s + now - slot.state_entered_s, default=None)
 
     def _choose_eviction(self, now: float) -> ClientSlot[Key] | None:
-        """The slot to evict: the oldest without a request, then with one, then the reused one that is
-        expected to stay idle for longest; None where all are in use."""
+        """The slot to evict: the oldest without a request, then one whose client does not read, then the
+        oldest with one request, then the reused one that is expected to stay idle for longest; None where
+        all are in use."""
         for state, min_age_s in (
             (ConnectionState.IDLE_UNUSED, 0.0),
             (ConnectionState.AWAITING_COMMAND, MIN_FIRST_COMMAND_S),
+            (ConnectionState.WRITE_BLOCKED, MIN_WRITE_BLOCKED_S),
+            (ConnectionState.STREAM_BLOCKED, MIN_WRITE_BLOCKED_S),
             (ConnectionState.IDLE_USED_ONCE, 0.0),
         ):
             if self.slots_by_state[state] and now - self._oldest(state).state_entered_s >= min_age_s:
--- a/glenchute/protocol/resp2.py
+++ b/glenchute/protocol/resp2.py
@@ -123,6 +123,11 @@
         raw, self._raw, self._at = self._raw[self._at :], b"", 0
         return raw
 
+    @property
+    def buffered_bytes(self) -> int:
+        """What is kept of the input: the bytes that are not parsed, and parsed ones before them."""
+        return len(self._raw)
+
     def has_unparsed(self) -> bool:
         """Whether bytes follow the last message."""
         return self._at < len(self._raw)
--- a/tests/policy/connections/test_client_slots.py
+++ b/tests/policy/connections/test_client_slots.py
@@ -18,6 +18,7 @@
     MAX_FIRST_COMMAND_S,
     MAX_IDLE_S,
     MIN_FIRST_COMMAND_S,
+    MIN_WRITE_BLOCKED_S,
     PARTIAL_COMMAND_TIMEOUT_S,
     PRESSURED_SWEEP_INTERVAL_S,
     SWEEP_INTERVAL_S,
@@ -389,3 +390,19 @@
             slots.set_state(now, requests, ConnectionState.IDLE_UNUSED)
         assert rejected == 0, f"{rejected} of {requests} at {rate}/s"
         assert math.isclose(requests, 10.0 * rate, rel_tol=0.2)
+
+
+def test_who_does_not_read_is_evicted_before_idle_clients_short_responses_first() -> None:
+    """And none before `MIN_WRITE_BLOCKED_S` without progress."""
+    slots: ConnectionSlots[str] = ConnectionSlots(4, 3, 2)
+    add_all(slots, 0.0, "stream", "once", "short", "late")
+    serve_request(slots, 0.0, "once")
+    slots.set_state(0.0, "stream", ConnectionState.STREAM_BLOCKED)
+    slots.set_state(0.1, "short", ConnectionState.WRITE_BLOCKED)
+    slots.set_state(0.5, "late", ConnectionState.WRITE_BLOCKED)
+    assert slots.blocked() == ["short", "late", "stream"]
+    now = 0.1 + MIN_WRITE_BLOCKED_S
+    for newcomer, evicted in (("a", "short"), ("b", "stream"), ("c", "once")):
+        closes = slots.add(now, newcomer)
+        assert [close.key for close in closes] == [evicted]
+        slots.set_state(now, newcomer, ConnectionState.ACTIVE)
