A counter call that ends in a reset or an error counts as perhaps added

Cause: three places read every outcome but a timeout as not added; only those of DID_NOT_RUN prove it.

Evidence: by forced order (each gateway's first call added at one half of the counter, then reset, the rest at the other) each half has the markers of all 4 gateways, 8 in all, so each grants the counted part in full; the rule is that the fractions sum to one at most.

Change: CounterSync and the engine ask DID_NOT_RUN.

--- a/glenchute/policy/admission/counter_sync.py
+++ b/glenchute/policy/admission/counter_sync.py
@@ -12,7 +12,7 @@
 from collections import deque
 
 from ..actions import Action, IncrementCounter
-from ..events import CounterReply, Outcome, Request
+from ..events import DID_NOT_RUN, CounterReply, Outcome, Request
 from ..settings import Settings
 from . import local_share
 from .call_pacing import CALL_GAP_MS, CallPacing
@@ -147,17 +147,21 @@
         return call.request_id
 
     def handle_failure(self, now_ms: float, call: CounterCall, outcome: Outcome, is_current: bool) -> None:
-        """A call had no reply, or was rejected. What timed out may have been added, and adding it twice would
-        be worse than losing it."""
+        """A call had no reply, or was rejected. What is not proven never to have been added may have been,
+        and adding it twice would be worse than losing it."""
         tenant = call.tenant
-        if outcome is not Outcome.TIMEOUT:
+        is_added_perhaps = outcome not in DID_NOT_RUN
+        if not is_added_perhaps:
             call.window_counter.marker_not_added(call.marker)
         self.pacing.record_failure(now_ms, outcome is Outcome.REJECTED)
-        if is_current and outcome is Outcome.TIMEOUT:
+        if not is_current:
+            return
+        if is_added_perhaps:
             tenant.own_units_since_reply += call.units
-            self.calls.timed_out.setdefault(tenant.counter_key, deque()).append(call)
-        elif is_current and call.request_id is None:
+        elif call.request_id is None:
             tenant.unreported_units += call.units
+        if outcome is Outcome.TIMEOUT:  # a late reply may still come
+            self.calls.timed_out.setdefault(tenant.counter_key, deque()).append(call)
 
     def handle_late_reply(self, now_ms: float, reply: CounterReply) -> None:
         """What became of a call that had no reply in time. A slow counter is available, and its totals are as
@@ -172,7 +176,7 @@
             self.apply_total(
                 now_ms, tenant, call.window_counter, reply.total, call.units, call.marker, later_units
             )
-        elif reply.outcome is not Outcome.TIMEOUT:  # nothing was added after all
+        elif reply.outcome in DID_NOT_RUN:  # nothing was added after all
             call.window_counter.marker_not_added(call.marker)
             tenant.own_units_since_reply -= call.units
             if call.request_id is None:
--- a/glenchute/policy/engine.py
+++ b/glenchute/policy/engine.py
@@ -17,6 +17,7 @@
 from .admission.tenant import Tenant
 from .balancing.pool import ServerPool
 from .events import (
+    DID_NOT_RUN,
     AttemptEnded,
     AttemptStalled,
     AvoidEndpoint,
@@ -215,7 +216,7 @@
         request_id = counter.handle_reply(now_ms, reply)
         is_answered = reply.outcome is Outcome.OK
         if pending := self.execution.requests.get(request_id or ""):
-            pending.is_counted = reply.outcome in (Outcome.OK, Outcome.TIMEOUT)  # else nothing was added
+            pending.is_counted = reply.outcome not in DID_NOT_RUN
             self.decide(now_ms, pending, is_answered, not is_answered)
         elif request_id and counter.replied_tenant and is_answered:
             counter.refund_reserved(counter.replied_tenant)  # its client has left
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -77,6 +77,7 @@
     parts: int = 2
     skew_ms: float = 0.0
     make: Callable[[Settings, int], Any] = DecisionEngine
+    reset_share: float = 0.0  # of the calls, that the counter adds and answers with a reset or an error
     sent: list[tuple[float, str, float]] = field(default_factory=list)  # true time, plan, units
     refusals: list[tuple[float, str]] = field(default_factory=list)  # true time, plan
     asked: int = 0
@@ -147,6 +148,10 @@
         if told is None or late:
             reply = CounterReply(call.key, 0.0, Outcome.TIMEOUT, TIMEOUT_MS)
             self.at(began + TIMEOUT_MS, self.feed, number, incarnation, reply)
+        elif self.reset_share and self.rng.random() < self.reset_share:
+            outcome = self.rng.choice([Outcome.RESET, Outcome.ERROR])
+            reply = CounterReply(call.key, 0.0, outcome, told[1] + 2 * NET_MS)
+            self.at(self.now + told[1] + NET_MS, self.feed, number, incarnation, reply)
         else:
             total = float(f"{told[0]:.7g}")  # seven digits are exact
             reply = CounterReply(call.key, total, Outcome.OK, told[1] + 2 * NET_MS)
