A gateway knows a bounded number of tenants, whatever names clients send

Cause: TenantTable forgot by time alone.

Change: 50,000 records. Past that TenantTable.make_room forgets the least recently seen, 256 at a time, never one in flight, with units to report or under a ceiling. With only such, a new tenant is rejected, which the log counts, and the table is not walked again for a second. A handover and members' usage keep to the bound as well; timed-out calls of a forgotten tenant go with it.

Decisions below 50,000 tenants are as before.

--- a/glenchute/policy/admission/state_transfer.py
+++ b/glenchute/policy/admission/state_transfer.py
@@ -11,7 +11,7 @@
 from ..events import QuotaSnapshot
 from .local_share import local_limit_units
 from .tenant import Tenant
-from .tenants import TenantTable
+from .tenants import MAX_TENANTS, TenantTable
 
 
 def start_handover(tenants: TenantTable, now_ms: float) -> tuple[QuotaSnapshot, ...]:
@@ -47,10 +47,12 @@
 
 
 def restore(tenants: TenantTable, now_ms: float, snapshots: tuple[QuotaSnapshot, ...]) -> None:
-    """Takes over the predecessor's state. A tenant that this process knows already is kept as it is."""
+    """Takes over the predecessor's state. A tenant that this process knows already is kept as it is; of more
+    than the table holds, those seen last come first."""
     tenants.markers_from_ms = now_ms
     tenants.set_process_count(2)
-    for stored in reversed(snapshots):
+    room = max(0, MAX_TENANTS - len(tenants.by_id))
+    for stored in reversed(snapshots[:room]):
         if stored.plan in tenants.plans and stored.tenant not in tenants.by_id:
             restore_tenant(tenants, now_ms, stored)
 
--- a/glenchute/policy/admission/tenants.py
+++ b/glenchute/policy/admission/tenants.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from itertools import islice
 
 from ..events import Request
 from ..settings import Settings
@@ -14,11 +15,21 @@
 from .windows import FILL_WINDOW_S, TENANT_IDLE_MS, stable_key, window_length_ms, window_start_ms
 
 USAGE_UPDATE_TTL_MS = 1500.0  # members' usage updates count for this long
+MAX_TENANTS = 50_000  # records; some 32 MB
+EVICTION_BATCH = 256  # records that make room at a time
+FULL_CHECK_MS = 1000.0  # between two walks over a table of which nothing can be forgotten
 OTHERS_USE_TTL_S = 1.5  # the others' use is expected to go on for this long, then fades
 
 
 class TenantTable:
-    """The quota state of each tenant."""
+    """The quota state of each tenant, of `MAX_TENANTS` at most.
+
+    Past that the tenants seen least recently are forgotten, and begin with a full bucket when they return.
+    One that has something in flight, units to report or a ceiling is not, as a forgotten ceiling could be
+    passed.
+    """
+
+    full_until_ms = -math.inf  # until then nothing can be forgotten; snapshots of before have none
 
     def __init__(self, settings: Settings, pacing: CallPacing, calls: CounterCalls) -> None:
         self.settings = settings
@@ -48,6 +59,32 @@
         self.refresh(now_ms, tenant)
         return tenant
 
+    def make_room(self, now_ms: float, request: Request) -> bool:
+        """Whether the request's tenant has a record, or there is room for one."""
+        is_known = request.tenant in self.by_id or request.plan not in self.plans
+        if is_known or len(self.by_id) < MAX_TENANTS:
+            return True
+        if now_ms < self.full_until_ms:
+            return False
+        oldest = (tenant for tenant in self.by_id.values() if self.is_evictable(tenant))
+        evicted = list(islice(oldest, EVICTION_BATCH))
+        for tenant in evicted:
+            self.forget(tenant)
+        if not evicted:
+            self.full_until_ms = now_ms + FULL_CHECK_MS
+        return bool(evicted)
+
+    def is_evictable(self, tenant: Tenant) -> bool:
+        """Whether a tenant may be forgotten for another, however recently it was seen."""
+        has_work = tenant.attempts_in_flight or tenant.calls_in_flight or tenant.unreported_units
+        return not has_work and not tenant.plan.ceiling_rate_per_s
+
+    def forget(self, tenant: Tenant) -> None:
+        """Drops a tenant's record, and what refers to it."""
+        del self.by_id[tenant.tenant_id]
+        self.unreported.pop(tenant.tenant_id, None)
+        self.calls.timed_out.pop(tenant.counter_key, None)
+
     def spread_of(self, gateway_spread: int) -> int:
         """Processes over which a tenant's requests come in, by the number of its gateways."""
         return max(1, min(gateway_spread, self.settings.gateway_count)) * self.process_count
@@ -161,5 +198,4 @@
             is_recent = now_ms - tenant.last_seen_ms < TENANT_IDLE_MS
             if is_recent or tenant.attempts_in_flight or tenant.calls_in_flight:
                 return
-            del self.by_id[tenant.tenant_id]
-            self.unreported.pop(tenant.tenant_id, None)
+            self.forget(tenant)
--- a/glenchute/policy/admission/usage_updates.py
+++ b/glenchute/policy/admission/usage_updates.py
@@ -14,7 +14,9 @@
 
 def apply_usage_update(tenants: TenantTable, now_ms: float, update: UsageUpdate) -> None:
     """Deducts what members have used beyond what was known. An update of another window than the one in force
-    is dropped."""
+    is dropped, and so is one of a tenant for which the table has no room."""
+    if not tenants.make_room(now_ms, update.request):
+        return
     tenant = tenants.lookup(now_ms, update.request)
     if tenant is None or update.window_start_ms != tenant.window_start_ms:
         return
--- a/glenchute/policy/engine.py
+++ b/glenchute/policy/engine.py
@@ -195,6 +195,10 @@
             self.reports.count("refused: at the door")
             self.actions.append(Reject(request.request_id, self.settings.max_retry_after_ms))
             return
+        if not self.quota.tenants.make_room(now_ms, request):
+            self.reports.count("refused: too many tenants")
+            self.actions.append(Reject(request.request_id, self.settings.max_retry_after_ms))
+            return
         self.execution.retry_budget.record_request()
         tenant = self.quota.tenants.lookup(now_ms, request)
         pending = PendingRequest(request, request_class, tenant, now_ms, now_ms + left_ms)
