Clients are read in small pieces only once much is buffered for them

Commands of one pipeline then came in several reads and their batch was cut, so that a second connection's batch was whole in the kernel and its attempts ended by their own time.

--- a/glenchute/listeners/resp2/connection.py
+++ b/glenchute/listeners/resp2/connection.py
@@ -36,15 +36,13 @@
 WRITE_RESUME_BYTES = 64 * 1024  # of these left, at which its commands are read again
 # The transport writes at the end of an iteration of the loop: after so many bytes that is awaited.
 MAX_QUEUED_REPLY_BYTES = 64 * 1024
-READ_BYTES = 32 * 1024  # the most that is read from a connection at a time
+READ_BYTES = 256 * 1024  # the most that is read from a connection at a time
+FILLING_READ_BYTES = 32 * 1024  # the same, while much is buffered for clients or the connection closes
 MAX_TURN_REPLY_BYTES = 16 * MAX_QUEUED_REPLY_BYTES  # of all connections, in one iteration of the loop
 
 
 class ClientConnection(asyncio.BufferedProtocol):
-    """One client connection. Streamed values are written to it as to a `ResponseSink`.
-
-    Buffered, as the event loop's own reads are four times as large as a command may be.
-    """
+    """One client connection. Streamed values are written to it as to a `ResponseSink`."""
 
     __slots__ = (
         "descriptor",
@@ -139,7 +137,8 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where the event loop writes what it reads. All connections share it: it is copied at once."""
-        return self.listener.read_buffer
+        reads_less = self.is_closing or self.listener.client_memory.is_filling
+        return self.listener.read_buffer[: FILLING_READ_BYTES if reads_less else READ_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
         """The event loop has read into the buffer."""
@@ -157,7 +156,7 @@
         if self.is_turn_scheduled:
             return
         is_turn_used_up = self.listener.queued_reply_bytes > MAX_TURN_REPLY_BYTES
-        if is_turn_used_up and self.parser.buffered_bytes >= READ_BYTES:
+        if is_turn_used_up and self.parser.buffered_bytes >= FILLING_READ_BYTES:
             self.schedule_turn()  # the rest of this iteration is for others; small commands don't wait
             self.update_reading()
         else:
--- a/glenchute/policy/connections/client_memory.py
+++ b/glenchute/policy/connections/client_memory.py
@@ -14,6 +14,8 @@
 from collections.abc import Hashable, Iterable
 from typing import Generic, TypeVar
 
+FILLING_FRACTION = 0.25  # of the bound, past which less is read at a time
+
 Key = TypeVar("Key", bound=Hashable)
 
 
@@ -33,6 +35,11 @@
         """Whether more is buffered than the bound allows."""
         return self.total_bytes > self.max_bytes
 
+    @property
+    def is_filling(self) -> bool:
+        """Whether less is to be read at a time, as much is buffered."""
+        return self.total_bytes > FILLING_FRACTION * self.max_bytes
+
     def update(self, key: Key, buffered_bytes: int) -> None:
         """A connection buffers this much now."""
         self.total_bytes += buffered_bytes - self.bytes_by_connection.get(key, 0)
