A gateway without a connection to spare does not leave its servers alone for it

Cause: Outcome.UNREACHABLE stood for a server that does not accept and for this process's own limit.

Change: Outcome.NO_CONNECTION did not run, tells nothing of the server, and allows a retry without a token; what was late before it could be written ends as NOT_SENT. An operator's routes read it as could not connect, as before.

--- a/glenchute/core/types.py
+++ b/glenchute/core/types.py
@@ -169,7 +169,7 @@
         """Creates an attempt, not started yet; None if the server takes nothing (any more).
 
         `payload` makes the bytes, given the milliseconds that the gateway waits. `done` is called once. Not a
-        byte is sent after `write_by` (loop time): the attempt then ends as UNREACHABLE.
+        byte is sent after `write_by` (loop time): the attempt then ends as NOT_SENT.
         """
 
 
--- a/glenchute/policy/balancing/outliers.py
+++ b/glenchute/policy/balancing/outliers.py
@@ -26,7 +26,7 @@
         self.median_failure_rate = 0.0
 
     def record(self, server: Server, now_ms: float, outcome: Outcome) -> None:
-        """An attempt has ended, with any outcome but NOT_SENT and CANCELLED."""
+        """An attempt has ended, with any outcome that tells something of the server."""
         rate = failure_rate(server, now_ms)
         if outcome is Outcome.OK:
             server.failure_rate = rate * SUCCESS_FACTOR
--- a/glenchute/policy/balancing/pool.py
+++ b/glenchute/policy/balancing/pool.py
@@ -5,7 +5,15 @@
 import math
 import random
 
-from ..events import AttemptEnded, Endpoint, EndpointList, EndpointListKind, EndpointState, Outcome
+from ..events import (
+    TELLS_NOTHING_OF_SERVER,
+    AttemptEnded,
+    Endpoint,
+    EndpointList,
+    EndpointListKind,
+    EndpointState,
+    Outcome,
+)
 from ..settings import RequestClass, Settings
 from . import connect_backoff
 from .latency import LatencyEstimates
@@ -77,7 +85,7 @@
         is_warm = self.slow_start.weight(server, now_ms) >= 1.0
         self.peer_load.record(server, now_ms, event, is_warm)
         outcome = event.outcome
-        if outcome in (Outcome.NOT_SENT, Outcome.CANCELLED):
+        if outcome in TELLS_NOTHING_OF_SERVER:
             return
         if outcome is Outcome.UNREACHABLE:
             connect_backoff.back_off(
--- a/glenchute/policy/events.py
+++ b/glenchute/policy/events.py
@@ -33,9 +33,13 @@
     RESET = "reset"  # the connection broke; may have run
     CANCELLED = "cancelled"  # may have run
     NOT_SENT = "unsent"  # not a byte was written; did not run
+    NO_CONNECTION = "no connection"  # this process has no connection to spare; did not run
 
 
-DID_NOT_RUN = (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NOT_SENT)
+DID_NOT_RUN = (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NOT_SENT, Outcome.NO_CONNECTION)
+NEVER_REACHED_SERVER = (Outcome.UNREACHABLE, Outcome.NOT_SENT, Outcome.NO_CONNECTION)
+# Of an attempt: it says nothing of its server.
+TELLS_NOTHING_OF_SERVER = (Outcome.NOT_SENT, Outcome.CANCELLED, Outcome.NO_CONNECTION)
 
 
 class EndpointState(Enum):
--- a/glenchute/policy/membership/endpoint_health.py
+++ b/glenchute/policy/membership/endpoint_health.py
@@ -25,7 +25,7 @@
 import random
 from typing import NamedTuple
 
-from ..events import AvoidEndpoint, Outcome
+from ..events import TELLS_NOTHING_OF_SERVER, AvoidEndpoint, Outcome
 from .replica import Row, RowKind
 
 MIN_AVOIDANCE_S, MAX_AVOIDANCE_S = 1.0, 2.0  # doubled with each failed retry
@@ -70,7 +70,7 @@
         """An attempt of this process has ended; the row to publish, if it is news to the others."""
         if outcome is Outcome.UNREACHABLE:
             return self.report_unreachable(now, endpoint)
-        if outcome in (Outcome.TIMEOUT, Outcome.NOT_SENT, Outcome.CANCELLED):
+        if outcome is Outcome.TIMEOUT or outcome in TELLS_NOTHING_OF_SERVER:
             return None  # says nothing of whether the endpoint can be reached
         self.last_answer_at.pop(endpoint, None)
         self.last_answer_at[endpoint] = now
--- a/glenchute/policy/request_execution.py
+++ b/glenchute/policy/request_execution.py
@@ -12,7 +12,7 @@
 from .balancing.endpoint_choice import EndpointChooser
 from .balancing.pool import ServerPool
 from .balancing.server import Server
-from .events import DID_NOT_RUN, AttemptEnded, Outcome
+from .events import DID_NOT_RUN, NEVER_REACHED_SERVER, AttemptEnded, Outcome
 from .reports import Reports
 from .requests import Attempt, PendingRequest, ScheduledAttempt
 from .retries import hedging
@@ -95,7 +95,7 @@
         self.reports.count(f"attempt: {event.outcome.value}")
         self.learn(now_ms, attempt, event)
         pending.in_flight -= 1
-        pending.has_reached_server |= event.outcome not in (Outcome.UNREACHABLE, Outcome.NOT_SENT)
+        pending.has_reached_server |= event.outcome not in NEVER_REACHED_SERVER
         if event.request_id not in self.requests:
             self.refund(pending)
         elif event.is_final:
@@ -134,9 +134,8 @@
 
     def retry_or_finish(self, now_ms: float, pending: PendingRequest, event: AttemptEnded) -> None:
         """No attempt is in flight any more: starts another, at once or after the delay that the server asked
-        for, or finishes the request. A retry after UNREACHABLE takes no token: no server had work from that
-        attempt."""
-        tokens = 0.0 if event.outcome is Outcome.UNREACHABLE else 1.0
+        for, or finishes the request. A retry takes no token where no server had work from that attempt."""
+        tokens = 0.0 if event.outcome in NEVER_REACHED_SERVER else 1.0
         start_ms = now_ms + event.retry_delay_ms
         if not self.retry_policy.may_retry(start_ms, pending, event) or not self.retry_budget.has(tokens):
             self.finish(pending)
--- a/glenchute/policy/retries/retry_policy.py
+++ b/glenchute/policy/retries/retry_policy.py
@@ -34,9 +34,7 @@
         if pending.attempt_count >= self.settings.max_attempts:
             return False
         if event and event.outcome is Outcome.NOT_SENT:
-            return (
-                False  # this gateway had no descriptor or no time left; another attempt would fare the same
-            )
+            return False  # it had no time left, or its client has gone: another would fare the same
         request_class = pending.request_class
         mean_ms = self.latency.expected_ms(request_class, pending.request.units)
         if now_ms + LEAST_RESPONSE_FRACTION * mean_ms > useful_until_ms(pending):
--- a/glenchute/policy/retries/route_limits.py
+++ b/glenchute/policy/retries/route_limits.py
@@ -75,6 +75,12 @@
     # Attempts in flight on one shared connection to a server; 1: it is not shared.
     max_pipeline_depth: int = 0
 
+    def is_retryable(self, outcome: Outcome) -> bool:
+        """Whether a retry may follow this outcome. To an operator, an attempt for which the gateway had no
+        connection could not connect."""
+        listed = Outcome.UNREACHABLE if outcome is Outcome.NO_CONNECTION else outcome
+        return self.retryable_outcomes is None or listed in self.retryable_outcomes
+
 
 class RouteRetryBudget:
     """The token bucket of one route. n requests in any t seconds allow at most ``retries_per_request * n +
@@ -149,7 +155,7 @@
         route = self.limits
         if route.max_attempts and self.started_attempts >= route.max_attempts:
             return NO_RETRY_MS
-        if route.retryable_outcomes is not None and outcome not in route.retryable_outcomes:
+        if not route.is_retryable(outcome):
             return NO_RETRY_MS
         if self.budget is not None and not self.budget.try_withdraw(now_ms):
             return NO_RETRY_MS
@@ -166,7 +172,7 @@
         route = self.limits
         if route.max_attempts and self.started_attempts >= route.max_attempts:
             return False
-        return route.retryable_outcomes is None or outcome in route.retryable_outcomes
+        return route.is_retryable(outcome)
 
     def try_start_attempt(self, now_ms: float, overlapping: bool) -> bool:
         """Counts an attempt that is to start, hedged where `overlapping`. False: it must not start."""
--- a/glenchute/upstreams/exclusive_attempt.py
+++ b/glenchute/upstreams/exclusive_attempt.py
@@ -42,7 +42,7 @@
         if conn is not None:
             self.write(conn)
         elif not tracker.make_room():
-            self.finish(AttemptResult(Outcome.UNREACHABLE))
+            self.finish(AttemptResult(Outcome.NO_CONNECTION))
         else:
             self._open()
             connect_timeout_s = tracker.limits.connect_timeout_s
@@ -107,9 +107,10 @@
             return
         now = self.pool.tracker.loop.time()
         left_ms = int(1000.0 * (self.expires_at - now))
-        if left_ms < 1 or now > self.write_by or conn.transport is None or conn.transport.is_closing():
+        is_late = left_ms < 1 or now > self.write_by
+        if is_late or conn.transport is None or conn.transport.is_closing():
             conn.abort()
-            self.finish(AttemptResult(Outcome.UNREACHABLE))
+            self.finish(AttemptResult(Outcome.NOT_SENT if is_late else Outcome.UNREACHABLE))
             return
         self.conn, self.is_written = conn, True
         conn.attempt = self
--- a/glenchute/upstreams/pipelined_attempt.py
+++ b/glenchute/upstreams/pipelined_attempt.py
@@ -78,12 +78,16 @@
         """Asks the scheduler once and acts on it; False where its connection is closing."""
         pool, scheduler = self.pool, self.pool.runtime.scheduler
         now = pool.tracker.loop.time()
-        if now > self.write_by or (pool.stop_at is not None and now > pool.stop_at):
+        if now > self.write_by:
+            self.finish(AttemptResult(Outcome.NOT_SENT))
+            return True
+        if pool.stop_at is not None and now > pool.stop_at:
             self.finish(AttemptResult(Outcome.UNREACHABLE))
             return True
         placement = self._ask_scheduler(now)
         if placement.kind is PlacementKind.NONE:
-            self.finish(AttemptResult(Outcome.UNREACHABLE))
+            is_stopping = pool.stop_at is not None
+            self.finish(AttemptResult(Outcome.UNREACHABLE if is_stopping else Outcome.NO_CONNECTION))
             return True
         if placement.kind is PlacementKind.WAIT:
             self._wait(now, placement)
@@ -93,7 +97,7 @@
             conn = pool.open_connection(connection_id)
             if conn is None:
                 scheduler.on_closed(connection_id)
-                self.finish(AttemptResult(Outcome.UNREACHABLE))
+                self.finish(AttemptResult(Outcome.NO_CONNECTION))
                 return True
         else:
             conn = pool.by_id.get(connection_id)
@@ -142,7 +146,7 @@
         """Waits for a connection, if not too many do."""
         pool = self.pool
         if len(pool.waiting) >= MAX_WAITING:
-            self.finish(AttemptResult(Outcome.UNREACHABLE))
+            self.finish(AttemptResult(Outcome.NO_CONNECTION))
             return
         pool.waiting[self.attempt_id] = self
         if self.wait_until == math.inf:
--- a/glenchute/upstreams/pipelined_connection.py
+++ b/glenchute/upstreams/pipelined_connection.py
@@ -232,7 +232,7 @@
             if self.pipeline.pending:
                 self._schedule_flush()
         for attempt in expired:
-            attempt.finish(AttemptResult(Outcome.UNREACHABLE))
+            attempt.finish(AttemptResult(Outcome.NOT_SENT))
         if expired:
             self.give_back_if_idle()
 
--- a/tests/policy/test_decisions.py
+++ b/tests/policy/test_decisions.py
@@ -283,6 +283,23 @@
     assert [rig.sent[name][0] for name in names].count("s1") >= 2
 
 
+def test_a_shortage_of_this_process_says_nothing_of_the_server() -> None:
+    """Guards against a server that is backed off, or a retry budget that is used up, without its fault."""
+    rig = Rig(entries(3))
+    rig.warm_up()
+    name, _ = rig.ask()
+    first = rig.sent[name][0]
+    known = rig.gateway.pool.servers[first]
+    before = known.failure_rate, known.connect_failures, rig.gateway.execution.retry_budget.tokens
+    actions = rig.end(name, 0, Outcome.NO_CONNECTION)
+    assert [action.address == first for action in only(actions, StartAttempt)] == [False]
+    assert (known.failure_rate, known.connect_failures, rig.gateway.execution.retry_budget.tokens) == before
+    assert known.backed_off_until_ms == 0.0 and known.in_flight == 0
+    for number in range(1, 4):
+        actions = rig.end(name, number, Outcome.NO_CONNECTION)
+    assert [type(action) for action in finals(actions)] == [Reject]
+
+
 def test_a_restarted_server_is_a_new_server() -> None:
     rig = Rig(entries(3))
     rig.warm_up()
