Among servers that are all backed off the least loaded one is chosen

Cause: the penalty of 1,000 mean response times was part of what the jitter of 0.9 to 1.1 multiplies, so that chance of 100 outweighed every difference of load.

Change: the penalty is added behind the jitter and the price of another zone. Random numbers are drawn as before.

--- a/glenchute/policy/balancing/endpoint_choice.py
+++ b/glenchute/policy/balancing/endpoint_choice.py
@@ -68,11 +68,11 @@
             cost = delay_of(server, now_ms, mean_ms, weight) / weight
             if endpoint.address in attempted:
                 cost += ATTEMPTED_PENALTY
-            if now_ms < max(server.backed_off_until_ms, server.avoid_until_ms):
-                cost += BACKED_OFF_PENALTY
             if endpoint.zone != own_zone:
                 cost *= cross_zone_factor
             cost *= uniform(LEAST_JITTER, MOST_JITTER)
+            if now_ms < max(server.backed_off_until_ms, server.avoid_until_ms):
+                cost += BACKED_OFF_PENALTY  # not jittered, which would outweigh what tells such servers apart
             if cost < least:
                 best, least = server, cost
         return best
--- a/tests/policy/test_decisions.py
+++ b/tests/policy/test_decisions.py
@@ -300,6 +300,18 @@
     assert [type(action) for action in finals(actions)] == [Reject]
 
 
+@pytest.mark.parametrize("seed", range(12))
+def test_among_backed_off_servers_the_least_loaded_is_chosen(seed: int) -> None:
+    """Guards against a choice by chance while all servers are backed off."""
+    rig = Rig(entries(4), seed=seed)
+    rig.warm_up()
+    for server in rig.gateway.pool.servers.values():
+        server.backed_off_until_ms = rig.now + 60_000.0
+        server.in_flight = 0 if server.endpoint.address == "s3" else 6
+    name, _ = rig.ask()
+    assert rig.sent[name] == ["s3"]
+
+
 def test_a_restarted_server_is_a_new_server() -> None:
     rig = Rig(entries(3))
     rig.warm_up()
