A hedge that does not start leaves a keyed request as not run

Cause: hedging.pin_to_first marked the first attempt as run before it was known whether a hedge starts.

DecisionEngine's rules on NO_CONNECTION are held by test_rules too.

--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
-from glenchute.policy.actions import Fail, IncrementCounter, Reject, StartAttempt
+from glenchute.policy.actions import Action, Fail, IncrementCounter, Reject, StartAttempt
 from glenchute.policy.events import (
     AttemptEnded,
+    AttemptStalled,
     ClientDisconnected,
     CounterReply,
     Endpoint,
@@ -23,7 +25,7 @@
 from glenchute.policy.settings import Idempotency, IdempotencyScope, RequestClass
 from tests.rig import SETTINGS, Rig, entries, finals, only, with_
 
-NOT_RUN = (Outcome.REJECTED, Outcome.UNREACHABLE)
+NOT_RUN = (Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.NO_CONNECTION)
 MAY_HAVE_RUN = (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
 
 
@@ -80,6 +82,17 @@
     assert not finals(rig.advance(5000.0))
 
 
+def test_a_hedge_that_does_not_start_marks_nothing_as_run() -> None:
+    """Guards against a keyed request that fails, though it never ran, for a hedge without a server."""
+    rig = Rig(entries(1), replace(SETTINGS, allows_hedging=True))
+    name, _ = rig.ask("order")
+    assert not only(rig.feed(AttemptStalled(name, 0)), StartAttempt)
+    answers: list[Action] = []
+    for attempt in range(SETTINGS.max_attempts):
+        answers += finals(rig.end(name, attempt, Outcome.REJECTED, 5.0)) if not answers else []
+    assert [type(answer) for answer in answers] == [Reject]
+
+
 def test_late_duplicate_and_unasked_events_are_ignored() -> None:
     rig = Rig(entries(3))
     name, _ = rig.ask()
