--- a/glenchute/policy/request_execution.py
+++ b/glenchute/policy/request_execution.py
@@ -171,22 +171,13 @@
         first = self.attempts.get((pending.request.request_id, 0))
         if first is None or not hedging.may_hedge(pending) or not self.retry_budget.has(1.0):
             return
-        before = pending.may_have_run_ms, pending.pinned_endpoint
         hedging.pin_to_first(pending, first)
-        server = self.other_server(now_ms, pending)
-        if server is None:
-            pending.may_have_run_ms, pending.pinned_endpoint = before
-            return
-        self.retry_budget.spend(1.0)
-        self.start_attempt(now_ms, pending, server)
-
-    def other_server(self, now_ms: float, pending: PendingRequest) -> Server | None:
-        """A server without an attempt of this request that may have one now."""
         if not self.retry_policy.may_retry(now_ms, pending, None):
-            return None
+            return
         server = self.chooser.pick(now_ms, pending)
-        is_new = server is not None and server.endpoint.address not in pending.attempted_addresses
-        return server if is_new else None
+        if server is not None and server.endpoint.address not in pending.attempted_addresses:
+            self.retry_budget.spend(1.0)
+            self.start_attempt(now_ms, pending, server)
 
     def retry_waiting(self, now_ms: float) -> None:
         """Tries the requests that wait for a server again."""
--- a/glenchute/policy/retries/hedging.py
+++ b/glenchute/policy/retries/hedging.py
@@ -14,7 +14,7 @@
 
 
 def pin_to_first(pending: PendingRequest, first: Attempt) -> None:
-    """With an idempotency key the first attempt counts as run, so that the hedged one goes to servers that
-    drop repeats of it; to be undone where none starts. Other requests are not changed."""
+    """With an idempotency key the first attempt counts as run from now on, even if no hedged one starts
+    then, so that the hedged one goes to servers that drop repeats of it. Other requests are not changed."""
     if pending.request_class.idempotency is Idempotency.WITH_KEY:
         pending.may_have_run_ms, pending.pinned_endpoint = first.sent_ms, first.endpoint
