The recorder of the tests' captures runs again

What was seen: python -m tests.captures ended with a TypeError after 9 of 44 files, having written those.

Change: the fields' names. test_the_recorder_makes_the_capture_again plays each scenario and compares every record.

--- a/tests/captures/scenarios.py
+++ b/tests/captures/scenarios.py
@@ -223,7 +223,7 @@
     def request(self, cls: str, plan: str, customer: str, **more: Any) -> Request:
         """A request, not yet fed."""
         self.serial += 1
-        given = {"time_left_ms": 3000.0, "spread": 2, **more}
+        given = {"time_left_ms": 3000.0, "gateway_spread": 2, **more}
         return Request(f"r{self.serial}", cls, plan, customer, **given)
 
     def ask_with_use(
@@ -477,7 +477,7 @@
                 plan,
                 f"u{made.rng.randrange(3)}{plan}",
                 units=made.rng.choice((1.0, 1.0, 2.5)),
-                spread=4,
+                gateway_spread=4,
             )
             draw = made.rng.random()
             if draw < 0.6:
@@ -504,7 +504,7 @@
     for turn in range(420):
         plan = ("rate", "hard", "soft", "rate")[turn % 4]
         request = made.request(
-            "read", plan, f"u{turn % 3}{plan}", units=made.rng.choice((1.0, 2.0)), spread=4
+            "read", plan, f"u{turn % 3}{plan}", units=made.rng.choice((1.0, 2.0)), gateway_spread=4
         )
         used = 0.0 if turn % 60 == 0 else used + made.rng.uniform(0.0, 0.3)
         if turn % 50 < 38:
@@ -517,11 +517,11 @@
     for wait in (1100.0, 1300.0, 1450.0, 1499.0, 1500.0, 1550.0, 1700.0, 2000.0):  # until words are too old
         customer = f"w{wait}"
         for units in (2.0, 2.0, 1.0):
-            request = made.request("read", "rate", customer, units=units, spread=4)
+            request = made.request("read", "rate", customer, units=units, gateway_spread=4)
             made.ask_with_use(request, 0.5, 0.0, 0.75, MEMBERS_SETTINGS)
         made.run(wait)
         for _ in range(5):
-            made.feed(made.request("read", "rate", customer, spread=4))
+            made.feed(made.request("read", "rate", customer, gateway_spread=4))
         made.run(100.0)
 
 
@@ -582,12 +582,12 @@
     made.feed(StateReceived(tuple(stocks)))
     made.fleet()
     made.kinds = (("read", "rate"), ("read", "hard"), ("order", "soft"), ("read", "open"), ("read", "wide"))
-    made.mix(3500.0, 18.0, spread=4)
+    made.mix(3500.0, 18.0, gateway_spread=4)
     made.feed(OtherProcessEnded())
-    made.mix(3500.0, 22.0, spread=4)
+    made.mix(3500.0, 22.0, gateway_spread=4)
     made.counter = Outcome.TIMEOUT
     made.feed(StateReceived(tuple(stocks)))
-    made.mix(2500.0, 25.0, spread=4)
+    made.mix(2500.0, 25.0, gateway_spread=4)
 
 
 def stalled_process(tell: Tell) -> None:
@@ -614,7 +614,7 @@
         cls = ("read", "order", "bid", "charge", "cell")[turn % 5]
         copy = made.rng.choice((0.0, 30.0, 120.0, 400.0))
         request = made.request(
-            cls, "wide", "hedged", copy_after_ms=copy, time_left_ms=made.rng.choice((800.0, 2500.0))
+            cls, "wide", "hedged", hedge_after_ms=copy, time_left_ms=made.rng.choice((800.0, 2500.0))
         )
         made.feed(request)
         made.run(made.rng.uniform(5.0, 50.0))
@@ -629,12 +629,12 @@
     for copy in (0.5, 1.0, 1.5):
         for bound in (0.5, 1.0, 900.0):
             for cls in ("read", "charge"):
-                bounds = {"attempt_timeout_ms": bound, "copy_after_ms": copy}
+                bounds = {"attempt_timeout_ms": bound, "hedge_after_ms": copy}
                 made.feed(made.request(cls, "wide", "hedged", **bounds))
                 made.run(60.0)
     made.fleet(1)  # nowhere to hedge to
     for cls in ("read", "order", "bid", "cell"):
-        made.feed(made.request(cls, "wide", "hedged", copy_after_ms=30.0))
+        made.feed(made.request(cls, "wide", "hedged", hedge_after_ms=30.0))
         made.run(400.0)
 
 
@@ -713,7 +713,7 @@
             spread = made.rng.choice((1, 8, 60, 200, 0))
             if ending is Outcome.REJECTED:  # some get through
                 made.counter, spread = made.rng.choice((Outcome.REJECTED, Outcome.OK)), 8
-            made.feed(made.request(cls, plan, f"g{made.rng.randrange(5)}{plan}", spread=spread))
+            made.feed(made.request(cls, plan, f"g{made.rng.randrange(5)}{plan}", gateway_spread=spread))
             made.run(made.rng.expovariate(1.0 / 30.0))
     made.kinds = (("read", "soft"), ("order", "soft"))
     for down, ms in ((6, 2500.0), (2, 2500.0), (6, 2500.0), (2, 14_000.0)):  # servers out of reach, of six
@@ -758,7 +758,7 @@
         made.timeout_share = 1.0 if others < 0.0 else 0.0  # windows in which no word comes
         end = made.now + ms
         while made.now < end:
-            made.feed(made.request("read", "brisk", f"b{made.rng.randrange(2)}", spread=4))
+            made.feed(made.request("read", "brisk", f"b{made.rng.randrange(2)}", gateway_spread=4))
             made.run(made.rng.expovariate(1.0 / 36.0))
         if others == 1.0:
             made.totals.clear()
@@ -806,7 +806,7 @@
     for plan in ("hard", "even", "brisk", "rate", "hard", "brisk"):
         made.kinds = (("read", plan),)
         for spread, gap in ((2, 60.0), (4, 150.0), (1, 40.0)):
-            made.mix(3000.0, gap, 2, spread=spread)
+            made.mix(3000.0, gap, 2, gateway_spread=spread)
 
 
 def slow_counter(tell: Tell) -> None:
@@ -836,7 +836,9 @@
     for turn in range(212):
         plan = plans[made.rng.choice(("rate", "soft", "even", "brisk"))]
         customer = f"{'new' if turn % 4 == 0 else 'p'}{turn if turn % 4 == 0 else turn % 3}{plan.name}"
-        request = made.request("read", plan.name, customer, units=made.rng.choice((1.0, 2.0)), spread=4)
+        request = made.request(
+            "read", plan.name, customer, units=made.rng.choice((1.0, 2.0)), gateway_spread=4
+        )
         before = made.rng.choice((0.0, made.rng.uniform(0.5, 2.4) * plan.burst_units))
         units = made.rng.choice((0.0, made.rng.uniform(0.0, 1.0) * plan.burst_units))
         made.counter = Outcome.TIMEOUT if turn % 110 > 80 else Outcome.OK
@@ -887,7 +889,7 @@
             if tenth in losses:
                 made.totals = {name: 0.0 for name in made.totals}
             if tenth % 3 == 0:
-                made.feed(made.request("read", "open", "lost", spread=2))
+                made.feed(made.request("read", "open", "lost", gateway_spread=2))
             made.run(100.0)
 
 
@@ -960,7 +962,7 @@
     made.count = counted  # type: ignore[method-assign]
     for plan, gap in (("tight", 40.0), ("close", 60.0), ("ceiling", 60.0), ("tight", 90.0)):
         made.kinds = (("read", plan),)
-        made.mix(4500.0, gap, 2, spread=4)
+        made.mix(4500.0, gap, 2, gateway_spread=4)
 
 
 def counter_mute_from_the_start(tell: Tell) -> None:
@@ -986,7 +988,8 @@
         made.others = made.rng.choice((0.0, 0.5, 2.0)) if plan != "trickle" else 0.0
         units = made.rng.choice((0.125, 0.25) if plan == "trickle" else (0.5, 1.0, 2.0, 4.0, 6.0))
         request = made.request(
-            "read", plan, f"l{made.rng.randrange(2)}{plan}", units=units, spread=made.rng.choice((1, 2)),
+            "read", plan, f"l{made.rng.randrange(2)}{plan}", units=units,
+            gateway_spread=made.rng.choice((1, 2)),
             time_left_ms=made.rng.choice((340.0, 2000.0)),
         )  # fmt: skip
         made.counter = Outcome.REJECTED if turn % 120 > 100 else Outcome.OK
@@ -1008,11 +1011,11 @@
         ))  # fmt: skip
     made.feed(StateReceived(tuple(stocks)))
     for number, stock in enumerate(stocks * 12):
-        made.feed(made.request("read", stock.plan, stock.tenant, spread=stock.gateway_spread))
+        made.feed(made.request("read", stock.plan, stock.tenant, gateway_spread=stock.gateway_spread))
         made.run(7.0 if number % 6 else 150.0)
     made.feed(OtherProcessEnded())
     for stock in stocks * 5:
-        made.feed(made.request("read", stock.plan, stock.tenant, spread=stock.gateway_spread))
+        made.feed(made.request("read", stock.plan, stock.tenant, gateway_spread=stock.gateway_spread))
         made.run(20.0)
 
 
