--- a/tests/clients/membership/test_fleet_processes.py
+++ b/tests/clients/membership/test_fleet_processes.py
@@ -113,7 +113,10 @@
     async def scenario() -> None:
         async with FleetSite(tmp_path, 5) as site:
             await ready(site)
-            assert (await site.asked(0, "state"))[0]["numbered"]
+            state = (await site.asked(0, "state"))[0]
+            assert state["numbered"]
+            # Guards against a number of rows that is lost, as this process's own health has the same name.
+            assert state["health_rows"] == 0 and state["evicted_health"] == 0 and "health" in state
             for link in site.to_counter:
                 link.cut()
             site.links[0, 1].cut()
--- /dev/null
+++ b/tests/policy/admission/test_window_gaps.py
@@ -0,0 +1,29 @@
+"""A tenant that is not seen for some windows: nothing is known of the last of them."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from glenchute.policy.engine import DecisionEngine
+from glenchute.policy.events import EndpointList, EndpointListKind, Request
+from tests.fleet import PLANS, SERVERS, settings
+
+
+@pytest.mark.parametrize("windows", [0, 1, 2, 5])
+def test_a_window_that_was_not_seen_is_unknown(windows: int) -> None:
+    """Guards against the use of an older window that passes for that of the window before."""
+    engine = DecisionEngine(settings(1), 1)
+    engine.handle(1000.0, EndpointList(EndpointListKind.CACHED, SERVERS))
+    engine.handle(1000.0, Request("r0", "read", PLANS[0].name, "t", 900.0))
+    tenant = engine.quota.tenants.by_id["t"]
+    tenant.member_others_units = 7.0
+    now_ms = tenant.window_start_ms + windows * tenant.window_length_ms + 1.0
+    engine.quota.tenants.refresh(max(1001.0, now_ms), tenant)
+    if windows == 1:
+        assert tenant.previous_window_units == 7.0
+    elif windows > 1:
+        assert math.isnan(tenant.previous_window_units)
+    else:
+        assert tenant.member_others_units == 7.0
