A soak of planned restarts by seed: python -m lab.soak

Change: lab/soak draws a run from its seed: deadlines of 150, 300, 900 or 3,000 ms, eleven series of signals (SIGTERM once, twice, five times, with SIGHUP before and after, a broken file, a file that moves discovery, SIGSTOP, during the start, one and two replacements with the passed socket), pipelined commands, commands in pieces, clients that leave, a crowd of 150 to 800 in one run of five, slow readers, servers and counter in trouble, drains, lists that name a server twice, discovery away. Judged by the clients' and servers' books: one response in time, nothing twice, nothing to a drained server, nothing for a client that left, exit status, tracebacks. Not judged: ceilings, memory and descriptors.

Repeats of a key that ran twice and requests after the end of a replaced process were the soak's own faults at first: its servers did not share the memory of their group, and it held the passed socket open alone.

--- a/lab/services.py
+++ b/lab/services.py
@@ -72,18 +72,25 @@
         self.rows = {str(row["id"]): row for row in rows}
         self.version = 1
         self.changed = asyncio.Event()
-        self.log: list[tuple[int, dict[str, Any]]] = []  # changes by version; bounded in `update`
+        self.log: list[tuple[int, dict[str, Any]]] = []  # changes by version; bounded in `update_rows`
+        self.told: dict[int, float] = {}  # when an answer with this version was first written, in loop time
 
     def update(self, row: dict[str, Any]) -> None:
         """One server changed; state Gone takes it off the list."""
+        self.update_rows([row])
+
+    def update_rows(self, rows: list[dict[str, Any]]) -> int:
+        """Rows of one answer, which may name a server more than once; the version that has them."""
         self.version += 1
-        if row["state"] == "Gone":
-            self.rows.pop(str(row["id"]), None)
-        else:
-            self.rows[str(row["id"])] = row
-        self.log = [*self.log[-999:], (self.version, row)]
+        for row in rows:
+            if row["state"] == "Gone":
+                self.rows.pop(str(row["id"]), None)
+            else:
+                self.rows[str(row["id"])] = row
+        self.log = [*self.log[-999:], *((self.version, row) for row in rows)]
         self.changed.set()
         self.changed = asyncio.Event()
+        return self.version
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
@@ -100,6 +107,7 @@
                 rows, full = [row for version, row in self.log if version > since], False
             body = {"version": self.version, "full": full, "servers": rows}
             writer.write(http(json.dumps(body).encode()))
+            self.told.setdefault(self.version, asyncio.get_running_loop().time())
 
     def kept(self, since: int) -> bool:
         """Whether all changes since a version are still known."""
--- a/lab/site.py
+++ b/lab/site.py
@@ -74,6 +74,7 @@
         self.operator = folder / "operator.toml"
         if operator is not None:
             self.operator.write_text(operator)
+        self.program: tuple[str, ...] = ("-m", "glenchute")  # what the interpreter runs
         self.process: subprocess.Popen[bytes] | None = None
         self.passed: socket.socket | None = None  # the platform's listening socket, on days of replacement
         self.shared = folder  # its $TMPDIR, which a process and its replacement share
@@ -94,7 +95,7 @@
             environ["GLENCHUTE_OPERATOR"] = str(self.operator)
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "glenchute", *arguments], env=environ, stdin=subprocess.DEVNULL,
+                [sys.executable, *self.program, *arguments], env=environ, stdin=subprocess.DEVNULL,
                 stdout=log, stderr=log, start_new_session=True, pass_fds=kept,
                 cwd=Path(__file__).resolve().parent.parent,
             )  # fmt: skip
--- /dev/null
+++ b/tests/system/test_soak.py
@@ -0,0 +1,71 @@
+"""A short soak of planned restarts; the long one is started by hand (``python -m lab.soak``)."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from lab.soak.books import ArrivedAttempt, AskedRequest, Books
+from lab.soak.play import play
+from lab.soak.schedule import Ending, draw
+
+SHORT = range(1, 13)
+
+
+@pytest.mark.parametrize("seed", SHORT)
+def test_no_rule_is_broken_across_a_planned_restart(seed: int) -> None:
+    """To play one again: ``python -m lab.soak --first SEED --seeds 1``."""
+    schedule = draw(seed)
+    books = asyncio.run(play(schedule))
+    assert books.violations() == [], schedule.describe()
+
+
+def test_the_soak_finds_a_process_that_cuts_its_clients_off() -> None:
+    """Else nothing above would show anything."""
+    seed = next(seed for seed in range(1, 50) if draw(seed).ending is Ending.TERM)
+    assert asyncio.run(play(draw(seed), "raises_while_ending")).violations()
+
+
+def test_a_seed_draws_one_schedule_and_fifty_have_all_endings() -> None:
+    assert draw(7) == draw(7) != draw(8)
+    assert {draw(seed).ending for seed in range(1, 51)} == set(Ending)
+
+
+def request(**changes: object) -> AskedRequest:
+    made = AskedRequest(
+        b"r", "check-charge", 1.0, sent_at=10.0, answered_at=10.5, answer="served", answer_count=1
+    )
+    for name, value in changes.items():
+        setattr(made, name, value)
+    return made
+
+
+@pytest.mark.parametrize(
+    ("changes", "count"),
+    [
+        ({}, 0),
+        ({"answer_count": 0, "answered_at": None}, 1),
+        ({"answer_count": 2}, 1),
+        ({"answered_at": 11.6}, 1),
+        ({"answered_at": 11.6, "due_from": 11.0}, 0),
+        ({"answer_count": 0, "is_unreachable": True}, 0),
+        ({"answer_count": 0, "left_at": 10.2}, 0),
+        ({"answer_count": 0, "is_cut": True, "answered_at": None}, 1),
+    ],
+)
+def test_each_request_is_owed_one_response_in_time(changes: dict[str, object], count: int) -> None:
+    books = Books(requests={b"r": request(**changes)}, exit_status=0)
+    assert len(books.violations()) == count
+
+
+def test_repeated_effects_late_attempts_and_processes_that_fail_are_found() -> None:
+    books = Books(requests={b"r": request(answer="rejected", left_at=10.2)}, exit_status=1)
+    books.executed[b"r"] = 2
+    books.executed_keys[b"k"] = 2
+    books.drained_at["n0"] = 10.0
+    books.attempts = [ArrivedAttempt(10.29, "n0", b"r"), ArrivedAttempt(10.36, "n0", b"r")]
+    kinds = sorted(violation.partition(":")[0] for violation in books.violations())
+    assert kinds == ["drain", "duplicate", "duplicate", "duplicate", "lost", "process"]
+    books = Books(exit_status=0, log="Traceback (most recent call last): ...", killed_at_end=True)
+    assert len(books.violations()) == 2
