judge_response takes a typed outcome instead of a string

The words of the counters were also what judge_response compared. FinalOutcome has them as its values now; the property test draws from the enumeration, STREAMED included, with the same assertions.

--- a/glenchute/listeners/extproc/request.py
+++ b/glenchute/listeners/extproc/request.py
@@ -28,6 +28,7 @@
 from glenchute.policy.retries.proxied_attempts import (
     AttemptState,
     AttemptVerdict,
+    FinalOutcome,
     ResponseVerdict,
     classify_response,
     judge_attempt,
@@ -56,12 +57,11 @@
 
 MAX_WRONG_SERVERS = 3  # times in a row that an attempt goes to another server than the chosen one
 TIMEOUT_TOLERANCE_S = 0.001  # an attempt that ends unexplained so shortly before its timeout has timed out
-# The final response in the words of the counters and of `judge_response`.
-RESPONSE_WORDS: dict[type[FinalResponse], str] = {
-    Served: "served",
-    Streamed: "streamed",
-    Rejected: "refused",
-    Failed: "failed",
+FINAL_OUTCOMES: dict[type[FinalResponse], FinalOutcome] = {
+    Served: FinalOutcome.SERVED,
+    Streamed: FinalOutcome.STREAMED,
+    Rejected: FinalOutcome.REJECTED,
+    Failed: FinalOutcome.FAILED,
 }
 
 
@@ -168,7 +168,7 @@
     def on_final_response(self, answer: FinalResponse) -> None:
         """The core's one final response."""
         self.final_response, self.is_finished = answer, True
-        self.table.counts[RESPONSE_WORDS[type(answer)]] += 1
+        self.table.counts[FINAL_OUTCOMES[type(answer)].value] += 1
         if self.on_first_decision is not None:
             respond, self.on_first_decision = self.on_first_decision, None
             respond(self.final_message())
@@ -309,7 +309,8 @@
         if self.pending_client_response is None or not self.is_finished:
             return
         (status, answer), self.pending_client_response = self.pending_client_response, None
-        outcome = RESPONSE_WORDS[type(self.final_response)] if self.final_response is not None else ""
+        final = self.final_response
+        outcome = FINAL_OUTCOMES[type(final)] if final is not None else FinalOutcome.NONE
         match judge_response(outcome, self.may_have_run, status):
             case ResponseVerdict.PASS_THROUGH:
                 extra = {EFFECT_HEADER: "unknown"} if status >= 500 and self.may_have_run else {}
--- a/glenchute/policy/retries/proxied_attempts.py
+++ b/glenchute/policy/retries/proxied_attempts.py
@@ -112,17 +112,27 @@
     FAILURE = "unknown"  # replaced by a failure without a promise
 
 
+class FinalOutcome(Enum):
+    """The engine's final response to a proxied request. The values are the words of the counters."""
+
+    SERVED = "served"
+    STREAMED = "streamed"
+    REJECTED = "refused"
+    FAILED = "failed"
+    NONE = ""  # the proxy responds by itself
+
+
 RETRYABLE_STATUSES = (429, 503)  # clients take them as "not executed, retry later"
 
 
-def judge_response(outcome: str, may_have_run: bool, status: int) -> ResponseVerdict:
-    """`outcome` is "served", "refused", "failed", or "" where the proxy responds by itself. A request that
-    may have run must not end with a status that clients read as a promise that it did not."""
-    if outcome == "served":
+def judge_response(outcome: FinalOutcome, may_have_run: bool, status: int) -> ResponseVerdict:
+    """What the client gets of a response with this status. A request that may have run must not end with a
+    status that clients read as a promise that it did not."""
+    if outcome is FinalOutcome.SERVED:
         return ResponseVerdict.PASS_THROUGH
-    if outcome == "refused":
+    if outcome is FinalOutcome.REJECTED:
         return ResponseVerdict.REJECTION
-    if outcome == "failed" or may_have_run:
+    if outcome is FinalOutcome.FAILED or may_have_run:
         return (
             ResponseVerdict.FAILURE
             if status in RETRYABLE_STATUSES or status < 400
--- a/tests/listeners/extproc/test_extproc_rules.py
+++ b/tests/listeners/extproc/test_extproc_rules.py
@@ -14,6 +14,7 @@
 from glenchute.policy.retries.proxied_attempts import (
     AttemptState,
     AttemptVerdict,
+    FinalOutcome,
     ResponseVerdict,
     classify_response,
     judge_attempt,
@@ -263,9 +264,15 @@
         assert verdict is AttemptVerdict.REQUEST_FINISHED  # whatever else holds: the client has its answer
 
 
-@given(st.sampled_from(["served", "refused", "failed", ""]), st.booleans(), st.integers(100, 599))
-def test_no_client_is_promised_what_is_not_known(outcome: str, may_have_run: bool, status: int) -> None:
+@given(st.sampled_from(FinalOutcome), st.booleans(), st.integers(100, 599))
+def test_no_client_is_promised_what_is_not_known(
+    outcome: FinalOutcome, may_have_run: bool, status: int
+) -> None:
     shown = judge_response(outcome, may_have_run, status)
-    if shown is ResponseVerdict.PASS_THROUGH and may_have_run and outcome in ("failed", ""):
+    if (
+        shown is ResponseVerdict.PASS_THROUGH
+        and may_have_run
+        and outcome in (FinalOutcome.FAILED, FinalOutcome.NONE)
+    ):
         assert status not in (429, 503) and status >= 400
-    assert (shown is ResponseVerdict.REJECTION) == (outcome == "refused")
+    assert (shown is ResponseVerdict.REJECTION) == (outcome is FinalOutcome.REJECTED)
