--- a/lab/soak/play.py
+++ b/lab/soak/play.py
@@ -227,6 +227,7 @@
             successor.passed, successor.shared = gateway.passed, gateway.shared
             successor.log = folder / "gateway.log"
             before = gateway.log.read_text(errors="replace").count(TAKES_OVER)
+            self.retired.append(successor)  # ended with the run, whatever becomes of it here
             successor.start()
             async with asyncio.timeout(READY_PATIENCE_S):
                 while gateway.log.read_text(errors="replace").count(TAKES_OVER) == before:
@@ -241,7 +242,6 @@
                 self.books.killed_at_end = True
             gateway.signal(signal.SIGKILL)
             gateway.process.wait()
-            self.retired.append(successor)
             gateway = successor
         return gateway
 
