--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
+import tempfile
+from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 
@@ -13,6 +17,14 @@
 SHORT = range(1, 13)
 
 
+@pytest.fixture(autouse=True)
+def alone() -> Iterator[None]:
+    """One soak at a time: the parallel workers of one test run would starve each other's processes."""
+    with (Path(tempfile.gettempdir()) / "soak-of-planned-restarts.lock").open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        yield
+
+
 @pytest.mark.parametrize("seed", SHORT)
 def test_no_rule_is_broken_across_a_planned_restart(seed: int) -> None:
     """To play one again: ``python -m lab.soak --first SEED --seeds 1``."""
