A hedge that starts nothing no longer leaves its request marked as run

Callers saw: a request with an idempotency key whose attempts were all shed unread was answered as failed, not rejected, and was retried only at the full server's zone or cell. Cause: hedging marked the first attempt as one that may have run before a hedged attempt had started, and nothing took the mark back.

The mark now holds while the hedge is started; what may have run is recorded when an attempt ends, the one sent first counting.

--- a/glenchute/policy/request_execution.py
+++ b/glenchute/policy/request_execution.py
@@ -104,9 +104,8 @@
             del self.requests[event.request_id]
             self.cancel_attempts(pending)
         else:
-            if event.outcome not in DID_NOT_RUN and pending.may_have_run_ms is None:
-                pending.may_have_run_ms = attempt.sent_ms
-                pending.pinned_endpoint = attempt.endpoint
+            if event.outcome not in DID_NOT_RUN:
+                pending.record_possible_run(attempt.sent_ms, attempt.endpoint)
             if pending.in_flight <= 0:
                 self.retry_or_finish(now_ms, pending, event)
 
@@ -175,13 +174,13 @@
         first = self.attempts.get((pending.request.request_id, 0))
         if first is None or not hedging.may_hedge(pending) or not self.retry_budget.has(1.0):
             return
-        hedging.pin_to_first(pending, first)
-        if not self.retry_policy.may_retry(now_ms, pending, None):
-            return
-        server = self.chooser.pick(now_ms, pending)
-        if server is not None and server.endpoint.address not in pending.attempted_addresses:
-            self.retry_budget.spend(1.0)
-            self.start_attempt(now_ms, pending, server)
+        with hedging.pinned_to(pending, first):
+            if not self.retry_policy.may_retry(now_ms, pending, None):
+                return
+            server = self.chooser.pick(now_ms, pending)
+            if server is not None and server.endpoint.address not in pending.attempted_addresses:
+                self.retry_budget.spend(1.0)
+                self.start_attempt(now_ms, pending, server)
 
     def retry_waiting(self, now_ms: float) -> None:
         """Tries again to send the requests that wait for a server."""
--- a/glenchute/policy/requests.py
+++ b/glenchute/policy/requests.py
@@ -31,6 +31,12 @@
     may_have_run_ms: float | None = None  # send time of the first attempt that may have run
     pinned_endpoint: Endpoint | None = None  # the server of the first attempt that may have run
 
+    def record_possible_run(self, sent_ms: float, endpoint: Endpoint) -> None:
+        """Records that an attempt has ended that may have run. Of concurrent attempts the one sent first
+        counts, as servers remember the idempotency key from then on."""
+        if self.may_have_run_ms is None or sent_ms < self.may_have_run_ms:
+            self.may_have_run_ms, self.pinned_endpoint = sent_ms, endpoint
+
 
 @record(slots=True)
 class Attempt:
--- a/glenchute/policy/retries/hedging.py
+++ b/glenchute/policy/retries/hedging.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 from ..requests import Attempt, PendingRequest
 from ..settings import Idempotency
 
@@ -14,9 +17,17 @@
     return pending.request_class.idempotency is not Idempotency.NON_IDEMPOTENT
 
 
-def pin_to_first(pending: PendingRequest, first: Attempt) -> None:
-    """Marks the first attempt of a request with an idempotency key as one that may have run, so that the
-    hedged attempt goes to a server that recognizes repeats of it. The mark remains even if no hedged attempt
-    starts. Other requests are not changed."""
-    if pending.request_class.idempotency is Idempotency.WITH_KEY:
-        pending.may_have_run_ms, pending.pinned_endpoint = first.sent_ms, first.endpoint
+@contextmanager
+def pinned_to(pending: PendingRequest, first: Attempt) -> Iterator[None]:
+    """While this context is active, the first attempt of a request with an idempotency key counts as one that
+    may have run, so that a hedged attempt goes only where repeats of it are recognized, and only as long as
+    they are. Whether it did run is decided when it ends. Other requests are not changed."""
+    if pending.request_class.idempotency is not Idempotency.WITH_KEY:
+        yield
+        return
+    before = pending.may_have_run_ms, pending.pinned_endpoint
+    pending.may_have_run_ms, pending.pinned_endpoint = first.sent_ms, first.endpoint
+    try:
+        yield
+    finally:
+        pending.may_have_run_ms, pending.pinned_endpoint = before
