Unknown classes move no estimate; objectives that can't be divided by are refused

Callers saw: with aim_ms 0 in the platform's file a gateway started, and each answer of that class raised ZeroDivisionError, so that its attempt was never ended in the books.

Cause: the latency objective of an unknown class was that request's remaining time, and nothing checked the objectives of the settings; latencies are divided by them.

Unknown classes now have the longest objective of the settings and change no estimate of latency or capacity.

--- a/glenchute/config/policy_settings.py
+++ b/glenchute/config/policy_settings.py
@@ -5,9 +5,18 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
-from glenchute.policy.settings import Idempotency, IdempotencyScope, Plan, RequestClass, Settings, SlowStart
+from glenchute.policy.settings import (
+    DEFAULT_LATENCY_OBJECTIVE_MS,
+    Idempotency,
+    IdempotencyScope,
+    Plan,
+    RequestClass,
+    Settings,
+    SlowStart,
+)
 
 IDEMPOTENCIES = {
     "read_like": Idempotency.IDEMPOTENT,
@@ -20,6 +29,8 @@
     "cell": IdempotencyScope.CELL,
 }
 
+MIN_LATENCY_OBJECTIVE_MS = 1.0
+
 
 def number(value: Any, default: float = 0.0) -> float:
     """Returns a value as a number, or the default if the platform states none."""
@@ -60,10 +71,11 @@
 
 
 def request_class(row: dict[str, Any]) -> RequestClass:
-    """Builds a request class from a row of `profiles`."""
+    """Builds a request class from a row of `profiles`. Raises ValueError if its latency objective can't be
+    used."""
     return RequestClass(
         name=str(row.get("name")),
-        latency_objective_ms=number(row.get("aim_ms"), number(row.get("hard_limit_ms"), 1000.0)),
+        latency_objective_ms=latency_objective_ms(row),
         priority_weight=number(row.get("importance"), 1.0),
         idempotency=IDEMPOTENCIES.get(str(row.get("repeat")), Idempotency.NON_IDEMPOTENT),
         idempotency_scope=IDEMPOTENCY_SCOPES.get(str(row.get("group")), IdempotencyScope.CELL),
@@ -72,6 +84,19 @@
     )
 
 
+def latency_objective_ms(row: dict[str, Any]) -> float:
+    """Returns the latency objective of a class: its `aim_ms`, or without one its `hard_limit_ms`. Raises
+    ValueError if it is not finite or below `MIN_LATENCY_OBJECTIVE_MS`: latencies are divided by it."""
+    key = "hard_limit_ms" if row.get("aim_ms") is None else "aim_ms"
+    objective_ms = number(row.get(key), DEFAULT_LATENCY_OBJECTIVE_MS)
+    if not MIN_LATENCY_OBJECTIVE_MS <= objective_ms < math.inf:
+        raise ValueError(
+            f"settings.profiles: {key} of class {row.get('name')} is {objective_ms:g}; "
+            f"a finite number from {MIN_LATENCY_OBJECTIVE_MS:g} on is needed"
+        )
+    return objective_ms
+
+
 def plan(row: dict[str, Any]) -> Plan:
     """Builds a plan from a row of `packages`."""
     return Plan(
--- a/glenchute/policy/balancing/pool.py
+++ b/glenchute/policy/balancing/pool.py
@@ -96,7 +96,7 @@
             connect_backoff.reset(server)
         if outcome is not Outcome.TIMEOUT or not server.in_flight:
             server.unanswered_since_ms = now_ms if server.in_flight else None
-        if outcome in (Outcome.OK, Outcome.TIMEOUT):
+        if outcome in (Outcome.OK, Outcome.TIMEOUT) and request_class.is_configured:
             self.latency.record(server, now_ms, event.duration_ms, request_class, units)
         self.outliers.record(server, now_ms, outcome)
         if outcome is Outcome.OK and is_warm:
--- a/glenchute/policy/engine.py
+++ b/glenchute/policy/engine.py
@@ -38,7 +38,7 @@
 from .reports import Reports
 from .request_execution import TICK_TOKEN, RequestExecution
 from .requests import PendingRequest
-from .settings import Idempotency, RequestClass, Settings
+from .settings import RequestClass, Settings, unknown_class
 from .timing import TICK_MS
 
 MIN_BUSY_ATTEMPTS = 4.0  # at or below this many attempts in flight, the backlog sheds nothing
@@ -162,7 +162,7 @@
             (min(now_ms, attempt.response_started_ms) - attempt.sent_ms)
             / attempt.pending.request_class.latency_objective_ms
             for attempt in self.execution.attempts.values()
-            if attempt.sent_ms >= self.execution.resumed_ms
+            if attempt.sent_ms >= self.execution.resumed_ms and attempt.pending.request_class.is_configured
         ]
         capacity.end_window(now_ms, in_flight_ratios)
 
@@ -192,10 +192,7 @@
         total is needed, then against the servers' capacity, and sends it to a server."""
         left_ms = request.time_left_ms
         self.reports.count("requests")
-        # A request of an unknown class is not idempotent, and its latency objective is its whole time.
-        request_class = self.classes.get(request.class_name) or RequestClass(
-            "", left_ms, 1.0, Idempotency.NON_IDEMPOTENT
-        )
+        request_class = self.class_of(request)
         if left_ms <= 0 or len(self.execution.requests) >= self.settings.max_requests - 1:
             self.reports.count("refused: at the door")
             self.actions.append(Reject(request.request_id, self.settings.max_retry_after_ms))
@@ -231,6 +228,10 @@
         elif request_id and counter.replied_tenant and is_answered:
             counter.refund_reserved(counter.replied_tenant)  # the client of the request has disconnected
 
+    def class_of(self, request: Request) -> RequestClass:
+        """Returns the class of a request."""
+        return self.classes.get(request.class_name) or unknown_class(self.settings.classes)
+
     def admit_or_reject(
         self, now_ms: float, pending: PendingRequest, has_total: bool, is_total_missing: bool = False
     ) -> None:
--- a/glenchute/policy/request_execution.py
+++ b/glenchute/policy/request_execution.py
@@ -123,7 +123,8 @@
         backlog.remove(attempt.expected_latency_ms)
         if event.outcome is Outcome.OK:
             backlog.record_completed(now_ms, attempt.expected_latency_ms)
-        if event.outcome in (Outcome.OK, Outcome.TIMEOUT) and is_valid:
+        has_duration = event.outcome in (Outcome.OK, Outcome.TIMEOUT) and pending.request_class.is_configured
+        if has_duration and is_valid:
             objective_ms = pending.request_class.latency_objective_ms
             self.shedder.capacity.record_latency(event.duration_ms, objective_ms)
 
--- a/glenchute/policy/settings.py
+++ b/glenchute/policy/settings.py
@@ -26,6 +26,11 @@
     CELL = "cell"
 
 
+UNKNOWN_CLASS_NAME = ""
+# Latency objective of requests of unknown classes if the settings have no class at all.
+DEFAULT_LATENCY_OBJECTIVE_MS = 1000.0
+
+
 @record(frozen=True, slots=True)
 class RequestClass:
     """One class of requests."""
@@ -38,6 +43,25 @@
     idempotency_window_ms: float = 0.0  # for WITH_KEY only: how long servers remember a key
     late_weight_fraction: float = 0.0  # fraction of the weight that a later response has
 
+    @property
+    def is_configured(self) -> bool:
+        """Whether the settings have this class; only such classes have estimates."""
+        return self.name != UNKNOWN_CLASS_NAME
+
+
+def unknown_class(classes: tuple[RequestClass, ...]) -> RequestClass:
+    """Returns the class of requests whose class the settings don't have. It is not idempotent, and a response
+    has its full weight until the deadline. The latency objective is the longest of the settings: one that a
+    request states would let that request alone decide how slow the servers appear."""
+    objectives_ms = [request_class.latency_objective_ms for request_class in classes]
+    return RequestClass(
+        UNKNOWN_CLASS_NAME,
+        latency_objective_ms=max(objectives_ms, default=DEFAULT_LATENCY_OBJECTIVE_MS),
+        priority_weight=1.0,
+        idempotency=Idempotency.NON_IDEMPOTENT,
+        late_weight_fraction=1.0,
+    )
+
 
 @record(frozen=True, slots=True)
 class Plan:
