Tests and the demo reach no process of another run at their ports

Callers saw (the demo's load): 10 of 175 requests lost in the first second, once, status 1. Cause: a port was picked by binding and closing it, and bound again some 150 ms later; another process could get it meanwhile, and ready() took its PONG.

Evidence: within the first second no loss can be a late reply, as deadlines are 2 s and more.

A port now stays bound by a socket that does not listen; ready() asks whether its own process listens there; gateways end with the process that started them; the demo prints each loss with its kind and moment, and the end of the log.

test_readiness sets SO_REUSEADDR on the socket it listens with, as the port is reserved; its checks are unchanged.

--- a/benchmarks/added.py
+++ b/benchmarks/added.py
@@ -37,7 +37,7 @@
     list_rows,
 )
 from benchmarks.machine import cpu_s, machine
-from lab.load import Account, Load, percentile
+from lab.load import Account, Answer, Load, percentile
 from lab.nodes import Node, ServiceProfile
 from lab.site import SETTINGS, GatewayProcess, LabSite
 
@@ -128,7 +128,7 @@
 
     timestamps: Timestamps
 
-    async def exchange(self, words: list[bytes]) -> tuple[str, int | None]:
+    async def exchange(self, words: list[bytes]) -> Answer:
         times = self.timestamps.setdefault(words[2].decode(), {})
         times["sent"] = time.monotonic()
         outcome = await super().exchange(words)
--- a/glenchute/cli/demo.py
+++ b/glenchute/cli/demo.py
@@ -25,6 +25,8 @@
 NODES = 4
 FOREVER = 1e9
 SERVICE_TIMES = ServiceProfile({"report-read": 25.0, "check-order": 45.0, "check-charge": 60.0})
+MAX_LOSSES_SHOWN = 20
+LOG_LINES_SHOWN = 20
 ANSWERS = ("served", "refused", "failed", "lost")
 OPERATOR = """\
 [defaults]
@@ -90,7 +92,10 @@
                 await run_load(load, site, seconds, stop)
             finally:
                 status = await gateway.stop()
-    return print_results(load, site, status, stop.is_set())
+        log_text = gateway.log_file.read_text(errors="replace")
+        status = print_results(load, site, status, stop.is_set())
+        print_losses(load, log_text)
+    return status
 
 
 async def run_load(load: Load, site: LabSite, seconds: float, stop: asyncio.Event) -> None:
@@ -119,6 +124,20 @@
             await task
 
 
+def print_losses(load: Load, log_text: str) -> None:
+    """Prints when and how each lost request was lost, and the end of the gateway's log; nothing without a
+    loss."""
+    lost = [outcome for outcome in load.outcomes if outcome.loss is not None]
+    if not lost:
+        return
+    began = load.outcomes[0].scheduled_at
+    for outcome in lost[:MAX_LOSSES_SHOWN]:
+        sent_s, ended_s = outcome.scheduled_at - began, outcome.duration_ms / 1000.0
+        cause = outcome.loss.value if outcome.loss else ""
+        print(f"lost: {outcome.kind.class_name} sent at {sent_s:.3f} s, after {ended_s:.3f} s: {cause}")
+    print("the end of the gateway's log:", *log_text.splitlines()[-LOG_LINES_SHOWN:], sep="\n  ")
+
+
 def print_results(load: Load, site: LabSite, status: int, stopped: bool) -> int:
     """Prints the results of each class, and returns the exit status."""
     columns = "".join(f"{heading:>9}" for heading in ("asked", *ANSWERS, "p50 ms", "p99 ms"))
--- a/lab/load.py
+++ b/lab/load.py
@@ -11,6 +11,8 @@
 import statistics
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
 
 import hiredis
 
@@ -38,6 +40,23 @@
     extra_fields: str = ""  # further fields of its commands, such as `,spread=3,first=0`
 
 
+class Loss(Enum):
+    """Why a request has no answer. A client has to send a request again on another connection only if the
+    connection had been used before."""
+
+    NOT_CONNECTED = "no connection came up"
+    CLOSED_UNANSWERED = "its new connection ended without a reply"
+    LATE = "no reply came within its deadline and 50 ms"
+
+
+class Answer(NamedTuple):
+    """How a request was answered: "served", "refused", "failed" or "lost"."""
+
+    answer: str
+    retry_after_ms: int | None = None
+    loss: Loss | None = None
+
+
 @dataclass(slots=True)
 class Outcome:
     """The outcome of a request."""
@@ -49,6 +68,7 @@
     duration_ms: float = 0.0  # from the scheduled send time to the answer
     answer: str = ""  # "served", "refused", "failed" or "lost"
     retry_after_ms: int | None = None
+    loss: Loss | None = None
 
 
 @dataclass
@@ -102,13 +122,14 @@
                  fields.encode(), *([b"body"] if kind.post else [])]  # fmt: skip
         try:
             async with asyncio.timeout(kind.deadline_ms / 1000.0 + 0.05):
-                outcome.answer, outcome.retry_after_ms = await self.exchange(command)
+                answer = await self.exchange(command)
         except TimeoutError:
-            outcome.answer = "lost"
+            answer = Answer("lost", loss=Loss.LATE)
+        outcome.answer, outcome.retry_after_ms, outcome.loss = answer
         outcome.duration_ms = 1000.0 * (loop.time() - outcome.scheduled_at)
 
-    async def exchange(self, command: list[bytes]) -> tuple[str, int | None]:
-        """Sends a command on an idle connection or a new one; returns the reply's class, or "lost"."""
+    async def exchange(self, command: list[bytes]) -> Answer:
+        """Sends a command on an idle connection or a new one."""
         while True:
             is_reused = bool(self.idle_clients)
             client = None
@@ -127,10 +148,11 @@
                     client.writer.close()
                 if is_reused:
                     continue  # the command crossed the close of the connection
-                return "lost", None
+                cause = Loss.NOT_CONNECTED if client is None else Loss.CLOSED_UNANSWERED
+                return Answer("lost", loss=cause)
             assert client is not None
             self.idle_clients.append(client)
-            return classify_reply(reply)
+            return Answer(*classify_reply(reply))
 
     def outcomes_of(self, class_name: str) -> list[Outcome]:
         """Returns the outcomes of a class."""
--- a/lab/site.py
+++ b/lab/site.py
@@ -17,6 +17,7 @@
 from pathlib import Path
 from typing import Any
 
+from lab.child_processes import end_with_parent, listens_at
 from lab.load import Account, RequestKind
 from lab.nodes import Node
 from lab.peers import Client, server_row
@@ -104,12 +105,12 @@
             self.process = subprocess.Popen(
                 [sys.executable, *self.interpreter_arguments, *arguments],
                 env=environ, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                start_new_session=True, pass_fds=inherited,
+                start_new_session=True, pass_fds=inherited, preexec_fn=end_with_parent,
                 cwd=Path(__file__).resolve().parent.parent,
             )  # fmt: skip
 
     async def ready(self, timeout_s: float = 15.0) -> None:
-        """Waits until the gateway answers a PING."""
+        """Waits until this gateway, and not another process at its port, answers a PING."""
         async with asyncio.timeout(timeout_s):
             while True:
                 assert self.process is not None
@@ -118,7 +119,8 @@
                 with contextlib.suppress(ConnectionError):
                     client = await Client.connect(self.port)
                     try:
-                        if await client.ask(b"PING") == b"PONG":
+                        is_ready = await client.ask(b"PING") == b"PONG"
+                        if is_ready and listens_at(self.process.pid, self.port):
                             return
                     finally:
                         client.writer.close()
--- a/tests/cli/test_process.py
+++ b/tests/cli/test_process.py
@@ -12,6 +12,7 @@
 import pytest
 
 from glenchute.clients import counter
+from lab.child_processes import end_with_parent
 from tests.loopback import (
     CUSTOMER,
     GET,
@@ -35,7 +36,7 @@
     """Starts the gateway as a process."""
     return await asyncio.create_subprocess_exec(
         sys.executable, "-m", "glenchute", cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-        env={**os.environ, "EDGE_CONFIG": str(path), **environ},
+        env={**os.environ, "EDGE_CONFIG": str(path), **environ}, preexec_fn=end_with_parent,
     )  # fmt: skip
 
 
--- a/tests/core/test_routes_loopback.py
+++ b/tests/core/test_routes_loopback.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from lab.child_processes import end_with_parent
 from lab.faults import Fault, FaultKind, FaultScript
 from lab.nodes import Node, ServiceProfile
 from lab.peers import Client, run_scenario, wait_until
@@ -179,6 +180,7 @@
     return subprocess.Popen(
         [sys.executable, "-m", "glenchute", "demo", *arguments], cwd=ROOT, text=True,
         stdout=subprocess.PIPE, stderr=subprocess.STDOUT, env={**os.environ, "PYTHONPATH": str(ROOT)},
+        preexec_fn=end_with_parent,
     )  # fmt: skip
 
 
--- a/tests/system/test_readiness.py
+++ b/tests/system/test_readiness.py
@@ -36,6 +36,7 @@
 def unreachable() -> Iterator[int]:
     """Yields a port whose connections are neither accepted nor refused, as its listen backlog is full."""
     with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)  # the port is reserved
         listener.bind(("127.0.0.1", free_port()))
         listener.listen(0)
         socks = [socket.socket() for _ in range(4)]
