A window that was not seen is unknown, and reports of it are deducted in full

Callers saw, with members and no counter: a tenant that a gateway had not seen for two windows or more was granted there what others had used, so units passed beyond its quota.

Cause: begin_window overwrote the start of the window seen last before comparing it, so that its units, however old, counted as known of the window before. The branch for an unknown window, which had never run, subtracted the rate's refill once more.

--- a/glenchute/policy/admission/tenants.py
+++ b/glenchute/policy/admission/tenants.py
@@ -18,6 +18,7 @@
 MAX_TENANTS = 50_000  # records, which take about 32 MB
 EVICTION_BATCH = 256  # number of records evicted at a time to make room
 FULL_CHECK_MS = 1000.0  # interval between searches of a full table from which no record could be evicted
+MAX_NEXT_WINDOW = 1.5  # a window that starts up to this many lengths after another one is the next
 OTHERS_USE_TTL_S = 1.5  # the others' use is assumed to go on for this long without a total, then to decay
 
 
@@ -110,6 +111,7 @@
         if ended is not None and ended.marker_count > 0 and is_busy and self.process_count == 1:
             self.pacing.monitor.record_window(min(1.0, ended.marker_count / tenant.gateway_spread))
         self.calls.timed_out.pop(tenant.counter_key, None)
+        tenant.previous_window_units = self.units_before(start_ms, tenant)
         tenant.window_start_ms = start_ms
         tenant.counter_key = stable_key(f"{tenant.tenant_id}/{start_ms:.0f}")
         marker = marker_value(
@@ -117,12 +119,20 @@
         )
         may_add_marker = start_ms >= max(self.started_ms, self.markers_from_ms)
         tenant.window_counter = WindowCounter(marker, may_add_marker)
-        tenant.previous_window_units = max(tenant.counter_others_units, tenant.member_others_units)
         tenant.assumed_drain_units = tenant.counter_total_units = tenant.own_units_since_reply = 0.0
         tenant.counter_others_units = tenant.member_others_units = tenant.reporting_fraction = 0.0
         tenant.unreported_units = max(0.0, tenant.unreported_units)
         tenant.calls_in_flight = 0
 
+    def units_before(self, start_ms: float, tenant: Tenant) -> float:
+        """Returns the other gateways' units in the window before the one that starts at `start_ms`; nan if
+        the tenant's record is of an older window, as after a pause, or of none."""
+        # Starts are multiples of the length up to rounding.
+        windows = (start_ms - tenant.window_start_ms) / tenant.window_length_ms
+        if windows > MAX_NEXT_WINDOW:
+            return math.nan
+        return max(tenant.counter_others_units, tenant.member_others_units)
+
     def refill(self, now_ms: float, tenant: Tenant) -> None:
         """Refills the buckets up to `now_ms`, and drains the quota's bucket by the other gateways' assumed
         use."""
--- a/glenchute/policy/admission/usage_updates.py
+++ b/glenchute/policy/admission/usage_updates.py
@@ -26,21 +26,13 @@
     tenant.member_others_units = max(tenant.member_others_units, update.window_units)
     # The previous window counts too: updates come with requests, and if these are rare, most of a window's
     # use may be reported only when it is over.
-    if math.isnan(tenant.previous_window_units):
-        # The others' use in the previous window was unknown: all of it is deducted, less what the rate has
-        # refilled since that window began.
-        elapsed_ms = now_ms - tenant.window_start_ms + tenant.window_length_ms
-        others_units = (
-            update.previous_window_units
-            + tenant.member_others_units
-            - known_units
-            - tenant.plan.rate_per_s * elapsed_ms / 1000.0
-        )
-        tenant.previous_window_units = update.previous_window_units
-    else:
-        previous_units = max(0.0, update.previous_window_units - tenant.previous_window_units)
-        others_units = tenant.member_others_units - known_units + previous_units
-        tenant.previous_window_units = max(tenant.previous_window_units, update.previous_window_units)
+    # If the others' use in it was unknown, all of it is deducted: what the rate has refilled since then is in
+    # the bucket already.
+    is_unknown = math.isnan(tenant.previous_window_units)
+    known_previous_units = 0.0 if is_unknown else tenant.previous_window_units
+    tenant.previous_window_units = max(known_previous_units, update.previous_window_units)
+    others_units = tenant.member_others_units - known_units
+    others_units += tenant.previous_window_units - known_previous_units
     tenants.deduct_others_use(now_ms, tenant, max(0.0, others_units))
     if tenants.pacing.is_unavailable and tenant.reporting_fraction:
         tenant.counter_total_ms = now_ms
--- a/tests/capture/mends.py
+++ b/tests/capture/mends.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
 import pytest
 
+from glenchute.policy.admission.tenant import Tenant
+from glenchute.policy.admission.tenants import TenantTable
 from glenchute.policy.events import DID_NOT_RUN, NEVER_REACHED_SERVER, AttemptEnded
 from glenchute.policy.request_execution import RequestExecution
 from glenchute.policy.requests import PendingRequest
@@ -20,14 +22,36 @@
 from glenchute.policy.settings import Idempotency
 
 
+@dataclass(frozen=True)
+class Change:
+    """One value among a record's actions that differs; all others are equal."""
+
+    path: str  # indices and field names, separated by dots
+    captured: Any
+    replayed: Any
+
+
 @dataclass(frozen=True)
 class FirstDifference:
     """The first record of a file that a mend decides in another way; `event` is its representation."""
 
     record_index: int  # in the run
     event: str
-    captured: list[list[Any]]
-    replayed: list[list[Any]]
+    changes: list[Change]
+
+
+def changes_between(captured: Any, replayed: Any, path: str = "") -> list[Change]:
+    """Returns the values that differ; parts of other lengths or fields differ as a whole."""
+    if isinstance(captured, list) and isinstance(replayed, list) and len(captured) == len(replayed):
+        keys: Sequence[Any] = range(len(captured))
+    elif isinstance(captured, dict) and isinstance(replayed, dict) and captured.keys() == replayed.keys():
+        keys = list(captured)
+    else:
+        return [] if captured == replayed else [Change(path, captured, replayed)]
+    prefix = f"{path}." if path else ""
+    return [
+        change for key in keys for change in changes_between(captured[key], replayed[key], f"{prefix}{key}")
+    ]
 
 
 @dataclass(frozen=True)
@@ -80,6 +104,16 @@
     patch.setattr(RequestExecution, "end_attempt", end_attempt)
 
 
+def undo_unknown_window(patch: pytest.MonkeyPatch) -> None:
+    """The units of the window that a tenant was last seen in counted as those of the window before, however
+    long ago it was."""
+
+    def units_before(self: TenantTable, start_ms: float, tenant: Tenant) -> float:
+        return max(tenant.counter_others_units, tenant.member_others_units)
+
+    patch.setattr(TenantTable, "units_before", units_before)
+
+
 MENDS = [
     Mend(
         "a_hedge_pins_a_request_only_while_it_starts",
@@ -90,16 +124,25 @@
                 "AttemptEnded(request_id='r454', attempt=0, address='s0', "
                 "outcome=<Outcome.REJECTED: 'full'>, duration_ms=96.08371948251667, is_final=False, "
                 "queued_requests=5.51, active_requests=7.0, retry_delay_ms=0.0)",
-                [[0, ["r454", "s0", 200.0, 1700000009244.3862]]],
-                [[0, ["r454", "s3", 200.0, 0.0]]],
+                [Change("0.1.1", "s0", "s3"), Change("0.1.3", 1700000009244.3862, 0.0)],
             ),
             "whole_run-000000.glcap": FirstDifference(
                 153,
                 "AttemptEnded(request_id='r33', attempt=0, address='s1', "
                 "outcome=<Outcome.REJECTED: 'full'>, duration_ms=193.17645516498365, is_final=False, "
                 "queued_requests=4.58, active_requests=0.0, retry_delay_ms=0.0)",
-                [[0, ["r33", "s1", 0.0, 1700000002352.7024]]],
-                [[0, ["r33", "s0", 0.0, 0.0]]],
+                [Change("0.1.1", "s1", "s0"), Change("0.1.3", 1700000002352.7024, 0.0)],
+            ),
+        },
+    ),
+    Mend(
+        "an_unseen_window_is_unknown",
+        undo_unknown_window,
+        {
+            "mid_life-000001.glcap": FirstDifference(
+                1306,
+                "SuccessorStarted()",
+                [Change("0.1.0.14.others_demand_per_s", 2.5778457271378015, 3.467983050887975)],
             ),
         },
     ),
--- a/tests/capture/test_format_1.py
+++ b/tests/capture/test_format_1.py
@@ -16,7 +16,7 @@
 from glenchute.capture.replay import Segment, find_runs, read_segment, replay
 from glenchute.policy.actions import IncrementCounter, SendState, SetTimer
 from glenchute.policy.events import AttemptEnded, CounterReply, Outcome, Request, StateReceived, TimerFired
-from tests.capture.mends import MENDS, FirstDifference, Mend
+from tests.capture.mends import MENDS, FirstDifference, Mend, changes_between
 
 CAPTURES = Path(__file__).resolve().parents[1] / "format_1"
 DIGESTS = {
@@ -74,7 +74,8 @@
     report = replay([file])
     assert not report.notes and not report.fault_count
     differences = [
-        FirstDifference(d.record_index, repr(d.event), d.captured, d.replayed) for d in report.differences
+        FirstDifference(d.record_index, repr(d.event), changes_between(d.captured, d.replayed))
+        for d in report.differences
     ]
     listed = mend.first_differences.get(file.name)
     assert differences == ([listed] if listed else [])
