A process that takes over keeps away from servers its predecessor had to leave

Callers saw: where a process was replaced while discovery was down, requests went to draining or removed servers until discovery was back: a broken rule, and failed attempts.

Cause: the handover passed quotas and nothing of servers, and the successor began with its saved list.

The message now has the names of the endpoints in use, with version and discovery; the successor takes others of its saved list out of use, and never adds one. Older processes ignore the key, and messages without it are read as before.

--- a/glenchute/cli/handover.py
+++ b/glenchute/cli/handover.py
@@ -6,12 +6,13 @@
 import logging
 from pathlib import Path
 
+from glenchute.clients.discovery import DiscoveryClient
 from glenchute.clients.handover import HandoverServer, PredecessorConnection, request_handover, socket_path
 from glenchute.config.platform import PlatformConfig
 from glenchute.core.executor import RequestExecutor
 from glenchute.listeners.resp2.listener import Listener
 from glenchute.policy.events import OtherProcessEnded, QuotaSnapshot, StateReceived, SuccessorStarted
-from glenchute.policy.lifecycle.handover import encode_handover, retained_limit_share
+from glenchute.policy.lifecycle.handover import ActiveEndpoints, encode_handover, retained_limit_share
 from glenchute.upstreams.server_pools import ServerPools
 
 log = logging.getLogger("glenchute")
@@ -30,9 +31,11 @@
         gateway: RequestExecutor,
         listener: Listener,
         servers: ServerPools,
+        discovery: DiscoveryClient,
     ) -> None:
         self.path, self.config, self.loop = path, config, loop
         self.gateway, self.listener, self.servers = gateway, listener, servers
+        self.discovery = discovery
         self.predecessor: PredecessorConnection | None = None
         self.server = HandoverServer(loop, self.make_message, self.on_other_ended)
         self.quotas: tuple[QuotaSnapshot, ...] = ()
@@ -48,13 +51,14 @@
         gateway: RequestExecutor,
         listener: Listener,
         servers: ServerPools,
+        discovery: DiscoveryClient,
     ) -> ProcessHandover | None:
         """Creates the handover; returns None, with a warning, if there is no usable folder for the socket."""
         path = socket_path(folder, config.name, config.listen) if folder else None
         if path is None:
             log.warning("no handover between processes: TMPDIR is not set, or its path is too long")
             return None
-        return cls(path, config, loop, gateway, listener, servers)
+        return cls(path, config, loop, gateway, listener, servers, discovery)
 
     async def request_state(self) -> None:
         """Requests and applies the state of the predecessor, if any. Called before clients are accepted."""
@@ -65,9 +69,19 @@
         log.info("received quota state from the predecessor process: %d tenants", len(state.quotas))
         self.apply_limit_share(state.limit_share)
         self.gateway.post(StateReceived(state.quotas))
+        self.withdraw_endpoints(state.endpoints)
         if self.predecessor.transport is None:
             self.on_other_ended()  # the predecessor has ended in the meantime
 
+    def withdraw_endpoints(self, active: ActiveEndpoints | None) -> None:
+        """Takes endpoints out of use that the predecessor could not use any more."""
+        update = self.discovery.withdraw_inactive(active) if active is not None else None
+        if update is None:
+            return
+        count = len(update.event.endpoints)
+        log.info("the predecessor process could not use %d servers of the saved list any more", count)
+        self.gateway.update_endpoints(update)
+
     async def start_serving(self) -> None:
         """Starts accepting a successor."""
         await self.server.start(self.path)
@@ -81,7 +95,8 @@
         self.quotas = ()
         self.gateway.post(SuccessorStarted())  # the engine calls `set_quotas` before this returns
         log.info("handed over quota state to the successor process: %d tenants", len(self.quotas))
-        return encode_handover(self.config.name, 1.0 - share, self.quotas)
+        endpoints = self.discovery.active_endpoints()
+        return encode_handover(self.config.name, 1.0 - share, self.quotas, endpoints)
 
     def set_quotas(self, quotas: tuple[QuotaSnapshot, ...]) -> None:
         """Sets the decision engine's part of the message."""
--- a/glenchute/cli/program.py
+++ b/glenchute/cli/program.py
@@ -86,12 +86,12 @@
         self.extproc: ExtProcServer | None = None
         if operator is not None and operator.fronts and "extproc" in operator.fronts:
             self.extproc = subsystems.create_extproc(operator.fronts["extproc"], config, loop, self.gateway)
-        self.handover = self.create_handover() if self.passed_socket is not None else None
         self.operations = None
         if config.operations_address is not None:
             self.operations = subsystems.create_operations(loop, self.listener, self.fleet)
         self.list_confirmation: ListConfirmation | None = None
         self.discovery = self.create_discovery((operator.discovery if operator is not None else None) or {})
+        self.handover = self.create_handover() if self.passed_socket is not None else None
         if self.fleet is not None:
             self.fleet.endpoint_sync.apply_update = self.gateway.update_endpoints
             self.fleet.audit.counter = self.counter
@@ -184,7 +184,7 @@
 
         folder = self.environ.get("TMPDIR")
         return ProcessHandover.create(
-            folder, self.config, self.loop, self.gateway, self.listener, self.servers
+            folder, self.config, self.loop, self.gateway, self.listener, self.servers, self.discovery
         )
 
     def apply_routes(self, operator: OperatorConfig) -> None:
--- a/glenchute/clients/discovery.py
+++ b/glenchute/clients/discovery.py
@@ -15,12 +15,14 @@
 import logging
 import random
 from collections.abc import Callable, Generator
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from glenchute.core.types import Address, EndpointUpdate
 from glenchute.policy.endpoints.polling import PollingSettings, PollScheduler
 from glenchute.policy.endpoints.watch import CloseConnection, EndpointWatch, OpenAndPoll, Poll, WatchCommand
-from glenchute.policy.events import EndpointList, EndpointListKind
+from glenchute.policy.events import EndpointList, EndpointListKind, EndpointState
+from glenchute.policy.lifecycle.handover import ActiveEndpoints
 from glenchute.protocol.endpoint_list import (
     CurrentList,
     EndpointListError,
@@ -120,6 +122,36 @@
         self._reset_timer()
         return is_worth_waiting
 
+    def active_endpoints(self) -> ActiveEndpoints | None:
+        """Returns the endpoints in use, for a successor process; None without a list of a known version."""
+        if self.version is None:
+            return None
+        rows = self.current_list.rows.items()
+        names = frozenset(name for name, (endpoint, _) in rows if endpoint.state is EndpointState.ACTIVE)
+        return ActiveEndpoints(format_address(self.address), self.version, names)
+
+    def withdraw_inactive(self, handed: ActiveEndpoints) -> EndpointUpdate | None:
+        """Takes endpoints of the saved list out of use that a predecessor process could not use any more;
+        returns the update for the caller to apply, None if there is nothing to do.
+
+        What discovery has told the predecessor counts as known here too, even if discovery is down since.
+        The next poll still asks for the changes since the saved version, and thus for all of these. A list
+        that is older than the saved one, or of another address, withdraws nothing.
+        """
+        is_comparable = handed.source == format_address(self.address) and self.version is not None
+        if not is_comparable or self.first_answer.is_set() or handed.version < (self.version or 0):
+            return None
+        withdrawn = tuple(
+            replace(endpoint, state=EndpointState.DRAINING)
+            for name, (endpoint, _) in self.current_list.rows.items()
+            if endpoint.state is EndpointState.ACTIVE and name not in handed.names
+        )
+        if not withdrawn:
+            return None
+        update = EndpointUpdate(self.version or 0, EndpointList(EndpointListKind.CHANGES, withdrawn))
+        self.current_list.apply(update)
+        return update
+
     def change_address(self, address: Address) -> None:
         """Polls at another address from now on. The complete list is requested there, as versions are only
         comparable within one address; the list in force stays until it is received."""
@@ -367,6 +399,11 @@
             )
 
 
+def format_address(address: Address) -> str:
+    """Returns an address as text."""
+    return f"{address[0]}:{address[1]}"
+
+
 def result_or_raise(result: EndpointUpdate | Exception) -> EndpointUpdate:
     """Returns the update, or raises the error of decoding it."""
     if isinstance(result, Exception):
--- a/glenchute/policy/lifecycle/handover.py
+++ b/glenchute/policy/lifecycle/handover.py
@@ -20,6 +20,7 @@
 
 FORMAT = 1
 MAX_QUOTAS = 10_000  # tenants handed over at most, the most recently seen ones first
+MAX_ENDPOINTS = 10_000  # endpoints handed over at most; of more, none are
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 MAX_TENANT_LENGTH = 64
 MAX_GATEWAY_SPREAD = 1_000_000
@@ -48,11 +49,21 @@
     """Raised for an invalid handover message; the text is the reason that is logged."""
 
 
+class ActiveEndpoints(NamedTuple):
+    """Which endpoints the predecessor may send to, by its list in force."""
+
+    source: str  # discovery's address; versions are comparable within one address only
+    version: int  # of the list
+    names: frozenset[str]
+
+
 class HandoverState(NamedTuple):
     """The state that the predecessor hands over."""
 
     limit_share: float  # the successor's share of the gateway's file descriptors
     quotas: tuple[QuotaSnapshot, ...]
+    # None if the predecessor has no list of a known version, or is of a version that hands over none.
+    endpoints: ActiveEndpoints | None = None
 
 
 def retained_limit_share(in_use: int, limit: int) -> float:
@@ -62,13 +73,28 @@
     return min(1.0 - MIN_LIMIT_SHARE, max(0.5, (in_use + RESERVE_SHARE * limit) / limit))
 
 
-def encode_handover(gateway: str, limit_share: float, quotas: Sequence[QuotaSnapshot]) -> bytes:
+def encode_handover(
+    gateway: str,
+    limit_share: float,
+    quotas: Sequence[QuotaSnapshot],
+    endpoints: ActiveEndpoints | None = None,
+) -> bytes:
     """Encodes the message to the successor process of the gateway with this name. Quotas beyond `MAX_QUOTAS`
-    are omitted."""
+    are omitted, and so are endpoints if they are more than `MAX_ENDPOINTS`: an incomplete set would withdraw
+    the others."""
     rows = [[getattr(quota, name) for name in QuotaSnapshot.__match_args__] for quota in quotas[:MAX_QUOTAS]]
     for row in rows:
         row[:] = [None if value == math.inf else value for value in row]  # JSON has no infinity
-    message = {"format": FORMAT, "gateway": gateway, "share": limit_share, "fields": FIELDS, "stocks": rows}
+    message: dict[str, Any] = {
+        "format": FORMAT,
+        "gateway": gateway,
+        "share": limit_share,
+        "fields": FIELDS,
+        "stocks": rows,
+    }
+    if endpoints is not None and len(endpoints.names) <= MAX_ENDPOINTS:
+        source, version, names = endpoints
+        message["endpoints"] = {"discovery": source, "version": version, "ready": sorted(names)}
     return json.dumps(message, allow_nan=False, separators=(",", ":")).encode() + b"\n"
 
 
@@ -90,7 +116,25 @@
     if not isinstance(rows, list) or len(rows) > MAX_QUOTAS:
         raise HandoverError("list of tenants is missing or too long")
     limit_share = decode_number(message.get("share"), MIN_LIMIT_SHARE, 1.0 - MIN_LIMIT_SHARE)
-    return HandoverState(limit_share, tuple([decode_quota(row) for row in rows]))
+    endpoints = decode_endpoints(message.get("endpoints"))
+    return HandoverState(limit_share, tuple([decode_quota(row) for row in rows]), endpoints)
+
+
+def decode_endpoints(raw: Any) -> ActiveEndpoints | None:
+    """Decodes the active endpoints; None if the message has none. Raises HandoverError if they are
+    invalid."""
+    if raw is None:
+        return None
+    if not isinstance(raw, dict):
+        raise HandoverError("endpoints are not an object")
+    source, version, names = raw.get("discovery"), raw.get("version"), raw.get("ready")
+    if not isinstance(source, str) or type(version) is not int:
+        raise HandoverError("endpoints have no address or no version")
+    if not isinstance(names, list) or len(names) > MAX_ENDPOINTS:
+        raise HandoverError("list of endpoints is missing or too long")
+    if not all(isinstance(name, str) for name in names):
+        raise HandoverError("name of an endpoint is not a string")
+    return ActiveEndpoints(source, version, frozenset(names))
 
 
 def decode_quota(row: Any) -> QuotaSnapshot:
--- a/tests/policy/lifecycle/test_handover.py
+++ b/tests/policy/lifecycle/test_handover.py
@@ -30,8 +30,10 @@
 )
 from glenchute.policy.lifecycle.handover import (
     FIELDS,
+    MAX_ENDPOINTS,
     MAX_QUOTAS,
     MIN_LIMIT_SHARE,
+    ActiveEndpoints,
     HandoverError,
     HandoverState,
     decode_handover,
@@ -66,6 +68,24 @@
             decode_handover("g", raw[:cut])
 
 
+ENDPOINTS = ActiveEndpoints("127.0.0.1:8500", 43, frozenset({"s0", "s1"}))
+ENCODED_ENDPOINTS = {"discovery": "127.0.0.1:8500", "version": 43, "ready": ["s0", "s1"]}
+
+
+def test_the_active_endpoints_are_handed_over_all_or_none() -> None:
+    raw = encode_handover("g", 0.5, [], ENDPOINTS)
+    assert json.loads(raw)["endpoints"] == ENCODED_ENDPOINTS
+    assert decode_handover("g", raw).endpoints == ENDPOINTS
+    names = frozenset(str(number) for number in range(MAX_ENDPOINTS + 1))
+    assert (
+        decode_handover("g", encode_handover("g", 0.5, [], ENDPOINTS._replace(names=names))).endpoints is None
+    )
+
+
+def test_a_message_of_a_version_without_endpoints_is_decoded() -> None:
+    assert decode_handover("g", message_with(stocks=[])) == HandoverState(0.5, (), None)
+
+
 def message_with(**changes: Any) -> bytes:
     """Encodes a message with some of its members replaced."""
     message = json.loads(encode_handover("g", 0.5, [QUOTA]))
@@ -93,6 +113,12 @@
         (message_with(stocks={}), "list of tenants"),
         (message_with(stocks=[[]] * (MAX_QUOTAS + 1)), "list of tenants"),
         (message_with(stocks=[[1]]), "one value per field"),
+        (message_with(endpoints=[]), "endpoints are not an object"),
+        (message_with(endpoints=ENCODED_ENDPOINTS | {"version": True}), "no address or no version"),
+        (message_with(endpoints=ENCODED_ENDPOINTS | {"discovery": None}), "no address or no version"),
+        (message_with(endpoints=ENCODED_ENDPOINTS | {"ready": {}}), "list of endpoints"),
+        (message_with(endpoints=ENCODED_ENDPOINTS | {"ready": ["s"] * (MAX_ENDPOINTS + 1)}), "too long"),
+        (message_with(endpoints=ENCODED_ENDPOINTS | {"ready": ["s0", 1]}), "not a string"),
         (message_with(share=0.9), "range"),
         (message_with(share=True), "range"),
         (message_with_value(0, ""), "name"),
--- a/tests/system/test_replacement.py
+++ b/tests/system/test_replacement.py
@@ -15,6 +15,7 @@
 
 from glenchute.config.platform import ConfigError, build, passed_socket
 from lab.nodes import Node, ServiceProfile
+from lab.peers import server_row, wait_until
 from lab.site import GatewayProcess, LabSite, free_port
 from tests.loopback import CUSTOMER, Client, config, generate_request_ids, raw_config, run_scenario
 
@@ -130,6 +131,35 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("state", ["Terminating", "Gone"])
+def test_a_successor_sends_nothing_to_servers_whose_drain_its_predecessor_was_told_of(
+    tmp_path: Path, state: str
+) -> None:
+    """Guards against attempts at a draining server by a process that starts with an old saved list while
+    discovery is down."""
+
+    async def scenario() -> None:
+        async with replacement_site(tmp_path) as gateway_site:
+            discovery, (kept, drained) = gateway_site.lab.discovery, gateway_site.lab.nodes
+            old = await gateway_site.start()
+            version = discovery.update_rows([server_row(drained.name, drained.port, state)])
+            await wait_until(lambda: version in discovery.first_answer_at)
+            client = await Client.connect(gateway_site.port)
+            assert await gateway_site.ask(client) == b"report of 0000000000000001"
+            client.writer.close()
+            await discovery.stop()
+            received = drained.received_count
+            await gateway_site.start()
+            assert await old.stop() == 0
+            client = await Client.connect(gateway_site.port)
+            for _ in range(40):
+                assert isinstance(await gateway_site.ask(client), bytes)
+            client.writer.close()
+            assert drained.received_count == received and kept.received_count >= 40
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("after_ready", [False, True])
 def test_a_successor_that_dies_leaves_the_predecessor_serving(tmp_path: Path, after_ready: bool) -> None:
     async def scenario() -> None:
