Hedged connects: the timeout's start is judged between two readings of the clock

Seen once beside a whole test run: neither_connects_in_time asked for the connect timer within 5 ms of the attempt's creation and found 2098.78 for 2098.775.

The check now asks that the timer began between the attempt's creation and the moment after its start, plus one step of the loop's clock. On a quiet machine that is under 1 ms, stricter than the 5 before.

--- a/tests/policy/connections/test_hedged_connects.py
+++ b/tests/policy/connections/test_hedged_connects.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import socket
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
@@ -34,6 +35,7 @@
 
 COMMAND = b"*1\r\n$8\r\nCALL.GET\r\n"
 CONNECT_S = 0.4
+CLOCK_STEP_S = 0.001  # resolution of the loop's clock
 
 
 # --- delay and budget ------------------------------------------------------------------------------------
@@ -119,6 +121,7 @@
         self.servers.activate_server("s0", ("127.0.0.1", server.port), False)
         self.results: list[AttemptResult] = []
         self.attempt = self.start_attempt()
+        self.started_by = time.monotonic()  # the loop's clock, read after the attempt has set its timers
 
     @property
     def pool(self) -> ConnectionPool:
@@ -201,8 +204,8 @@
 
 async def neither_connects_in_time(race: HedgeRace) -> None:
     """The timeout counts from the first connect: a hedge does not extend it."""
-    connect_timer_at = race.attempt.connect_timer.when()
-    assert connect_timer_at == pytest.approx(race.attempt.started_at + CONNECT_S, abs=0.005)
+    earliest_at, latest_at = race.attempt.started_at + CONNECT_S, race.started_by + CONNECT_S
+    assert earliest_at <= race.attempt.connect_timer.when() <= latest_at + CLOCK_STEP_S
     await race.expect_result(Outcome.UNREACHABLE, 0)
     assert all(gate.cancelled() for gate in race.loop.connect_gates)
 
