A list in parts counts the last of two servers keys, as one decoded at once does

Callers saw nothing so far: discovery writes each key once. By reading: an answer over 64 KiB with a second key `servers`, empty or no list, kept the first rows; a shorter one took the last.

Cause: a second key was looked for by whether the rest of the text had rows. The rest is parsed with its pairs now, and a repeated key decodes the whole text at once.

--- a/glenchute/protocol/endpoint_list.py
+++ b/glenchute/protocol/endpoint_list.py
@@ -214,17 +214,32 @@
     try:
         rows_end = yield from scan_rows(text, head.end(), rows, known_rows, rows_by_text)
         yield from ring_builder.sort()
-        raw = json.loads(text[: head.end()] + text[rows_end:])
+        raw, is_repeated = parse_list_fields(text[: head.end()] + text[rows_end:])
         if current is not None and raw.get("full") and len(rows_by_text) > MAX_SUBSET_SIZE:
             current.rows_by_text, current.ring_positions = rows_by_text, ring_builder.positions
         known_rows = rows_by_text = {}
         yield  # the previous rows are freed in one turn, and this list comes into force in a later one
-        # A further key `servers` with rows replaces those above: the whole text is decoded again.
-        return rows.finish(raw) if not raw["servers"] else decode_list(json.loads(text), current=current)
+        # Of a repeated key the last one applies, and rows without a comma in between are left over: then the
+        # whole text is decoded again.
+        is_complete = not is_repeated and raw["servers"] == []
+        return rows.finish(raw) if is_complete else decode_list(json.loads(text), current=current)
     except DECODING_ERRORS as error:
         raise as_list_error(error) from None
 
 
+def parse_list_fields(text: str) -> tuple[dict[str, Any], bool]:
+    """Returns the fields of a list whose rows were cut out of its text, and whether it has the key `servers`
+    more than once. Raises ValueError if it is not a JSON object."""
+    fields: list[tuple[str, Any]] = []
+
+    def keep_fields(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        fields[:] = pairs  # the outermost object is the last one that is complete
+        return dict(pairs)
+
+    raw = json.loads(text, object_pairs_hook=keep_fields)
+    return raw, sum(key == "servers" for key, _ in fields) > 1
+
+
 def scan_rows(
     text: str,
     start: int,
--- a/tests/clients/test_list_parts.py
+++ b/tests/clients/test_list_parts.py
@@ -73,6 +73,11 @@
     '{"x": {"servers": [{"id": "a", "addr": "h:1"}]}, "version": 3, "full": true, "servers": []}',
     '{"x": "\\"servers\\": [", "version": 3, "full": true, "servers": [{"id": "a", "addr": "h:1"}]}',
     '{"servers": [{"id": "a", "addr": "h:1"}], "version": 3, "full": true, "servers": [{"id": "b"}]}',
+    # Guards against the first of two keys in force, where the last one is empty or no list.
+    f'{{"servers": {ROWS}, "version": 3, "full": true, "servers": []}}',
+    '{"servers": [{"id": "a", "addr": "h:1"}], "version": 3, "full": true, "servers": null}',
+    '{"servers": [], "version": 3, "servers": {}, "full": true}',
+    '{"servers": [{"id": "a", "addr": "h:1"}], "x": {"servers": 1, "servers": 2}, "version": 3, "full": true}',
     '[{"servers": []}]', "7", "", "{}", "\ud83d",
     '{"version": 3, "full": true, "servers": [' + "[" * 100_000,
 ]  # fmt: skip
