A holder that regains a lease counts a failed step once

Callers saw: a leased task parked after two failed holders, where four are allowed.

Cause: a holder's first step is recorded as failed before it runs, and whether its real failure was to be added went by the steps the process had completed in all its terms. The task now notes the token of the term whose failure is counted already.

Evidence: test_task_failures.py, three of five sequences failed before (2 for 1, 4 for 2 and 3 for 2 failures), none now.

--- a/glenchute/clients/membership/lease_tasks.py
+++ b/glenchute/clients/membership/lease_tasks.py
@@ -31,6 +31,7 @@
 
 from .log_events import log_event
 
+NO_TOKEN = -1  # below all tokens
 FIRST_STEP_DELAY_S = 0.3  # a new holder's record reaches the other members before its first step runs
 
 
@@ -84,6 +85,8 @@
         self.next_step_at = 0.0
         self.step_job: asyncio.Task[None] | None = None
         self.completed_steps = self.failed_steps = 0
+        # The token of the lease whose first step the record counts as failed, as it has not been completed.
+        self.assumed_failed_token = NO_TOKEN
         self.last_result = "never acted"
 
 
@@ -200,6 +203,7 @@
         try:
             if lease is not None and task.record.token < lease.token:
                 self.publish_record(task, task.record.taken_over_by(lease.token).after_step(False))
+                task.assumed_failed_token = lease.token
                 if task.record.is_parked:
                     log_event("task.parked", task=task.settings.name, failures=task.record.failures)
                     raise LeaseLost
@@ -216,13 +220,12 @@
             task.failed_steps += 1
             task.last_result = f"failed: {error!r:.100}"
             log_event("task.failed", task=task.settings.name, error=repr(error)[:200])
-            # Until a step has been completed, the record already counts the failure.
-            self.publish_record(
-                task, task.record if task.completed_steps == 0 else task.record.after_step(False)
-            )
+            is_counted = task.assumed_failed_token == task.record.token
+            self.publish_record(task, task.record if is_counted else task.record.after_step(False))
             self.release_lease(task)
         else:
             task.completed_steps += 1
+            task.assumed_failed_token = NO_TOKEN
             task.last_result = "acted"
             self.publish_record(task, task.record.after_step(True))
         finally:
