The audit reports no reset of the counter, however late a window is audited

Cause: a mismatch was reported when three windows differed whose starts spanned the settling time and a window, which is what a reset takes if each window is audited as soon as it is due. Audits come every half second, and later on a busy machine.

Now the last window has to begin after the first one's total was read, which no single reset explains. receive_total takes the time.

--- a/glenchute/clients/membership/audit_task.py
+++ b/glenchute/clients/membership/audit_task.py
@@ -68,7 +68,7 @@
             # row would park the task.
             raise LeaseLost
         for query, total in zip(queries, totals, strict=True):
-            mismatch = self.usage_audit.receive_total(query, total)
+            mismatch = self.usage_audit.receive_total(self.reporter.now_ms, query, total)
             if mismatch is not None:
                 log_event("audit.use", account=mismatch.account, counter=round(mismatch.counter_units, 1),
                           members=round(mismatch.member_units, 1),
