Quota constants have names: rounding of totals, least demand time, covered restarts

Need: the reading could not explain the 0.5 and -0.5 units, the 0.1 s of deduct_others_use and the 0.5 of initial_guard_units.

Change: names with their reason. A total has seven exact digits, so below 1e7 it is off by half a unit at most; the docstring's two restarts are the guard's half, which is not COUNTED_FRACTION; the 0.1 s keeps a few units at a window's start from showing a huge rate. No value changes.

--- a/glenchute/policy/admission/ceiling.py
+++ b/glenchute/policy/admission/ceiling.py
@@ -10,6 +10,7 @@
 from .tenant import Tenant
 
 COUNTED_FRACTION = 0.5  # fraction of a ceiling's burst that the counter grants
+COVERED_RESTARTS = 2  # restarts of all gateways, before a ceiling's bucket has filled, that do not exceed it
 
 
 def guard_limit_units(plan: Plan) -> float:
@@ -26,7 +27,8 @@
     slack may therefore be granted when all gateways restart at once, and once more when they do so again
     before the bucket has filled.
     """
-    spare = 0.5 * max(0.0, plan.ceiling_burst_units - plan.burst_units) if plan.burst_units else 0.0
+    difference = max(0.0, plan.ceiling_burst_units - plan.burst_units) if plan.burst_units else 0.0
+    spare = difference / COVERED_RESTARTS
     spare += plan.ceiling_slack_units + plan.ceiling_rate_per_s * age_ms / 1000.0
     return min(guard_limit_units(plan), spare) / gateway_spread
 
--- a/glenchute/policy/admission/counter_sync.py
+++ b/glenchute/policy/admission/counter_sync.py
@@ -17,7 +17,7 @@
 from . import local_share
 from .call_pacing import CALL_GAP_MS, CallPacing
 from .counter_calls import CounterCall, CounterCalls
-from .epoch_markers import WindowCounter
+from .epoch_markers import TOTAL_ROUNDING_UNITS, WindowCounter
 from .tenant import Tenant
 from .tenants import TenantTable
 from .windows import FILL_WINDOW_S, TENANT_IDLE_MS
@@ -229,7 +229,7 @@
             self.tenants.unreported[tenant.tenant_id] = tenant
             others_units = -math.inf
         # A negative difference shows that counts were lost, not that demand fell: the estimate is kept.
-        if others_units >= -0.5:
+        if others_units >= -TOTAL_ROUNDING_UNITS:
             self.apply_others_use(now_ms, tenant, max(0.0, own_units), max(0.0, others_units))
         tenant.counter_total_units, tenant.counter_total_ms = window_counter.units, now_ms
         tenant.own_units_since_reply = later_units
--- a/glenchute/policy/admission/epoch_markers.py
+++ b/glenchute/policy/admission/epoch_markers.py
@@ -28,6 +28,7 @@
 MARKER_FACTOR = 8.0  # smallest ratio of a marker to a window's units, so that units never look like markers
 MARKER_TOLERANCE = 0.02  # fraction of a marker by which units may fall without counting as lost memory
 TOTAL_PRECISION = 1e-6  # relative error allowed in a total, of which seven digits are exact
+TOTAL_ROUNDING_UNITS = 0.5  # the error of a total below 1e7: its seven digits then reach to whole units
 
 
 def marker_value(burst_units: float, rate_per_s: float, window_s: float, ceiling_burst_units: float) -> float:
@@ -67,7 +68,9 @@
         marker_count = round(total / self.marker)
         total_units = total - marker_count * self.marker
         # A refund may go to a later window's key than the units it refunds, so totals may fall a little.
-        tolerance_units = max(0.5 + TOTAL_PRECISION * abs(total), MARKER_TOLERANCE * self.marker)
+        tolerance_units = max(
+            TOTAL_ROUNDING_UNITS + TOTAL_PRECISION * abs(total), MARKER_TOLERANCE * self.marker
+        )
         min_count = max(self.marker_count, 1 if marker else 0)
         has_fallen = marker_count < min_count or total_units < self.confirmed_units + units - tolerance_units
         self.marker_count, self.units = marker_count, total_units
@@ -81,6 +84,6 @@
 
     def granted_fraction(self, gateway_spread: int) -> float:
         """Returns the fraction, 0 to 1, of the counted part of a ceiling that this key may grant."""
-        if self.has_lost_memory or not self.is_marker_confirmed or self.units < -0.5:
+        if self.has_lost_memory or not self.is_marker_confirmed or self.units < -TOTAL_ROUNDING_UNITS:
             return 0.0
         return min(1.0, self.marker_count / gateway_spread)
--- a/glenchute/policy/admission/tenants.py
+++ b/glenchute/policy/admission/tenants.py
@@ -19,6 +19,8 @@
 EVICTION_BATCH = 256  # number of records evicted at a time to make room
 FULL_CHECK_MS = 1000.0  # interval between searches of a full table from which no record could be evicted
 MAX_NEXT_WINDOW = 1.5  # a window that starts up to this many lengths after another one is the next
+# Added to the time in which others used units: just after a window begins, a few would show a huge rate.
+MIN_DEMAND_TIME_S = 0.1
 OTHERS_USE_TTL_S = 1.5  # the others' use is assumed to go on for this long without a total, then to decay
 
 
@@ -186,7 +188,9 @@
         elapsed_s = max(now_ms - since_ms, 1.0) / 1000.0
         total_age_ms = max(now_ms - tenant.counter_total_ms, 1.0)
         weight = 1.0 - math.exp(-total_age_ms / 1000.0 / FILL_WINDOW_S)
-        tenant.others_demand_per_s += (units / (elapsed_s + 0.1) - tenant.others_demand_per_s) * weight
+        tenant.others_demand_per_s += (
+            units / (elapsed_s + MIN_DEMAND_TIME_S) - tenant.others_demand_per_s
+        ) * weight
         tenant.bucket_units = min(
             burst_units, max(min_units, tenant.bucket_units + tenant.assumed_drain_units - units)
         )
