Members' test waits until the orderly end is logged

Seen beside 24 busy processes: the line of g3's end was not in the log yet when the control socket told of it, as lines are written at the next tick. It waits for the line now and looks at all before it.

--- a/tests/clients/membership/test_fleet_processes.py
+++ b/tests/clients/membership/test_fleet_processes.py
@@ -182,8 +182,8 @@
             log_at_sigterm = site.gateways[0].log_file.read_text()
             site.send_signal(3, signal.SIGTERM)
             await site.wait_until(lambda: has_state(site, 0, "g3", "left"))
-            log_since = site.gateways[0].log_file.read_text().removeprefix(log_at_sigterm)
-            assert "member=g3 now=left" in log_since and "member=g3 now=suspect" not in log_since
+            await site.wait_until(lambda: has_logged(site, log_at_sigterm, "member=g3 now=left"))
+            assert not await has_logged(site, log_at_sigterm, "member=g3 now=suspect")
             state = (await site.query(0, "state"))[0]
             assert sum(count for name, count in state.items() if name.startswith("dropped_")) >= 3, state
             process = site.gateways[3].process
@@ -194,6 +194,9 @@
     async def has_state(site: FleetSite, observer: int, name: str, state: str) -> bool:
         return (await site.states(observer)).get(name) == state
 
+    async def has_logged(site: FleetSite, log_before: str, text: str) -> bool:
+        return text in site.gateways[0].log_file.read_text().removeprefix(log_before)
+
     async def has_ended(process: subprocess.Popen[bytes]) -> bool:
         return process.poll() is not None
 
