Quota simulation: demand, ledger, informed engine and counter model apart

Change: quota_demand, quota_ledger, informed_quotas, counter_state_model; quotas keeps the world and its runs. Nothing but moves and imports: same-shape names only what left the file.

--- a/benchmarks/quota_errors.py
+++ b/benchmarks/quota_errors.py
@@ -16,17 +16,11 @@
 from collections.abc import Callable, Iterable
 
 from glenchute.policy.admission.ceiling import COUNTED_FRACTION
-from lab.sim.quotas import (
-    EXACT,
-    SITES,
-    CounterStateModel,
-    QuotaLedger,
-    Scheme,
-    Workload,
-    generate_workload,
-    modified_quota_settings,
-    run_workload,
-)
+from lab.sim.counter_state_model import CounterStateModel, Scheme
+from lab.sim.informed_quotas import EXACT
+from lab.sim.quota_demand import SITES, Workload, generate_workload
+from lab.sim.quota_ledger import QuotaLedger
+from lab.sim.quotas import modified_quota_settings, run_workload
 
 SEEDS = (1, 2)
 GATEWAYS, SECONDS, REQUESTS_PER_S = 32, 20.0, 450.0
--- a/tests/lab/test_quota_errors.py
+++ b/tests/lab/test_quota_errors.py
@@ -11,26 +11,17 @@
 from glenchute.policy.engine import DecisionEngine
 from glenchute.policy.settings import Plan
 from lab.sim import quotas
-from lab.sim.quotas import (
-    EXACT,
-    LEVEL_TOLERANCE_UNITS,
-    SITES,
-    TURKU,
-    Account,
-    ClientRequest,
-    CounterStateModel,
-    ExactBucket,
-    QuotaLedger,
-    Scheme,
-    Workload,
-)
+from lab.sim.counter_state_model import CounterStateModel, Scheme
+from lab.sim.informed_quotas import EXACT
+from lab.sim.quota_demand import SITES, TURKU, Account, ClientRequest, Workload, generate_workload
+from lab.sim.quota_ledger import LEVEL_TOLERANCE_UNITS, ExactBucket, QuotaLedger
 
 PLAN = Plan("plan", rate_per_s=2.0, burst_units=10.0)
 ACCOUNT = Account("c", PLAN, tuple(range(32)))
 
 
 def small(site: str = "turku", seed: int = 5) -> Workload:
-    return quotas.generate_workload(SITES[site], seed, 8, 9.0, 120.0)
+    return generate_workload(SITES[site], seed, 8, 9.0, 120.0)
 
 
 def workload_of(requests: list[ClientRequest], gateways: int = 32) -> Workload:
