--- a/review/standins.py
+++ b/review/standins.py
@@ -122,8 +122,9 @@
         self.server = server
         self.parser = hiredis.Reader()
         self.transport: asyncio.Transport | None = None
-        self.commands: asyncio.Queue[asyncio.Task[None]] = asyncio.Queue()
         self.last: asyncio.Task[None] | None = None
+        self.can_write = asyncio.Event()
+        self.can_write.set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection."""
@@ -134,6 +135,7 @@
         """Removes the connection; commands that have begun go on."""
         self.server.connections.discard(self)
         self.transport = None
+        self.can_write.set()
 
     def data_received(self, data: bytes) -> None:
         """Begins each command whose last byte has come."""
@@ -148,6 +150,14 @@
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(data)
 
+    def pause_writing(self) -> None:
+        """The gateway does not read for now."""
+        self.can_write.clear()
+
+    def resume_writing(self) -> None:
+        """The gateway reads again."""
+        self.can_write.set()
+
     def reset(self) -> None:
         """Resets the connection."""
         if self.transport is not None:
