--- a/review/standins.py
+++ b/review/standins.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import os
 import signal
@@ -25,6 +26,7 @@
 
 ROOT = Path(__file__).resolve().parents[1]
 READY_S = 30.0  # the platform's limit for a start
+PR_SET_PDEATHSIG = 1  # prctl(2)
 LONGEST_S = 115.0  # of a whole case
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2  # exit statuses of a case
 
@@ -93,6 +95,12 @@
 
 
 _given: set[int] = set()
+_libc = ctypes.CDLL(None)  # loaded before any fork
+
+
+def end_with_parent() -> None:
+    """Lets the kernel kill a started process when this one ends, whatever ended it; for `preexec_fn`."""
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 def bulk(value: bytes) -> bytes:
@@ -345,7 +353,8 @@
                     "EDGE_CONFIG": str(self.folder / "config.json")}  # fmt: skip
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=environ, stdout=log,
-                                            stderr=log, stdin=subprocess.DEVNULL)  # fmt: skip
+                                            stderr=log, stdin=subprocess.DEVNULL,
+                                            preexec_fn=end_with_parent)  # fmt: skip
 
     async def ready(self) -> None:
         """Waits for `+PONG`; raises RuntimeError if none comes within the platform's limit."""
