Shutdown logs how many requests it ended, and how many it leaves unanswered

An operator could not see whether requests that a restart lost were never answered or answered too late to be written.

--- a/glenchute/cli/program.py
+++ b/glenchute/cli/program.py
@@ -334,8 +334,10 @@
             await asyncio.sleep(CLIENTS_POLL_S)
         if extproc_stop is not None:
             await extproc_stop
-        self.gateway.close_all()
+        log.info("shutdown: %d open requests were ended", self.gateway.close_all())
         await asyncio.sleep(FLUSH_S)
+        if self.gateway.active_requests:
+            log.error("shutdown: %d requests stay unanswered", len(self.gateway.active_requests))
         await self.close()
 
     async def accept_until(self, end: float) -> None:
--- a/glenchute/core/executor.py
+++ b/glenchute/core/executor.py
@@ -426,7 +426,9 @@
             request.retries.release()
         return True
 
-    def close_all(self) -> None:
-        """Ends all open requests, at the end of the process."""
-        for request_id in list(self.active_requests):
+    def close_all(self) -> int:
+        """Ends all open requests, at the end of the process; returns how many there were."""
+        open_ids = list(self.active_requests)
+        for request_id in open_ids:
             self.abort_request(request_id)
+        return len(open_ids)
