At the end of a shutdown no request is admitted that nobody would answer

Cause: a shutdown ended the open requests once and then wrote replies for 50 ms, but went on admitting. A connection holds commands back while 64 are pending, so the replies made room for the next ones; any command that arrived in those 50 ms had the same end.

Change: ProcessLifecycle.end_admission before the open requests are ended; each later command gets -BUSY, which promises that nothing ran. It works as no request can be open after the one moment in which all are ended.

--- a/glenchute/cli/program.py
+++ b/glenchute/cli/program.py
@@ -42,8 +42,10 @@
 LIST_WAIT_S = 0.3
 FIRST_POLL_WAIT_S = 2.0  # a start waits this long for the first poll to be sent
 OUTAGE_S = 5.0  # attempts that fail this long after the last response show that no server responds
-FLUSH_S = 0.05  # time to write the last replies
+FLUSH_S = 0.05  # time for commands that cross the end of the open requests, which are rejected
+MAX_FLUSH_S = 0.15  # limit of the time to write the last replies; `ANSWER_MARGIN_S` is left before the kill
 ACCEPT_POLL_S = 0.002
+FLUSH_POLL_S = 0.005
 CLIENTS_POLL_S = 0.02
 GC_THRESHOLDS = (20_000, 20, 20)
 
@@ -334,8 +336,11 @@
             await asyncio.sleep(CLIENTS_POLL_S)
         if extproc_stop is not None:
             await extproc_stop
+        # Each reply makes room for commands that their connections held back, and others may just arrive:
+        # nobody would wait for the servers' responses to these.
+        lifecycle.end_admission()
         log.info("shutdown: %d open requests were ended", self.gateway.close_all())
-        await asyncio.sleep(FLUSH_S)
+        await self.flush_replies()
         if self.gateway.active_requests:
             log.error("shutdown: %d requests stay unanswered", len(self.gateway.active_requests))
         await self.close()
@@ -347,6 +352,13 @@
         while self.listener.has_pending_accept() and self.loop.time() < end:
             await asyncio.sleep(ACCEPT_POLL_S)
 
+    async def flush_replies(self) -> None:
+        """Waits until the last replies are written, for `FLUSH_S` to `MAX_FLUSH_S`."""
+        began = self.loop.time()
+        await asyncio.sleep(FLUSH_S)
+        while self.listener.has_unwritten_replies() and self.loop.time() - began < MAX_FLUSH_S:
+            await asyncio.sleep(FLUSH_POLL_S)
+
     async def close(self) -> None:
         """Closes all components and their sockets."""
         self.listener.close()
--- a/glenchute/listeners/resp2/connection.py
+++ b/glenchute/listeners/resp2/connection.py
@@ -475,6 +475,12 @@
             self.transport.get_extra_info("socket"), select.POLLIN
         )
 
+    def has_unwritten_replies(self) -> bool:
+        """Returns whether a received command has no reply yet, or one that the socket has not taken yet."""
+        if self.transport is None:
+            return False
+        return bool(self.is_turn_scheduled or self.slots or self.transport.get_write_buffer_size())
+
     def close_when_answered(self) -> None:
         """Closes the connection once all accepted commands are answered."""
         self.is_closing = True
--- a/glenchute/listeners/resp2/listener.py
+++ b/glenchute/listeners/resp2/listener.py
@@ -273,6 +273,10 @@
         self.lifecycle.begin_shutdown(self.loop.time(), replaced)
         self.close_idle()
 
+    def has_unwritten_replies(self) -> bool:
+        """Returns whether any connection has replies to write."""
+        return any(client.has_unwritten_replies() for client in self.clients)
+
     def close_idle(self) -> None:
         """Closes connections idle for longer than the limit, repeatedly while draining or shutting down."""
         if self.idle_close_timer is not None:
--- a/glenchute/policy/lifecycle/draining.py
+++ b/glenchute/policy/lifecycle/draining.py
@@ -11,6 +11,8 @@
   a connection is closed falls to zero within `IDLE_CLOSE_PERIOD_S`, so that connections whose next request is
   farthest away are closed first.
 - A request that arrives later than `DRAIN_ADMISSION_S` into a drain is rejected: it could outlast the drain.
+- Once the process ends its open requests, every further one is rejected, as nobody would wait for its
+  response.
 """
 
 from __future__ import annotations
@@ -60,6 +62,7 @@
         self.phase_started_at = 0.0
         self.close_delay_s = 0.0  # time from the start of the phase in which no connection is closed
         self.drain_count = 0  # drains so far, reported to operators
+        self.has_ended_admission = False
 
     @property
     def is_ready(self) -> bool:
@@ -96,6 +99,11 @@
         was_closing = self.phase is Phase.DRAINING and now - self.phase_started_at >= self.close_delay_s
         self._enter(now, Phase.SHUTTING_DOWN, 0.0 if replaced or was_closing else SHUTDOWN_ACCEPT_S)
 
+    def end_admission(self) -> None:
+        """Ends the admission of requests for good: the process is about to end its open requests and exits
+        without waiting for later ones."""
+        self.has_ended_admission = True
+
     def _enter(self, now: float, phase: Phase, close_delay_s: float) -> None:
         self.phase, self.phase_started_at, self.close_delay_s = phase, now, close_delay_s
 
@@ -119,7 +127,9 @@
         return INITIAL_IDLE_LIMIT_S * max(0.0, 1.0 - elapsed_share)
 
     def admits_requests(self, now: float) -> bool:
-        """Returns whether a request that arrives now is admitted: not after `DRAIN_ADMISSION_S` of a drain.
-        In every other phase it is, also during shutdown, as it is still answered within
-        `shutdown_grace_s`."""
+        """Returns whether a request that arrives now is admitted: not after `DRAIN_ADMISSION_S` of a drain,
+        and not after `end_admission`. In every other case it is, also during shutdown, as it is still
+        answered within `shutdown_grace_s`."""
+        if self.has_ended_admission:
+            return False
         return self.phase is not Phase.DRAINING or now - self.phase_started_at < DRAIN_ADMISSION_S
--- a/tests/policy/lifecycle/test_draining.py
+++ b/tests/policy/lifecycle/test_draining.py
@@ -19,7 +19,7 @@
         super().__init__()
         self.lifecycle = ProcessLifecycle()
         self.now = 0.0
-        self.is_serving = self.is_shutting_down = False
+        self.is_serving = self.is_shutting_down = self.has_ended_admission = False
         self.drain_started_at = math.inf
 
     @rule(seconds=st.sampled_from([0.01, 0.1, 0.3, 0.5, 1.0, 2.0, 4.0]))
@@ -59,6 +59,17 @@
         )
         self.is_shutting_down = True
 
+    @precondition(lambda self: self.is_shutting_down)
+    @rule()
+    def end_admission(self) -> None:
+        self.lifecycle.end_admission()
+        self.has_ended_admission = True
+
+    @invariant()
+    def requests_after_the_end_of_admission_are_rejected(self) -> None:
+        if self.has_ended_admission:
+            assert not self.lifecycle.admits_requests(self.now)
+
     @invariant()
     def is_ready_only_while_serving(self) -> None:
         assert self.lifecycle.is_ready == (
@@ -83,6 +94,8 @@
 
     @invariant()
     def late_requests_of_a_drain_are_rejected(self) -> None:
+        if self.has_ended_admission:
+            return
         if not self.is_shutting_down and self.drain_started_at < math.inf:
             assert self.lifecycle.admits_requests(self.now) == (
                 self.now - self.drain_started_at < draining.DRAIN_ADMISSION_S
--- a/tests/system/test_crossings_shutdown.py
+++ b/tests/system/test_crossings_shutdown.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from glenchute.listeners.resp2.connection import MAX_PENDING_COMMANDS
 from glenchute.policy.lifecycle import draining as lifecycle
 from glenchute.policy.lifecycle.draining import (
     KILL_DELAY_S,
@@ -39,11 +40,15 @@
 from tests.clients.manual_discovery import ManualDiscovery
 from tests.crossings import encode_command
 from tests.loopback import (
+    CHARGE,
     CUSTOMER,
     ORDER,
     SERVED,
     SETTINGS,
+    ScriptedEngine,
     raw_config,
+    send_to,
+    site,
 )
 
 ShutdownScenario = Callable[["RunningGateway"], Awaitable[None]]
@@ -170,9 +175,32 @@
     assert str(await client.reply()) == "ERR failed" and await client.ended()
 
 
+async def more_commands_than_may_be_pending(gateway: RunningGateway) -> None:
+    """Guards against charges that are first sent to a server once the pending ones before them have been
+    ended, and are then never answered."""
+    client = await connect_when_ready(gateway.listen)
+    request_ids = [b"%d" % number for number in range(MAX_PENDING_COMMANDS + 36)]
+    for request_id in request_ids:
+        client.send(b"CALL.POST", CUSTOMER, request_id, CHARGE)
+    await wait_until(lambda: gateway.server.calls())
+    gateway.signal(signal.SIGTERM)
+    replies = [str(await client.reply()) for _ in request_ids]
+    assert await client.ended()
+    forwarded = {words[2] for words in gateway.server.calls()}
+    for request_id, reply in zip(request_ids, replies, strict=True):
+        assert reply == ("ERR failed" if request_id in forwarded else "BUSY"), request_id
+
+
 @pytest.mark.parametrize(
     "shutdown_scenario",
-    [queued_while_stopped, signalled_twice, half_a_command, pipelined_behind_the_last, hanging_server],
+    [
+        queued_while_stopped,
+        signalled_twice,
+        half_a_command,
+        pipelined_behind_the_last,
+        hanging_server,
+        more_commands_than_may_be_pending,
+    ],
 )
 def test_what_was_taken_round_sigterm_is_answered(
     shutdown_scenario: ShutdownScenario, tmp_path: Path
@@ -185,6 +213,39 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("pending_count", [0, 1, MAX_PENDING_COMMANDS])
+def test_a_command_that_comes_as_the_open_requests_are_ended_is_rejected(pending_count: int) -> None:
+    """Guards against a request that arrives while the last replies are written, is sent to a server, and
+    loses its connection before the server's response."""
+
+    async def scenario() -> None:
+        async with site(reply_with(None), decisions=ScriptedEngine(send_to("s0"))) as gateway_site:
+            program = gateway_site.program
+            program.listener.lifecycle.shutdown_grace_s = SHUTDOWN_ACCEPT_S
+            client = await gateway_site.client()
+            for number in range(pending_count):
+                client.send(b"CALL.POST", CUSTOMER, b"%d" % number, CHARGE)
+            await wait_until(lambda: len(gateway_site.servers[0].calls()) == pending_count)
+            # A connection that has sent half of a command is not closed as idle.
+            command = encode_command(b"CALL.POST", CUSTOMER, b"late", CHARGE)
+            client.writer.write(command[:-9])
+            await wait_until(lambda: any(conn.parser.has_unparsed() for conn in program.listener.clients))
+            close_all = program.gateway.close_all
+
+            def close_all_as_the_command_comes() -> int:
+                ended_count = close_all()
+                client.writer.write(command[-9:])
+                return ended_count
+
+            program.gateway.close_all = close_all_as_the_command_comes  # type: ignore[method-assign]
+            await program.shut_down()
+            replies = [str(await client.reply()) for _ in range(pending_count + 1)]
+            assert replies == ["ERR failed"] * pending_count + ["BUSY"]
+            assert len(gateway_site.servers[0].calls()) == pending_count
+
+    run_scenario(scenario())
+
+
 def test_sigterm_before_it_serves_ends_it_with_nobody_taken(tmp_path: Path) -> None:
     """Discovery delays its first reply until the signal has been sent."""
 
