A connection with input that the loop has not read is not reused

Cause: a connection counts as rested 30 ms after an answer, as surplus bytes would have closed it by then; but while an iteration of the loop is long they wait unread in the kernel, and are read as the answer to the next command.

Short rests, the other explanation, are out.

Change: the pool asks the kernel right before an idle connection is reused, and closes one with unread bytes or an unread end; shared connections likewise. The rest counts from the moment the answer was read, not from the begin of the iteration. has_socket_event moves to core/socket_events.py.

--- a/glenchute/listeners/resp2/closed_peers.py
+++ b/glenchute/listeners/resp2/closed_peers.py
@@ -20,15 +20,6 @@
 MAX_CLOSES_PER_POLL = 64
 
 
-def has_socket_event(sock: Any, event: int) -> bool:
-    """Returns whether the kernel reports this `select.poll` event, or an error, for a socket right now."""
-    if sock is None or sock.fileno() < 0:
-        return False
-    waiting = select.poll()
-    waiting.register(sock.fileno(), event)
-    return bool(waiting.poll(0))
-
-
 class ClosedPeerDetector:
     """Polls all client connections, and marks those that their clients have closed."""
 
--- a/glenchute/listeners/resp2/connection.py
+++ b/glenchute/listeners/resp2/connection.py
@@ -9,15 +9,14 @@
 
 import asyncio
 import logging
-import select
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
+from glenchute.core.socket_events import has_unread_input
 from glenchute.core.types import ResponseSource
 from glenchute.policy.connections.client_slots import ABORT_REASONS, CloseReason, ConnectionState
 from glenchute.protocol import resp2 as resp
 
-from .closed_peers import has_socket_event
 from .commands import CommandError
 from .reply_slot import ReplySlot
 
@@ -471,9 +470,7 @@
 
     def has_unread_input(self) -> bool:
         """Returns whether the kernel holds unread bytes or the end of the stream."""
-        return self.transport is not None and has_socket_event(
-            self.transport.get_extra_info("socket"), select.POLLIN
-        )
+        return self.transport is not None and has_unread_input(self.transport)
 
     def has_unwritten_replies(self) -> bool:
         """Returns whether a received command has no reply yet, or one that the socket has not taken yet."""
--- a/glenchute/listeners/resp2/listener.py
+++ b/glenchute/listeners/resp2/listener.py
@@ -13,12 +13,13 @@
 from collections.abc import KeysView
 
 from glenchute.core.executor import RequestExecutor
+from glenchute.core.socket_events import has_socket_event
 from glenchute.policy.connections.client_memory import ClientMemory
 from glenchute.policy.connections.client_slots import CloseConnection, ConnectionSlots
 from glenchute.policy.connections.descriptor_budget import DescriptorBudget
 from glenchute.policy.lifecycle.draining import ProcessLifecycle
 
-from .closed_peers import PAUSED_POLL_INTERVAL_S, ClosedPeerDetector, has_socket_event
+from .closed_peers import PAUSED_POLL_INTERVAL_S, ClosedPeerDetector
 from .commands import CommandParser
 from .connection import MAX_TURN_REPLY_BYTES, READ_BYTES, ClientConnection
 
--- a/glenchute/upstreams/connection.py
+++ b/glenchute/upstreams/connection.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Protocol
 
+from glenchute.core.socket_events import has_unread_input
 from glenchute.core.types import AttemptResult
 from glenchute.policy.events import Outcome
 from glenchute.protocol import resp2
@@ -132,6 +133,11 @@
             result = attempt.result or AttemptResult(Outcome.RESET)
             self.pool.tracker.loop.call_soon(attempt.finish, result)
 
+    def has_unread_input(self) -> bool:
+        """Returns whether the kernel holds bytes, or the end of the connection, that the loop has not
+        read."""
+        return self.transport is not None and has_unread_input(self.transport)
+
     def abort(self) -> None:
         """Closes the connection immediately; its attempt ends in `connection_lost`."""
         if self.transport is not None:
--- a/glenchute/upstreams/connection_pool.py
+++ b/glenchute/upstreams/connection_pool.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import time
+
 from glenchute.core.types import Address
 from glenchute.policy.connections.hedged_connects import HedgeBudget
 
@@ -36,7 +38,7 @@
 
         The server may be closing one that has been idle for too long, and one that became idle just now may
         still receive surplus bytes of its last response: a command written there would be reset or be given
-        the wrong response.
+        the wrong response. The same holds if the kernel has received either and the loop has not read it yet.
         """
         now = self.tracker.loop.time()
         for index in range(len(self.idle) - 1, -1, -1):
@@ -46,7 +48,7 @@
             del self.idle[index]
             if conn.transport is None or conn.transport.is_closing():
                 continue
-            if now - conn.idle_since < self.tracker.limits.max_idle_s:
+            if now - conn.idle_since < self.tracker.limits.max_idle_s and not conn.has_unread_input():
                 return conn
             conn.abort()
         return None
@@ -56,7 +58,8 @@
         if self.stop_at is not None or conn.transport is None or conn.transport.is_closing():
             conn.abort()
             return
-        conn.idle_since = self.tracker.loop.time()
+        # The loop's own time is that at which its present iteration began, perhaps long before the response.
+        conn.idle_since = time.monotonic()
         self.idle.append(conn)
 
     def on_connected(self, conn: Connection) -> None:
--- a/glenchute/upstreams/pipelined_attempt.py
+++ b/glenchute/upstreams/pipelined_attempt.py
@@ -102,6 +102,8 @@
                 return True
         else:
             conn = pool.by_id.get(connection_id)
+            if conn is not None:
+                conn.close_if_unread()
             if conn is None or not conn.is_usable():
                 scheduler.on_closed(connection_id)
                 return False
--- a/glenchute/upstreams/pipelined_connection.py
+++ b/glenchute/upstreams/pipelined_connection.py
@@ -146,6 +146,12 @@
             return False
         return not self.is_up or (self.transport is not None and not self.transport.is_closing())
 
+    def close_if_unread(self) -> None:
+        """Closes an idle connection if the kernel holds bytes or its end: the next command would be given the
+        wrong reply, or be reset."""
+        if self.is_up and not self.pipeline and self.has_unread_input():
+            self.close_with(None, Outcome.RESET, "bytes were received without a command in flight")
+
     # --- connecting --------------------------------------------------------------------------------------
 
     async def connect(self) -> None:
--- a/tests/upstreams/test_connection_pool.py
+++ b/tests/upstreams/test_connection_pool.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
+import time
 from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
-from glenchute.policy.actions import Action
+from glenchute.core.types import AttemptResult
+from glenchute.policy.actions import Action, StartAttempt
 from glenchute.policy.engine import DecisionEngine
-from glenchute.policy.events import AttemptEnded, Event, Outcome, Request
+from glenchute.policy.events import AttemptEnded, Event, Outcome, Request, TimerFired
 from glenchute.upstreams import connection_pool
+from glenchute.upstreams.attempt import CarriedAttempt
+from glenchute.upstreams.connection import Connection
 from tests.loopback import (
     CUSTOMER,
     GET,
@@ -71,6 +77,92 @@
     run_scenario(scenario())
 
 
+def value_reply(value: bytes) -> bytes:
+    return b"*3\r\n$%d\r\n%b\r\n*-1\r\n*-1\r\n" % (len(value), value)
+
+
+def send_unread(writer: asyncio.StreamWriter, data: bytes) -> None:
+    """Sends bytes, or the end of the connection for none, without the event loop: they are in the gateway's
+    kernel when this returns, and the loop has not read them."""
+    with socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno())) as sock:
+        if data:
+            sock.sendall(data)
+        else:
+            sock.shutdown(socket.SHUT_WR)
+
+
+@pytest.mark.parametrize(
+    "operator",
+    [
+        pytest.param(None, id="exclusive"),
+        pytest.param('[pipeline]\nclasses = ["read"]\nsettle_ms = 0\n', id="pipelined"),
+    ],
+)
+@pytest.mark.parametrize(
+    "unread",
+    [
+        pytest.param(value_reply(b"1"), id="value"),
+        pytest.param(b"-BUSY\r\n", id="busy"),
+        pytest.param(b"-ERR failed\r\n", id="failed"),
+        pytest.param(b"*", id="part"),
+        pytest.param(b"", id="end"),
+    ],
+)
+def test_a_connection_with_input_that_the_loop_has_not_read_is_not_reused(
+    unread: bytes, operator: str | None
+) -> None:
+    """Guards against a request that is given a late second answer to another customer's request, or its
+    second BUSY, which waits in the kernel while the loop is busy."""
+
+    async def scenario() -> None:
+        async def reply_with_id(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+            return value_reply(words[2])
+
+        script = ScriptedEngine(send_to("s0"))
+        async with site(reply_with_id, decisions=script, operator=operator) as gateway_site:
+            program, server = gateway_site.program, gateway_site.servers[0]
+            client = await gateway_site.client()
+            assert await client.ask(b"CALL.GET", CUSTOMER, b"1", GET) == b"1"
+            script.decide = lambda event: []
+            client.send(b"CALL.GET", CUSTOMER, b"2", GET)
+            await wait_until(lambda: len(script.events_of(Request)) == 2)
+            request_id = script.events_of(Request)[1].request_id
+            program.servers.pools["s0"].idle[0].idle_since -= 2 * connection_pool.REUSE_DELAY_S
+            send_unread(server.writers[0], unread)
+            script.decide = lambda event: [StartAttempt(request_id, "s0")] if event == TimerFired(1) else []
+            program.gateway.post(TimerFired(1))  # the attempt starts before the loop reads any socket
+            assert await client.reply() == b"2"
+            assert len(server.writers) == 2 and [words[2] for words in server.calls()] == [b"1", b"2"]
+
+    run_scenario(scenario())
+
+
+def test_the_rest_of_a_connection_begins_when_its_reply_has_been_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a connection that is reused before a second answer can have come, as the loop's time is
+    that of the begin of a long iteration."""
+    read_at: list[float] = []
+    complete_response = Connection.complete_response
+
+    def complete_late(
+        conn: Connection, attempt: CarriedAttempt, result: AttemptResult, surplus: bool
+    ) -> None:
+        time.sleep(2 * connection_pool.REUSE_DELAY_S)  # other work of the same iteration
+        read_at.append(time.monotonic())
+        complete_response(conn, attempt, result, surplus)
+
+    monkeypatch.setattr(Connection, "complete_response", complete_late)
+
+    async def scenario() -> None:
+        async with site(reply_with(SERVED), decisions=ScriptedEngine(send_to("s0"))) as gateway_site:
+            client = await gateway_site.client()
+            assert await client.ask(b"CALL.GET", CUSTOMER, b"1", GET) == b"value"
+            assert gateway_site.program.servers.pools["s0"].idle[0].idle_since >= read_at[0]
+
+    run_scenario(scenario())
+
+
 def test_idle_connections_are_not_used_once_the_server_may_close_them() -> None:
     async def scenario() -> None:
         async with site(reply_with(SERVED), decisions=ScriptedEngine(send_to("s0"))) as gateway_site:
