A connection closed to make room for another does not count as open any more

Cause: make_room closes an idle connection for each new one, but the closed ones were counted until the loop's next iteration, so several calls in one iteration passed the limit in the count.

Evidence: a probe that closes 50 connections and opens 50 in one iteration, the sockets sampled in each iteration: 50 at most, as each is closed before the next connect makes its socket.

Test: ..._makes_room_for_another_does_not_count_any_more, failed before (4 for 3).

--- a/glenchute/upstreams/connection_pool.py
+++ b/glenchute/upstreams/connection_pool.py
@@ -77,8 +77,14 @@
             self.idle.remove(conn)
 
     def close_longest_idle(self) -> None:
-        """Closes the connection that has been idle for longest; there must be an idle one."""
-        self.idle.pop(0).abort()
+        """Closes the connection that has been idle for longest, for another one; there must be an idle one.
+
+        It does not count as open any more: its socket is closed before that of a connect that starts now is
+        created.
+        """
+        conn = self.idle.pop(0)
+        conn.abort()
+        self.remove_connection(conn)
 
     def close_idle(self, before: float | None = None) -> None:
         """Closes idle connections: all, or those not used since `before` (loop time)."""
--- a/tests/upstreams/test_connection_pool.py
+++ b/tests/upstreams/test_connection_pool.py
@@ -192,6 +192,27 @@
     run_scenario(scenario())
 
 
+def test_a_connection_that_makes_room_for_another_does_not_count_any_more() -> None:
+    """Guards against a count of connections that passes the limit by those which were closed for others."""
+
+    async def scenario() -> None:
+        async with site(reply_with(SERVED), decisions=ScriptedEngine(send_to("s0"))) as gateway_site:
+            client, tracker = await gateway_site.client(), gateway_site.program.servers
+            for number in range(4):
+                client.send(b"CALL.GET", CUSTOMER, b"%d" % number, GET)
+            assert [await client.reply() for _ in range(4)] == [b"value"] * 4
+            assert tracker.connection_count() == len(tracker.pools["s0"].idle) == 4
+            tracker.set_process_share(4 / tracker.limits.max_connections)
+            for _ in range(4):
+                assert tracker.make_room()
+                assert tracker.connection_count() == 3
+                tracker.connecting.add(object())
+            assert not tracker.make_room()
+            assert not tracker.may_open()
+
+    run_scenario(scenario())
+
+
 def test_a_connection_established_after_the_drain_grace_period_is_not_written_to() -> None:
     async def scenario() -> None:
         script = ScriptedEngine(send_to("s0"))
