Clients that read late are held back instead of losing their connections

Cause: the bound on all clients' buffers was looked at when replies had come, not when commands were started: 1,440 were started with room for the replies of 640.

Evidence: the gateway's own log: closed: unread=24, attempt: ok 1440, no other close.

Change: started commands count with the size of the larger recent replies. From half of the bound on a connection starts a command only when the replies before it have been sent. The bound and whom it cuts off stay as they are.

--- a/glenchute/listeners/resp2/connection.py
+++ b/glenchute/listeners/resp2/connection.py
@@ -199,8 +199,11 @@
         self.flush()
 
     def is_held_back(self) -> bool:
-        """Returns whether further commands wait for the pending ones, as client memory is exhausted."""
-        return bool(self.slots) and self.listener.client_memory.is_exhausted
+        """Returns whether further commands wait until the replies to the earlier ones have been sent, as
+        client memory is committed."""
+        if not self.listener.client_memory.is_committed:
+            return False
+        return bool(self.slots or (self.transport is not None and self.transport.get_write_buffer_size()))
 
     def schedule_turn(self) -> None:
         """Schedules the handling of the remaining input by the listener.
@@ -258,8 +261,7 @@
             return
         self.listener.connection_slots.on_request(now, self)
         self.has_carried_request = True
-        self.listener.open_ids.add(call.request_id)
-        slot.request_id = call.request_id
+        slot.reserve(call.request_id)
         self.listener.request_count += 1
         try:
             request = self.listener.gateway.accept(call, slot.complete, self.has_disconnected)
@@ -433,11 +435,14 @@
 
     def update_reading(self) -> None:
         """Pauses or resumes reading: backpressure for clients that do not read or have too many commands."""
+        is_held_back = self.is_held_back()
+        if is_held_back and not self.slots and not self.is_write_blocked:
+            self.block_until_sent()
         stop = not self.is_closing and (
             self.is_write_blocked
             or self.is_turn_scheduled
             or len(self.slots) >= MAX_PENDING_COMMANDS
-            or self.is_held_back()
+            or is_held_back
         )
         if self.transport is None or self.transport.is_closing() or stop == self.is_reading_paused:
             return
@@ -449,6 +454,11 @@
             self.transport.resume_reading()
             self.listener.paused_clients.discard(self)
 
+    def block_until_sent(self) -> None:
+        """Has the transport call `pause_writing` now, and `resume_writing` once all replies are sent."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.set_write_buffer_limits(high=0)
+
     def pause_writing(self) -> None:
         """Pauses the streamed value and reading, as the transport's buffer is full."""
         self.is_write_blocked = True
@@ -463,6 +473,8 @@
         self.is_write_blocked = False
         if self.streaming is not None:
             self.streaming.resume()
+        elif self.transport is not None:
+            self.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES, low=WRITE_RESUME_BYTES)
         self.update_state()
         self.schedule_turn()
         self.update_reading()
--- a/glenchute/listeners/resp2/listener.py
+++ b/glenchute/listeners/resp2/listener.py
@@ -18,6 +18,7 @@
 from glenchute.policy.connections.client_slots import CloseConnection, ConnectionSlots
 from glenchute.policy.connections.descriptor_budget import DescriptorBudget
 from glenchute.policy.lifecycle.draining import ProcessLifecycle
+from glenchute.protocol.resp2 import MAX_VALUE_BYTES
 
 from .closed_peers import PAUSED_POLL_INTERVAL_S, ClosedPeerDetector
 from .commands import CommandParser
@@ -55,7 +56,7 @@
         self.connection_slots: ConnectionSlots[ClientConnection] = ConnectionSlots(
             budget.client_connections, budget.requesting_connections, budget.overflow_connections
         )
-        self.client_memory: ClientMemory[ClientConnection] = ClientMemory(max_client_bytes)
+        self.client_memory: ClientMemory[ClientConnection] = ClientMemory(max_client_bytes, MAX_VALUE_BYTES)
         self.is_relief_scheduled = False
         self.read_buffer = memoryview(bytearray(READ_BYTES))
         self.open_ids: set[bytes] = set()
--- a/tests/listeners/resp2/test_unread_replies.py
+++ b/tests/listeners/resp2/test_unread_replies.py
@@ -6,12 +6,15 @@
 import socket
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, contextmanager, suppress
+from typing import Any
 
+import hiredis
 import pytest
 
 from glenchute.policy.connections import client_slots
 from glenchute.policy.connections.client_slots import CloseReason
 from glenchute.protocol import resp2 as resp
+from tests.crossings import encode_command
 from tests.loopback import (
     CUSTOMER,
     GET,
@@ -99,6 +102,68 @@
     run_scenario(scenario())
 
 
+async def read_replies(sock: socket.socket, count: int) -> list[Any]:
+    """Reads this many replies; fewer if the connection ends."""
+    parser, replies = hiredis.Reader(), list[Any]()
+    while len(replies) < count:
+        data = await asyncio.get_running_loop().sock_recv(sock, 65536)
+        if not data:
+            break
+        parser.feed(data)
+        while (reply := parser.gets()) is not False:
+            replies.append(reply)
+    return replies
+
+
+def test_clients_that_read_late_get_all_replies() -> None:
+    """Guards against connections that are aborted with served requests because more commands were started
+    than there is memory for their replies."""
+    limit, clients, commands = 4 * 1024 * 1024, 20, 24
+
+    async def reply_with_id(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+        value = words[2].ljust(len(WORD), b".")
+        return b"*3\r\n$%d\r\n%b\r\n*-1\r\n*-1\r\n" % (len(value), value)
+
+    async def scenario() -> None:
+        async with site(reply_with_id, decisions=ScriptedEngine(send_to("s0"))) as gateway_site:
+            listener = gateway_site.program.listener
+            slots, memory = listener.connection_slots, listener.client_memory
+            memory.max_bytes = limit
+            with sockets(gateway_site, clients) as socks:
+                ids = [[b"%d-%d" % (number, index) for index in range(commands)] for number in range(clients)]
+                for sock, names in zip(socks, ids, strict=True):
+                    sock.sendall(b"".join(encode_command(b"CALL.GET", CUSTOMER, name, GET) for name in names))
+                # None of them reads: each connection fills its socket, and then holds its commands back.
+                await wait_until(lambda: len(slots.blocked()) == clients and not memory.expected_reply_count)
+                assert buffered_bytes(gateway_site) <= limit
+                other = await gateway_site.client()
+                value = await other.ask(b"CALL.GET", CUSTOMER, b"other", GET)
+                assert value == b"other".ljust(len(WORD), b".")
+                replies = await asyncio.gather(*(read_replies(sock, commands) for sock in socks))
+                assert replies == [[name.ljust(len(WORD), b".") for name in names] for names in ids]
+            assert slots.closed_counts[CloseReason.UNREAD] == 0
+            await wait_until(lambda: len(listener.clients) == 1)
+            assert memory.total_bytes == memory.expected_reply_count == 0
+
+    run_scenario(scenario())
+
+
+def test_memory_for_replies_is_released_when_their_client_leaves() -> None:
+    """Guards against clients that are held back for replies which will never come."""
+
+    async def scenario() -> None:
+        async with site(reply_with(None), decisions=ScriptedEngine(send_to("s0"))) as gateway_site:
+            memory = gateway_site.program.listener.client_memory
+            client = await gateway_site.client()
+            for number in range(10):
+                client.send(b"CALL.GET", CUSTOMER, b"%d" % number, GET)
+            await wait_until(lambda: memory.expected_reply_count == 10)
+            client.writer.close()
+            await wait_until(lambda: memory.expected_reply_count == 0)
+
+    run_scenario(scenario())
+
+
 def test_a_client_that_does_not_read_loses_its_slot_to_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against an outage once clients that do not read their replies occupy all slots."""
     monkeypatch.setattr(client_slots, "MIN_WRITE_BLOCKED_S", 0.02)
