--- a/glenchute/cli/program.py
+++ b/glenchute/cli/program.py
@@ -353,10 +353,13 @@
             await asyncio.sleep(ACCEPT_POLL_S)
 
     async def flush_replies(self) -> None:
-        """Waits until the last replies are written, for `FLUSH_S` to `MAX_FLUSH_S`."""
+        """Waits until all clients have disconnected: for at most `FLUSH_S`, or for `MAX_FLUSH_S` while
+        replies are not written."""
         began = self.loop.time()
-        await asyncio.sleep(FLUSH_S)
-        while self.listener.has_unwritten_replies() and self.loop.time() - began < MAX_FLUSH_S:
+        while self.listener.clients:
+            limit_s = MAX_FLUSH_S if self.listener.has_unwritten_replies() else FLUSH_S
+            if self.loop.time() - began >= limit_s:
+                return
             await asyncio.sleep(FLUSH_POLL_S)
 
     async def close(self) -> None:
