Scheduled polls and the ends of waits keep to the configured rate together

Operators saw at most rejected polls: with [discovery] calls_per_s all polls of a fleet in steady state came to 1.09 times that rate.

Cause: scheduled polls had 0.8 of the rate and the ends of waits 0.25, and a wait is drawn from 0.75 to 1 of its longest, so that ends came 1.14 times as often as reckoned.

Evidence: the scheduler's own draws, 9.6 and 3.43 a second for a rate of 12, 48.0 and 17.15 for 60.

Change: the ends have the 0.2 that is left, and the longest wait is such that the mean keeps to it. The new test failed before in all its cases.

--- a/glenchute/policy/endpoints/polling.py
+++ b/glenchute/policy/endpoints/polling.py
@@ -22,8 +22,9 @@
 - A crash loop with a period shorter than the start delay sends no polls; with a longer one, one per start.
 - Gateways that start without a list send three times as many if no gateway has a list: their first polls are
   sent in the first quarter of the period, which gateways with a list leave free.
-- In steady state, the ends of waits cause N / W polls per second, with W from 4 to 20 s, or longer if that
-  rate is over a quarter of R.
+- In steady state, the ends of waits cause N / W polls per second, with a mean wait W from 3.5 to 17.5 s, or
+  longer if that rate is over `WATCH_RATE_SHARE` R: with the scheduled polls they stay within R, unless that
+  needs waits of over `MAX_OVERLOADED_WAIT_S`.
 """
 
 from __future__ import annotations
@@ -38,8 +39,10 @@
 WATCH_ENDS_PER_S = 3.0  # ended waits of all gateways; each costs the service a poll
 MAX_OVERLOADED_WAIT_S = 55.0  # longest wait where the poll rate is low, as after rejections
 URGENT_SHARE = 0.25  # first part of a period, reserved for gateways without a list
-POLL_RATE_SHARE = 0.8  # share of the rate for scheduled polls; the ends of waits need the rest
-WATCH_RATE_SHARE = 0.25  # largest share of the rate for the ends of waits
+POLL_RATE_SHARE = 0.8  # share of the rate for scheduled polls
+WATCH_RATE_SHARE = 1.0 - POLL_RATE_SHARE  # largest share of the rate for the ends of waits
+MIN_WAIT_SHARE = 0.75  # shortest wait of a watch, as a share of the longest; drawn evenly in between
+MEAN_WAIT_SHARE = (1.0 + MIN_WAIT_SHARE) / 2.0
 RATE_DECREASE_FACTOR = 4.0  # divides the rate at each rejected poll
 RATE_INCREASE_SHARE = 0.1  # share of the decreased rate that each answer adds
 MAX_OVERLOADED_SPREAD_S = 60.0  # longest spread of polls at a service that has rejected some
@@ -218,9 +221,8 @@
         if self.settings.is_pushed:
             wait = notification.PUSHED_WATCH_WAIT_S
         if self.settings.max_list_age_s is not None:
-            wait = max(
-                wait, min(MAX_OVERLOADED_WAIT_S, self.gateway_count / (WATCH_RATE_SHARE * self.rate_per_s))
-            )
+            mean_wait = self.gateway_count / (WATCH_RATE_SHARE * self.rate_per_s)
+            wait = max(wait, min(MAX_OVERLOADED_WAIT_S, mean_wait / MEAN_WAIT_SHARE))
         if self.last_poll_failed:
             wait = min(wait, notification.max_wait_after_failure_s())
-        return wait * self.rng.uniform(0.75, 1.0)
+        return wait * self.rng.uniform(MIN_WAIT_SHARE, 1.0)
--- a/tests/policy/membership/test_cold_start.py
+++ b/tests/policy/membership/test_cold_start.py
@@ -167,6 +167,17 @@
         )
 
 
+@pytest.mark.parametrize(("gateways", "rate"), [(40, 12.0), (20, 6.0), (150, 20.0), (520, 60.0)])
+def test_scheduled_polls_and_the_ends_of_waits_share_the_rate(gateways: int, rate: float) -> None:
+    """Guards against polls that the service rejects in steady state, as their parts add up to more than its
+    rate."""
+    scheduler = PollScheduler(PollingSettings(gateways, 0, rate, MAX_LIST_AGE_S), random.Random(1))
+    scheduled_per_s = gateways / scheduler.spread_s
+    waits = [scheduler.watch_wait_s() for _ in range(10_000)]
+    ends_per_s = gateways * len(waits) / sum(waits)
+    assert scheduled_per_s + ends_per_s <= 1.005 * rate, "beyond the error of a mean of 10,000 draws"
+
+
 def test_without_a_configured_list_age_only_rejected_calls_are_delayed() -> None:
     """Rejections at an earlier time of high load must not delay the poll after a change of the list, as that
     broke a drain in a benchmark run."""
