A connection that is closing is not held back

Cause: the hold-back looked at connections that read no further command. It leaves closing ones alone now; they keep the time limit of clients that do not read.

Test: test_a_closing_connection_is_not_held_back, failed before (ACTIVE instead of WRITE_BLOCKED).

--- a/glenchute/listeners/resp2/connection.py
+++ b/glenchute/listeners/resp2/connection.py
@@ -435,7 +435,7 @@
 
     def update_reading(self) -> None:
         """Pauses or resumes reading: backpressure for clients that do not read or have too many commands."""
-        is_held_back = self.is_held_back()
+        is_held_back = not self.is_closing and self.is_held_back()
         if is_held_back and not self.slots and not self.is_write_blocked:
             self.block_until_sent()
         stop = not self.is_closing and (
--- a/tests/listeners/resp2/test_unread_replies.py
+++ b/tests/listeners/resp2/test_unread_replies.py
@@ -12,7 +12,7 @@
 import pytest
 
 from glenchute.policy.connections import client_slots
-from glenchute.policy.connections.client_slots import CloseReason
+from glenchute.policy.connections.client_slots import CloseReason, ConnectionState
 from glenchute.protocol import resp2 as resp
 from tests.crossings import encode_command
 from tests.loopback import (
@@ -164,6 +164,32 @@
     run_scenario(scenario())
 
 
+def test_a_closing_connection_is_not_held_back() -> None:
+    """Guards against a connection that stays open for good, as it counts as active once its last replies are
+    sent and its client does not close it."""
+
+    async def scenario() -> None:
+        async with site(reply_with(SERVED)) as gateway_site:
+            listener = gateway_site.program.listener
+            with sockets(gateway_site, 1) as socks:
+                await wait_until(lambda: len(listener.clients) == 1)
+                (connection,) = listener.clients
+                assert connection.transport is not None
+                while not connection.has_unwritten_replies():  # the kernel has taken all replies so far
+                    connection.transport.write(resp.encode_bulk(WORD))
+                    await asyncio.sleep(0)
+                    await asyncio.sleep(0)
+                assert not connection.is_write_blocked and connection.has_unwritten_replies()
+                listener.client_memory.expected_reply_count = 10**9
+                connection.close_when_answered()
+                while await asyncio.get_running_loop().sock_recv(socks[0], 65536):
+                    pass
+                state = listener.connection_slots.slots[connection].state
+                assert state is ConnectionState.WRITE_BLOCKED
+
+    run_scenario(scenario())
+
+
 def test_a_client_that_does_not_read_loses_its_slot_to_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against an outage once clients that do not read their replies occupy all slots."""
     monkeypatch.setattr(client_slots, "MIN_WRITE_BLOCKED_S", 0.02)
