A replaced process gives up what is left of its limits to its successor

What callers saw: after a replacement, customers with a ceiling got BUSY (Retry-After 1 to 18 ms) within quota and ceiling, for up to 0.7 s.

Evidence: with each decision of the successor logged, the ceiling's guard rejects: 30.8 units at the first request, 0.58 at the 45th, where the quota's bucket still holds 4.86.

Cause: the guard is halved for the overlap, and the predecessor's half ended with it; so did its half of the reported units, by which the successor takes its local share.

Fix: once it admits no more requests, the predecessor gives up its shares in a second message on the open connection; the successor adds them, up to one gateway's limit. What was given up can't be spent, so nothing is created.

Tests: ..._left_alone_admits_what_one_process_would and ..._counts_in_the_ successors_local_share fail with the received shares ignored, pass now.

--- a/glenchute/capture/codec.py
+++ b/glenchute/capture/codec.py
@@ -32,12 +32,14 @@
     IncrementCounter,
     LogMessage,
     Reject,
+    SendLimitShares,
     SendState,
     SetTimer,
     StartAttempt,
     SubscribeToEndpoints,
 )
 from glenchute.policy.events import (
+    AdmissionEnded,
     AttemptAssigned,
     AttemptEnded,
     AttemptStalled,
@@ -49,6 +51,8 @@
     EndpointListKind,
     EndpointState,
     Event,
+    LimitShare,
+    LimitSharesReceived,
     OtherProcessEnded,
     Outcome,
     QuotaSnapshot,
@@ -86,6 +90,8 @@
     OtherProcessEnded,
     UsageUpdate,
     AvoidEndpoint,
+    AdmissionEnded,
+    LimitSharesReceived,
 )
 ACTIONS: tuple[type[Any], ...] = (
     StartAttempt,
@@ -97,8 +103,10 @@
     SubscribeToEndpoints,
     LogMessage,
     SendState,
+    SendLimitShares,
 )
-SEND_STATE_KIND = ACTIONS.index(SendState)
+# Actions whose fields hold further objects.
+NESTED_KINDS = frozenset({ACTIONS.index(SendState), ACTIONS.index(SendLimitShares)})
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder()
 
@@ -150,6 +158,8 @@
         return EndpointList(EndpointListKind(values[0]), entries, *values[2:])
     if kind is StateReceived:
         return StateReceived(tuple(QuotaSnapshot(**row) for row in values[0]))
+    if kind is LimitSharesReceived:
+        return LimitSharesReceived(tuple(LimitShare(**row) for row in values[0]))
     index = OUTCOME_INDEX.get(kind)
     if index is not None:
         values = [*values[:index], Outcome(values[index]), *values[index + 1 :]]
@@ -161,7 +171,7 @@
     """Returns actions in the form in which a decoded record holds them, for comparison."""
     stored = [[kind, list(values)] for kind, values in encode_actions(actions)]
     for row in stored:
-        if row[0] == SEND_STATE_KIND:  # the only action whose fields hold further objects
+        if row[0] in NESTED_KINDS:
             row[1] = DECODER.decode(ENCODER.encode(row[1]))
     return stored
 
--- a/glenchute/cli/handover.py
+++ b/glenchute/cli/handover.py
@@ -11,8 +11,22 @@
 from glenchute.config.platform import PlatformConfig
 from glenchute.core.executor import RequestExecutor
 from glenchute.listeners.resp2.listener import Listener
-from glenchute.policy.events import OtherProcessEnded, QuotaSnapshot, StateReceived, SuccessorStarted
-from glenchute.policy.lifecycle.handover import ActiveEndpoints, encode_handover, retained_limit_share
+from glenchute.policy.actions import SendLimitShares, SendState
+from glenchute.policy.events import (
+    AdmissionEnded,
+    LimitShare,
+    LimitSharesReceived,
+    OtherProcessEnded,
+    QuotaSnapshot,
+    StateReceived,
+    SuccessorStarted,
+)
+from glenchute.policy.lifecycle.handover import (
+    ActiveEndpoints,
+    encode_handover,
+    encode_shares,
+    retained_limit_share,
+)
 from glenchute.upstreams.server_pools import ServerPools
 
 log = logging.getLogger("glenchute")
@@ -40,7 +54,7 @@
         self.server = HandoverServer(loop, self.make_message, self.on_other_ended)
         self.quotas: tuple[QuotaSnapshot, ...] = ()
         self.is_closed = False
-        gateway.send_state = self.set_quotas
+        gateway.send_to_successor = self.send_to_successor
 
     @classmethod
     def create(
@@ -62,7 +76,9 @@
 
     async def request_state(self) -> None:
         """Requests and applies the state of the predecessor, if any. Called before clients are accepted."""
-        self.predecessor = await request_handover(self.loop, self.path, self.config.name, self.on_other_ended)
+        self.predecessor = await request_handover(
+            self.loop, self.path, self.config.name, self.on_other_ended, self.receive_shares
+        )
         if self.predecessor is None or self.predecessor.state is None:
             return
         state = self.predecessor.state
@@ -93,14 +109,30 @@
         share = retained_limit_share(in_use, self.config.max_descriptors)
         self.apply_limit_share(share)
         self.quotas = ()
-        self.gateway.post(SuccessorStarted())  # the engine calls `set_quotas` before this returns
+        self.gateway.post(SuccessorStarted())  # the engine calls `send_to_successor` before this returns
         log.info("handed over quota state to the successor process: %d tenants", len(self.quotas))
         endpoints = self.discovery.active_endpoints()
         return encode_handover(self.config.name, 1.0 - share, self.quotas, endpoints)
 
-    def set_quotas(self, quotas: tuple[QuotaSnapshot, ...]) -> None:
-        """Sets the decision engine's part of the message."""
-        self.quotas = quotas
+    def send_to_successor(self, action: SendState | SendLimitShares) -> None:
+        """Executes an action of the decision engine. The quotas are a part of the message that
+        `make_message` returns."""
+        match action:
+            case SendState(quotas):
+                self.quotas = quotas
+            case SendLimitShares(shares):
+                self.server.send(encode_shares(self.config.name, shares))
+                log.info("gave up the limits of %d tenants to the successor process", len(shares))
+
+    def end_admission(self) -> None:
+        """Gives up this process's shares of the limits to the successor, if there is one. Called when this
+        process admits no more requests."""
+        if self.server.successor is not None:
+            self.gateway.post(AdmissionEnded())  # the engine calls `send_to_successor`
+
+    def receive_shares(self, shares: tuple[LimitShare, ...]) -> None:
+        """Adds what the predecessor has given up to the limits of this process."""
+        self.gateway.post(LimitSharesReceived(shares))
 
     def on_other_ended(self) -> None:
         """Restores all limits of this process once the last overlapping process has ended."""
--- a/glenchute/cli/program.py
+++ b/glenchute/cli/program.py
@@ -339,6 +339,8 @@
         # Each reply makes room for commands that their connections held back, and others may just arrive:
         # nobody would wait for the servers' responses to these.
         lifecycle.end_admission()
+        if self.handover is not None:
+            self.handover.end_admission()
         log.info("shutdown: %d open requests were ended", self.gateway.close_all())
         await self.flush_replies()
         if self.gateway.active_requests:
--- a/glenchute/clients/handover.py
+++ b/glenchute/clients/handover.py
@@ -1,7 +1,8 @@
 """Transport of the handover between two processes of a gateway: a Unix socket in their common $TMPDIR.
 
 The process in service listens there. Its successor connects, receives one message, and keeps the connection
-open: when it closes, either side knows that the other process has ended, for whatever reason. The
+open: when it closes, either side knows that the other process has ended, for whatever reason. Before that, a
+predecessor that ends in order sends what it gives up of the limits. The
 predecessor never waits for its successor; the successor waits for a bounded time and starts without a
 handover, as after a kill, if it has received no valid message by then.
 """
@@ -16,17 +17,20 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from glenchute.policy.events import LimitShare
 from glenchute.policy.lifecycle.handover import (
     MAX_MESSAGE_BYTES,
     HandoverError,
     HandoverState,
     decode_handover,
+    decode_shares,
 )
 
 log = logging.getLogger("glenchute")
 
 # Limit for connecting, and again for receiving the message; together they bound the delay of a start.
 REQUEST_TIMEOUT_S = 0.5
+SharesCallback = Callable[[tuple[LimitShare, ...]], None]
 MAX_PATH_BYTES = 100  # Linux accepts up to 107 for a Unix socket
 OWNER_ONLY_UMASK = 0o177  # the socket file is accessible to its owner only
 
@@ -39,14 +43,21 @@
     return path if len(os.fsencode(path)) <= MAX_PATH_BYTES else None
 
 
+def ignore_shares(shares: tuple[LimitShare, ...]) -> None:
+    """Ignores the shares that a predecessor gives up."""
+
+
 class PredecessorConnection(asyncio.Protocol):
-    """The successor's side of the connection: receives the handover message."""
+    """The successor's side of the connection: receives the predecessor's messages."""
 
-    def __init__(self, path: Path, gateway: str, on_ended: Callable[[], None]) -> None:
-        """`on_ended`: called when the predecessor has ended, if it has handed over its state before that."""
+    def __init__(
+        self, path: Path, gateway: str, on_ended: Callable[[], None], on_shares: SharesCallback
+    ) -> None:
+        """`on_ended`: called when the predecessor has ended, if it has handed over its state before that;
+        `on_shares`: called with the shares of the tenants' limits that it has given up before its end."""
         self.path = path
         self.gateway = gateway
-        self.on_ended = on_ended
+        self.on_ended, self.on_shares = on_ended, on_shares
         self.received = bytearray()
         self.state: HandoverState | None = None
         self.finished = asyncio.Event()  # set once a message was received or the connection has ended
@@ -57,22 +68,39 @@
         self.transport = transport  # type: ignore[assignment]
 
     def data_received(self, data: bytes) -> None:
-        """Collects the message; once it is complete or over `MAX_MESSAGE_BYTES`, decodes it."""
-        if self.finished.is_set():
-            return
+        """Collects the messages; once one is complete or over `MAX_MESSAGE_BYTES`, decodes it."""
         self.received += data
-        is_complete = self.received.endswith(b"\n")
-        if not is_complete and len(self.received) <= MAX_MESSAGE_BYTES:
+        while b"\n" in self.received or len(self.received) > MAX_MESSAGE_BYTES:
+            end = self.received.find(b"\n") + 1 or len(self.received)
+            message = bytes(self.received[:end])
+            del self.received[:end]
+            if self.finished.is_set():
+                self.receive_shares(message)
+            else:
+                self.receive_state(message)
+
+    def receive_shares(self, message: bytes) -> None:
+        """Passes on what the predecessor gives up. An invalid message is ignored: its shares are lost, as
+        after a kill."""
+        if self.state is None:
             return
         try:
-            self.state = decode_handover(self.gateway, bytes(self.received))
+            shares = decode_shares(self.gateway, message)
+        except HandoverError as error:
+            log.warning("the predecessor at %s sent invalid shares of the limits (%s)", self.path, error)
+            return
+        self.on_shares(shares)
+
+    def receive_state(self, message: bytes) -> None:
+        """Decodes the handover message."""
+        try:
+            self.state = decode_handover(self.gateway, message)
         except HandoverError as error:
             log.warning(
                 "the predecessor at %s sent an invalid handover message (%s): starting without its state",
                 self.path,
                 error,
             )
-        self.received.clear()
         self.finished.set()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -95,16 +123,21 @@
 
 
 async def request_handover(
-    loop: asyncio.AbstractEventLoop, path: Path, gateway: str, on_ended: Callable[[], None]
+    loop: asyncio.AbstractEventLoop,
+    path: Path,
+    gateway: str,
+    on_ended: Callable[[], None],
+    on_shares: SharesCallback = ignore_shares,
 ) -> PredecessorConnection | None:
     """Requests the state of the predecessor; returns the connection, or None if there is no predecessor or no
-    valid message was received in time. `on_ended` is called when a predecessor that has handed over ends."""
+    valid message was received in time. `on_ended` is called when a predecessor that has handed over ends,
+    `on_shares` with what it gives up of the limits before that."""
     if not path.exists():
         return None
     try:
         async with asyncio.timeout(REQUEST_TIMEOUT_S):
             _, connection = await loop.create_unix_connection(
-                lambda: PredecessorConnection(path, gateway, on_ended), str(path)
+                lambda: PredecessorConnection(path, gateway, on_ended, on_shares), str(path)
             )
     except ConnectionRefusedError:
         log.info(
@@ -194,10 +227,15 @@
                 error,
             )
 
+    def send(self, message: bytes) -> None:
+        """Sends a further message to the successor, if there is one."""
+        if self.successor is not None and self.successor.transport is not None:
+            self.successor.transport.write(message)
+
     def close(self) -> None:
-        """Closes the socket and its connection. The socket's path is not removed, as the successor may listen
-        there by now."""
+        """Closes the socket, and its connection behind what is still to be sent. The socket's path is not
+        removed, as the successor may listen there by now."""
         if self.server is not None:
             self.server.close()
         if self.successor is not None and self.successor.transport is not None:
-            self.successor.transport.abort()
+            self.successor.transport.close()
--- a/glenchute/core/executor.py
+++ b/glenchute/core/executor.py
@@ -21,6 +21,7 @@
     IncrementCounter,
     LogMessage,
     Reject,
+    SendLimitShares,
     SendState,
     SetTimer,
     StartAttempt,
@@ -35,7 +36,6 @@
     CounterReply,
     Event,
     Outcome,
-    QuotaSnapshot,
     Request,
     ResponseStarted,
     TimerFired,
@@ -99,8 +99,8 @@
         self.attempts_in_flight: dict[tuple[str, int], UpstreamAttempt] = {}
         self.last_request_number = 0
         self.routes: RouteTable | None = None
-        # Set if a successor process may connect: takes the quotas for the handover to it.
-        self.send_state: Callable[[tuple[QuotaSnapshot, ...]], None] | None = None
+        # Set if a successor process may connect.
+        self.send_to_successor: Callable[[SendState | SendLimitShares], None] | None = None
         # Time of the last response of any server; initially the start time.
         self.last_response_at = loop.time()
         self.last_failure_at = -math.inf  # time of the last failed attempt
@@ -232,9 +232,9 @@
                 pass  # the discovery client is subscribed from its start
             case LogMessage(message):
                 log.info("%s", message)
-            case SendState(quotas):
-                if self.send_state is not None:
-                    self.send_state(quotas)
+            case SendState() | SendLimitShares():
+                if self.send_to_successor is not None:
+                    self.send_to_successor(action)
 
     def set_timer(self, token: int, at_ms: float) -> None:
         """Posts `TimerFired` at `at_ms` or later."""
--- a/glenchute/policy/actions.py
+++ b/glenchute/policy/actions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .events import QuotaSnapshot
+from .events import LimitShare, QuotaSnapshot
 from .record import record
 
 
@@ -80,6 +80,13 @@
     quotas: tuple[QuotaSnapshot, ...]
 
 
+@record(frozen=True, slots=True)
+class SendLimitShares:
+    """Sends what this process gives up of the tenants' limits to the successor, most recently seen first."""
+
+    shares: tuple[LimitShare, ...]
+
+
 Action = (
     StartAttempt
     | CancelAttempt
@@ -90,4 +97,5 @@
     | SubscribeToEndpoints
     | LogMessage
     | SendState
+    | SendLimitShares
 )
--- a/glenchute/policy/admission/state_transfer.py
+++ b/glenchute/policy/admission/state_transfer.py
@@ -2,14 +2,15 @@
 
 During a handover a gateway consists of two processes, which the other gateways count as one. Therefore each
 process has half of the gateway's local shares and ceiling guards, and only one of them adds markers to the
-counter keys of a window.
+counter keys of a window. A predecessor that ends its admission gives up its halves to the successor.
 """
 
 from __future__ import annotations
 
 import math
 
-from ..events import QuotaSnapshot
+from ..events import LimitShare, QuotaSnapshot
+from .ceiling import guard_limit_units
 from .local_share import local_limit_units
 from .tenant import Tenant
 from .tenants import MAX_TENANTS, TenantTable
@@ -83,6 +84,39 @@
     tenants.by_id[tenant.tenant_id] = tenant
 
 
+def give_up_shares(tenants: TenantTable, now_ms: float) -> tuple[LimitShare, ...]:
+    """Takes what is left of this process's ceiling guards and its reported own units from the tenants, and
+    returns them for the successor, most recently seen tenants first."""
+    return tuple(give_up_share(tenants, now_ms, tenant) for tenant in reversed(tenants.by_id.values()))
+
+
+def give_up_share(tenants: TenantTable, now_ms: float, tenant: Tenant) -> LimitShare:
+    """Takes one tenant's share."""
+    tenants.refresh(now_ms, tenant)
+    share = LimitShare(tenant.tenant_id, max(0.0, tenant.ceiling_guard_units), tenant.reported_own_units)
+    tenant.ceiling_guard_units -= share.ceiling_guard_units
+    tenant.reported_own_units = 0.0
+    return share
+
+
+def add_shares(tenants: TenantTable, now_ms: float, shares: tuple[LimitShare, ...]) -> None:
+    """Adds the predecessor's shares, as far as this gateway's limits allow. Tenants unknown to this process
+    are ignored."""
+    for share in shares:
+        if (tenant := tenants.by_id.get(share.tenant)) is not None:
+            add_share(tenants, now_ms, tenant, share)
+
+
+def add_share(tenants: TenantTable, now_ms: float, tenant: Tenant, share: LimitShare) -> None:
+    """Adds the predecessor's share of one tenant's limits."""
+    tenants.refresh(now_ms, tenant)
+    gateway_limit = guard_limit_units(tenant.plan) / tenant.gateway_spread * tenants.process_count
+    guard_units = tenant.ceiling_guard_units + share.ceiling_guard_units
+    tenant.ceiling_guard_units = max(tenant.ceiling_guard_units, min(gateway_limit, guard_units))
+    own_units = tenant.reported_own_units + share.reported_own_units
+    tenant.reported_own_units = max(tenant.reported_own_units, min(tenant.reported_units, own_units))
+
+
 def end_handover(tenants: TenantTable, now_ms: float) -> None:
     """Ends the handover when the other process has ended."""
     tenants.markers_from_ms = min(tenants.markers_from_ms, now_ms)
--- a/glenchute/policy/engine.py
+++ b/glenchute/policy/engine.py
@@ -10,7 +10,7 @@
 import math
 import random
 
-from .actions import Action, Reject, SendState, SetTimer, SubscribeToEndpoints
+from .actions import Action, Reject, SendLimitShares, SendState, SetTimer, SubscribeToEndpoints
 from .admission.counter_health import CounterHealth
 from .admission.overload import LoadShedder
 from .admission.quota import QuotaAccounting, RejectionCause
@@ -18,6 +18,7 @@
 from .balancing.pool import ServerPool
 from .events import (
     DID_NOT_RUN,
+    AdmissionEnded,
     AttemptEnded,
     AttemptStalled,
     AvoidEndpoint,
@@ -26,6 +27,8 @@
     EndpointList,
     EndpointListKind,
     Event,
+    HandoverEvent,
+    LimitSharesReceived,
     OtherProcessEnded,
     Outcome,
     Request,
@@ -95,7 +98,13 @@
                 self.execution.abandon(request_id)
             case ResponseStarted(request_id, number):
                 self.execution.start_response(now_ms, request_id, number)
-            case SuccessorStarted() | StateReceived() | OtherProcessEnded():
+            case (
+                SuccessorStarted()
+                | StateReceived()
+                | OtherProcessEnded()
+                | AdmissionEnded()
+                | LimitSharesReceived()
+            ):
                 self.handle_handover(now_ms, event)
             case UsageUpdate():
                 from .admission import usage_updates  # imported on use: most gateways receive no such event
@@ -104,9 +113,7 @@
             case AvoidEndpoint(address, duration_ms):
                 self.pool.avoid(address, now_ms, duration_ms)
 
-    def handle_handover(
-        self, now_ms: float, event: SuccessorStarted | StateReceived | OtherProcessEnded
-    ) -> None:
+    def handle_handover(self, now_ms: float, event: HandoverEvent) -> None:
         """Transfers quota state between two processes of this gateway, or ends their handover."""
         from .admission import state_transfer  # imported on use: most processes see no handover
 
@@ -117,6 +124,11 @@
                 state_transfer.restore(self.quota.tenants, now_ms, quotas)
             case OtherProcessEnded():
                 state_transfer.end_handover(self.quota.tenants, now_ms)
+            case AdmissionEnded():
+                shares = state_transfer.give_up_shares(self.quota.tenants, now_ms)
+                self.actions.append(SendLimitShares(shares))
+            case LimitSharesReceived(shares):
+                state_transfer.add_shares(self.quota.tenants, now_ms, shares)
 
     # --- time ---------------------------------------------------------------------------------------------
 
--- a/glenchute/policy/events.py
+++ b/glenchute/policy/events.py
@@ -189,6 +189,16 @@
     window_total_units: float
 
 
+@record(frozen=True, slots=True)
+class LimitShare:
+    """What a process that ends gives up of one tenant's limits to the other process of its gateway, in
+    units."""
+
+    tenant: str
+    ceiling_guard_units: float
+    reported_own_units: float
+
+
 @record(frozen=True, slots=True)
 class SuccessorStarted:
     """The successor of this process has started. From now on this process admits half as much without the
@@ -209,6 +219,19 @@
     """The other process of this gateway has ended."""
 
 
+@record(frozen=True, slots=True)
+class AdmissionEnded:
+    """This process has a successor and admits no more requests, as it is about to end. The engine answers
+    with `SendLimitShares`."""
+
+
+@record(frozen=True, slots=True)
+class LimitSharesReceived:
+    """The predecessor admits no more requests and has given up its shares of the tenants' limits."""
+
+    shares: tuple[LimitShare, ...]
+
+
 @record(frozen=True, slots=True)
 class UsageUpdate:
     """A tenant's use as reported by the members' gossip, independently of the counter.
@@ -236,6 +259,7 @@
     duration_ms: float
 
 
+HandoverEvent = SuccessorStarted | StateReceived | OtherProcessEnded | AdmissionEnded | LimitSharesReceived
 Event = (
     EndpointList
     | Request
@@ -246,9 +270,7 @@
     | CounterReply
     | AttemptStalled
     | AttemptAssigned
-    | SuccessorStarted
-    | StateReceived
-    | OtherProcessEnded
+    | HandoverEvent
     | UsageUpdate
     | AvoidEndpoint
 )
--- a/glenchute/policy/lifecycle/handover.py
+++ b/glenchute/policy/lifecycle/handover.py
@@ -2,7 +2,8 @@
 gateway's limits while they overlap. No I/O, no clock.
 
 The message is one line of JSON. It is rejected as a whole unless every part is valid; the successor then
-starts conservatively, as after a crash, and logs the reason.
+starts conservatively, as after a crash, and logs the reason. When the predecessor admits no more requests, it
+sends a second line with its shares of the tenants' limits; without it these are lost.
 
 Property tests check that both shares are at least `MIN_LIMIT_SHARE`, that their sum is at most 1, and
 that `decode_handover` raises nothing but `HandoverError` and returns no number out of its range, whatever its
@@ -16,11 +17,12 @@
 from collections.abc import Sequence
 from typing import Any, NamedTuple
 
-from ..events import QuotaSnapshot
+from ..events import LimitShare, QuotaSnapshot
 
 FORMAT = 1
 MAX_QUOTAS = 10_000  # tenants handed over at most, the most recently seen ones first
 MAX_ENDPOINTS = 10_000  # endpoints handed over at most; of more, none are
+MAX_SHARES = 1_000  # tenants whose shares are returned at most: the socket takes that much at once
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 MAX_TENANT_LENGTH = 64
 MAX_GATEWAY_SPREAD = 1_000_000
@@ -100,6 +102,19 @@
 
 def decode_handover(gateway: str, raw: bytes) -> HandoverState:
     """Decodes a message to the gateway with this name; raises HandoverError if it is invalid."""
+    message = decode_message(gateway, raw)
+    if message.get("fields") != list(FIELDS):
+        raise HandoverError("fields differ from those of this version")
+    rows = message.get("stocks")
+    if not isinstance(rows, list) or len(rows) > MAX_QUOTAS:
+        raise HandoverError("list of tenants is missing or too long")
+    limit_share = decode_number(message.get("share"), MIN_LIMIT_SHARE, 1.0 - MIN_LIMIT_SHARE)
+    endpoints = decode_endpoints(message.get("endpoints"))
+    return HandoverState(limit_share, tuple([decode_quota(row) for row in rows]), endpoints)
+
+
+def decode_message(gateway: str, raw: bytes) -> dict[str, Any]:
+    """Decodes the JSON of a message to the gateway with this name; raises HandoverError if it is invalid."""
     if not raw.endswith(b"\n"):
         raise HandoverError("torn")
     try:
@@ -110,14 +125,35 @@
         raise HandoverError(f"message format is not {FORMAT}")
     if message.get("gateway") != gateway:
         raise HandoverError("message is for another gateway")
-    if message.get("fields") != list(FIELDS):
-        raise HandoverError("fields differ from those of this version")
-    rows = message.get("stocks")
-    if not isinstance(rows, list) or len(rows) > MAX_QUOTAS:
-        raise HandoverError("list of tenants is missing or too long")
-    limit_share = decode_number(message.get("share"), MIN_LIMIT_SHARE, 1.0 - MIN_LIMIT_SHARE)
-    endpoints = decode_endpoints(message.get("endpoints"))
-    return HandoverState(limit_share, tuple([decode_quota(row) for row in rows]), endpoints)
+    return message
+
+
+def encode_shares(gateway: str, shares: Sequence[LimitShare]) -> bytes:
+    """Encodes the second message to the successor process of the gateway with this name. Shares beyond
+    `MAX_SHARES` are omitted."""
+    rows = [
+        [share.tenant, share.ceiling_guard_units, share.reported_own_units] for share in shares[:MAX_SHARES]
+    ]
+    message = {"format": FORMAT, "gateway": gateway, "shares": rows}
+    return json.dumps(message, allow_nan=False, separators=(",", ":")).encode() + b"\n"
+
+
+def decode_shares(gateway: str, raw: bytes) -> tuple[LimitShare, ...]:
+    """Decodes a second message to the gateway with this name; raises HandoverError if it is invalid."""
+    rows = decode_message(gateway, raw).get("shares")
+    if not isinstance(rows, list) or len(rows) > MAX_SHARES:
+        raise HandoverError("list of shares is missing or too long")
+    return tuple([decode_share(row) for row in rows])
+
+
+def decode_share(row: Any) -> LimitShare:
+    """Decodes the share of one tenant's limits; raises HandoverError if it is invalid."""
+    if not isinstance(row, list) or len(row) != 3 or not isinstance(row[0], str):
+        raise HandoverError("share does not have a tenant and two numbers")
+    tenant, guard_units, own_units = row
+    return LimitShare(
+        tenant, decode_number(guard_units, 0.0, MAX_UNITS), decode_number(own_units, 0.0, MAX_UNITS)
+    )
 
 
 def decode_endpoints(raw: Any) -> ActiveEndpoints | None:
--- a/glenchute/simulator.py
+++ b/glenchute/simulator.py
@@ -20,6 +20,7 @@
     IncrementCounter,
     LogMessage,
     Reject,
+    SendLimitShares,
     SendState,
     SetTimer,
     StartAttempt,
@@ -262,7 +263,7 @@
             return ["tail", gateway, True]
         case LogMessage(message):
             return ["say_log", gateway, message]
-        case SendState():
+        case SendState() | SendLimitShares():
             raise WireError("no successor process in the simulator to send the state to")
 
 
--- a/tests/capture/test_format_1.py
+++ b/tests/capture/test_format_1.py
@@ -14,8 +14,17 @@
 
 from glenchute.capture.codec import ACTIONS, EVENTS, decode_event
 from glenchute.capture.replay import Segment, find_runs, read_segment, replay
-from glenchute.policy.actions import IncrementCounter, SendState, SetTimer
-from glenchute.policy.events import AttemptEnded, CounterReply, Outcome, Request, StateReceived, TimerFired
+from glenchute.policy.actions import IncrementCounter, SendLimitShares, SendState, SetTimer
+from glenchute.policy.events import (
+    AdmissionEnded,
+    AttemptEnded,
+    CounterReply,
+    LimitSharesReceived,
+    Outcome,
+    Request,
+    StateReceived,
+    TimerFired,
+)
 from tests.capture.mends import MENDS, FirstDifference, Mend, changes_between, undo_mends
 
 CAPTURES = Path(__file__).resolve().parents[1] / "format_1"
@@ -76,10 +85,14 @@
         assert report.records == RECORD_COUNTS[file.name]
 
 
+# Kinds that format 1 never had.
+ADDED_LATER = {AdmissionEnded, LimitSharesReceived, SendLimitShares}
+
+
 def test_every_kind_of_event_and_of_action_is_there() -> None:
     records = [record for segment in segments() for record in segment.records]
-    assert {record[1] for record in records} == set(range(len(EVENTS)))
-    assert {kind for record in records for kind, _ in record[3]} == set(range(len(ACTIONS)))
+    assert {EVENTS[record[1]] for record in records} == set(EVENTS) - ADDED_LATER
+    assert {ACTIONS[kind] for record in records for kind, _ in record[3]} == set(ACTIONS) - ADDED_LATER
     events = [decode_event(record) for record in records]
     late_outcomes = {event.outcome for event in events if isinstance(event, CounterReply) and event.is_late}
     assert late_outcomes == {Outcome.OK, Outcome.TIMEOUT, Outcome.REJECTED}
--- a/tests/clients/test_handover_socket.py
+++ b/tests/clients/test_handover_socket.py
@@ -11,8 +11,8 @@
 import pytest
 
 from glenchute.clients import handover
-from glenchute.policy.events import QuotaSnapshot
-from glenchute.policy.lifecycle.handover import HandoverState, encode_handover
+from glenchute.policy.events import LimitShare, QuotaSnapshot
+from glenchute.policy.lifecycle.handover import HandoverState, encode_handover, encode_shares
 from tests.loopback import reply_with, run_scenario, site, wait_until
 
 QUOTA = QuotaSnapshot("c", "rate", 2, 3.0, 0.0, 1.0, 0.5, 2.0, 4.0, 1000.0, 7.0)
@@ -72,6 +72,35 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("tenants", [1, 1000])
+@pytest.mark.parametrize("sent_at_once", [False, True])
+def test_shares_that_are_sent_right_before_the_end_arrive_before_it(
+    tmp_path: Path, tenants: int, sent_at_once: bool
+) -> None:
+    """Guards against limits that are lost because a process ends with its last message unsent."""
+    shares = tuple(LimitShare(f"tenant {number:016}", 19.123456789, 40.5) for number in range(tenants))
+    state, last = encode_handover("g", 0.5, [QUOTA]), encode_shares("g", shares)
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        events: list[object] = []
+        path = tmp_path / "s"
+        predecessor = handover_server(loop, state + last if sent_at_once else state, [])
+        await predecessor.start(path)
+        connection = await handover.request_handover(
+            loop, path, "g", lambda: events.append("ended"), events.append
+        )
+        assert connection is not None and connection.state == HandoverState(0.5, (QUOTA,))
+        if not sent_at_once:
+            predecessor.send(b"{}\n")  # not understood, and ignored
+            predecessor.send(last)
+        predecessor.close()
+        await wait_until(lambda: "ended" in events)
+        assert events == [shares, "ended"]
+
+    run_scenario(scenario())
+
+
 def test_a_leftover_socket_is_replaced_and_a_long_path_is_not_used(tmp_path: Path) -> None:
     async def scenario() -> None:
         loop = asyncio.get_running_loop()
--- a/tests/policy/lifecycle/test_handover.py
+++ b/tests/policy/lifecycle/test_handover.py
@@ -16,11 +16,15 @@
 from glenchute.capture.recorder import CaptureRule, Recorder
 from glenchute.capture.replay import find_runs
 from glenchute.capture.replay import replay as replay_files
-from glenchute.policy.actions import IncrementCounter, SendState, StartAttempt
+from glenchute.policy.actions import IncrementCounter, SendLimitShares, SendState, StartAttempt
+from glenchute.policy.admission.local_share import local_fraction
 from glenchute.policy.engine import DecisionEngine
 from glenchute.policy.events import (
+    AdmissionEnded,
     CounterReply,
     Event,
+    LimitShare,
+    LimitSharesReceived,
     OtherProcessEnded,
     Outcome,
     QuotaSnapshot,
@@ -32,12 +36,15 @@
     FIELDS,
     MAX_ENDPOINTS,
     MAX_QUOTAS,
+    MAX_SHARES,
     MIN_LIMIT_SHARE,
     ActiveEndpoints,
     HandoverError,
     HandoverState,
     decode_handover,
+    decode_shares,
     encode_handover,
+    encode_shares,
     retained_limit_share,
 )
 from tests.rig import SETTINGS, EngineHarness, actions_of_type
@@ -146,6 +153,29 @@
         decode_handover("g", raw + b"\n")
 
 
+def test_the_shares_of_a_process_that_ends_are_decoded() -> None:
+    shares = tuple(LimitShare(f"t{number}", 0.5 * number, 1.0) for number in range(MAX_SHARES + 1))
+    assert decode_shares("g", encode_shares("g", shares)) == shares[:MAX_SHARES]
+
+
+@pytest.mark.parametrize(
+    ("shares", "reason"),
+    [
+        (None, "list of shares"),
+        ([["c", 1.0, 1.0]] * (MAX_SHARES + 1), "list of shares"),
+        ([["c", 1.0]], "tenant and two numbers"),
+        ([[1, 1.0, 1.0]], "tenant and two numbers"),
+        ([["c", -1.0, 1.0]], "range"),
+        ([["c", 1.0, True]], "range"),
+        ([["c", 1.0, 1e300]], "range"),
+    ],
+)
+def test_invalid_shares_are_rejected_as_a_whole(shares: Any, reason: str) -> None:
+    message = {"format": 1, "gateway": "g", "shares": shares}
+    with pytest.raises(HandoverError, match=reason):
+        decode_shares("g", json.dumps(message).encode() + b"\n")
+
+
 @given(st.integers(0, 5000), st.integers(64, 4096))
 def test_both_shares_are_at_least_a_quarter_and_no_connection_in_use_is_closed(
     in_use: int, limit: int
@@ -213,6 +243,48 @@
     assert admitted <= max_admitted + 1, (admitted, max_admitted)
 
 
+def end_predecessor(old: EngineHarness, new: EngineHarness) -> tuple[LimitShare, ...]:
+    """Ends the predecessor in order, and returns what it has given up to its successor."""
+    [sent] = actions_of_type(old.handle_event(AdmissionEnded()), SendLimitShares)
+    new.handle_event(LimitSharesReceived(sent.shares))
+    new.handle_event(OtherProcessEnded())
+    return sent.shares
+
+
+@pytest.mark.parametrize("spent", [1, 4, 30])
+def test_a_successor_that_is_left_alone_admits_what_one_process_would(spent: int) -> None:
+    """Guards against a tenant within its limits that is rejected after a replacement, as the predecessor's
+    half of the ceiling guard ended with it."""
+    single = gateway_after_requests("c", "hard", spent)
+    single.counter_outcome = Outcome.TIMEOUT
+    max_admitted = count_admitted(single, "hard", "c")
+    old = gateway_after_requests("c", "hard", spent)
+    new = replace_process(old)
+    end_predecessor(old, new)
+    assert count_admitted(old, "hard", "c") == 0
+    assert count_admitted(new, "hard", "c") == max_admitted
+
+
+def test_shares_that_arrive_twice_do_not_exceed_the_limit_of_the_gateway() -> None:
+    old = gateway_after_requests("c", "hard", 1)
+    new = replace_process(old)
+    shares = end_predecessor(old, new)
+    for _ in range(3):
+        new.handle_event(LimitSharesReceived((*shares, LimitShare("unknown", 5.0, 5.0))))
+    tenants = new.gateway.quota.tenants.by_id
+    assert list(tenants) == ["c"] and tenants["c"].ceiling_guard_units == 6.0  # half of the ceiling's burst
+    assert tenants["c"].reported_own_units <= tenants["c"].reported_units
+
+
+def test_the_use_of_both_processes_counts_in_the_successors_local_share() -> None:
+    """Guards against half of a gateway's local share being lost with its predecessor."""
+    old = gateway_after_requests("c", "rate", 4)
+    old_share = local_fraction(old.gateway.quota.tenants.by_id["c"])
+    new = replace_process(old)
+    end_predecessor(old, new)
+    assert local_fraction(new.gateway.quota.tenants.by_id["c"]) == pytest.approx(old_share)
+
+
 def test_only_the_successor_marks_epochs_until_the_predecessor_is_single_again() -> None:
     old = gateway_after_requests("c", "hard", 2)
     new = replace_process(old)
@@ -296,6 +368,7 @@
     for n in range(20):
         events.append(Request(f"r{n}", "read", "rate", "c", 900.0, 1.0, 2))
     events += [SuccessorStarted(), Request("last", "read", "rate", "c", 900.0, 1.0, 2), OtherProcessEnded()]
+    events += [LimitSharesReceived((LimitShare("c", 1.0, 1.0),)), SuccessorStarted(), AdmissionEnded()]
     for offset_ms, event in enumerate(events):
         recorder.handle(1001.0 + offset_ms, event)
     recorder.trigger("asked for")
