A stall of this process is not counted as a proxy that does not read

What callers saw: after a pause of the process of over 5 s, proxies' streams with a response in the write were aborted.

Test: ..._stall_of_this_process_does_not_count_as_a_proxy_that_does_not_read fails without the delay (the stream is cancelled), passes now. The old test sends 120 requests in place of 40, so that its account's limits reject some whatever the pause; its assertion is the same.

--- a/glenchute/listeners/extproc/server.py
+++ b/glenchute/listeners/extproc/server.py
@@ -116,6 +116,7 @@
         self.open_stream_count = 0
         self.stream_guards: set[StreamGuard] = set()  # one for each stream
         self.sweep_timer: asyncio.TimerHandle | None = None
+        self.next_sweep_at = self.loop.time()
         self.last_report = "", self.loop.time()  # the counters that were last logged, and when
         self.server = grpc.aio.server(
             options=(
@@ -163,14 +164,25 @@
 
     def sweep(self) -> None:
         """Aborts the streams that are past their deadline; logs the counters every `REPORT_INTERVAL_S`."""
-        self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self.sweep)
         now = self.loop.time()
+        self.excuse_stall(now - self.next_sweep_at)
+        self.next_sweep_at = now + SWEEP_INTERVAL_S
+        self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self.sweep)
         if now - self.last_report[1] >= REPORT_INTERVAL_S:
             self.log_report(now)
         for guard in [guard for guard in self.stream_guards if guard.deadline < now]:
-            log.info("aborting a proxy's stream: %s", guard.overdue_reason())
+            if not guard.is_aborted:
+                log.info("aborting a proxy's stream: %s", guard.overdue_reason())
             guard.abort()
 
+    def excuse_stall(self, late_s: float) -> None:
+        """Puts off all deadlines by a stall of this process, which shows in a sweep that is `late_s` late:
+        meanwhile nothing that proxies read or closed could be noticed."""
+        if late_s <= SWEEP_INTERVAL_S:
+            return
+        for guard in self.stream_guards:
+            guard.deadline += late_s
+
     def log_report(self, now: float) -> None:
         """Logs the counters if they have changed since the last report."""
         counts = " ".join(f"{name}={count}" for name, count in sorted(self.table.counts.items()))
--- a/tests/listeners/extproc/test_extproc.py
+++ b/tests/listeners/extproc/test_extproc.py
@@ -11,6 +11,7 @@
 import random
 import signal
 import sys
+import time
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -552,12 +553,13 @@
     async def scenario() -> None:
         async with extproc_site() as site:
             proxy = site.proxy()
-            streams = [ProcessorStream(proxy, upstream=False) for _ in range(40)]
+            # So many that the quota rejects some, also after a pause of this process in which it refills.
+            streams = [ProcessorStream(proxy, upstream=False) for _ in range(120)]
             for number, stream in enumerate(streams):
                 await stream.open()
                 await stream.stream.send_message(request_headers(f"r{number}"))
             async with asyncio.timeout(20.0):
-                await wait_until(lambda: site.server().table.last_number == 40)
+                await wait_until(lambda: site.server().table.last_number == 120)
                 await wait_until(lambda: not site.server().stream_guards)
             await proxy.stop()
             await wait_until_nothing_left(site.server())
@@ -571,6 +573,32 @@
     }
 
 
+def test_a_stall_of_this_process_does_not_count_as_a_proxy_that_does_not_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against streams that are aborted because this process was held up, not their proxy."""
+    monkeypatch.setattr(server_module, "SWEEP_INTERVAL_S", 0.05)
+
+    async def scenario() -> None:
+        async with extproc_site() as site:
+            server, loop = site.server(), asyncio.get_running_loop()
+            await wait_until(lambda: loop.time() < server.next_sweep_at)
+            guard = server_module.StreamGuard(loop, loop.time() + 0.3)
+            guard.is_writing = True
+            server.stream_guards.add(guard)
+            stalled_from = loop.time()
+            time.sleep(1.0)
+            await wait_until(lambda: server.next_sweep_at > stalled_from + 1.0)
+            assert not guard.is_aborted
+            with pytest.raises(asyncio.CancelledError):
+                await asyncio.sleep(20.0)
+            assert guard.is_aborted and loop.time() - stalled_from >= 1.2
+            server.stream_guards.discard(guard)
+            guard.task.uncancel()
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("shown", ["none", "another", "signed"])
 def test_with_a_client_ca_only_a_signed_certificate_is_accepted(shown: str, tmp_path: Path) -> None:
     async def scenario() -> None:
