--- a/glenchute/cli/program.py
+++ b/glenchute/cli/program.py
@@ -321,6 +321,11 @@
         platform kills the process."""
         lifecycle, is_replaced = self.listener.lifecycle, self.passed_socket is not None
         began = self.loop.time()
+        log.info(
+            "shutdown: begins with %d connections and %d open requests",
+            len(self.listener.clients),
+            len(self.gateway.active_requests),
+        )
         extproc_stop = None
         if self.extproc is not None:
             # GOAWAY at once: proxies open new streams elsewhere, and open streams are served to their end.
--- a/lab/soak/records.py
+++ b/lab/soak/records.py
@@ -14,6 +14,7 @@
 LATE_RESPONSE_S = 0.5  # a response later than this after its deadline counts as lost
 DISCONNECT_GRACE_S = 0.1  # no attempt may begin later than this after its client disconnected
 DRAIN_GRACE_S = 0.25  # no attempt may arrive at a server later than this after its drain
+LOG_END_LENGTH = 600  # characters of the gateway's log that a violation quotes
 TOLERANCE_S = 0.05  # the protocol page allows this much on each time limit that is measured on sockets
 
 
@@ -60,6 +61,7 @@
     # End and length of each time for which this process did not run or the gateway was stopped, by end.
     stalls: list[tuple[float, float]] = field(default_factory=list)
     exit_status: int | None = None
+    terminated_at: float = 0.0  # when the gateway was sent its last SIGTERM of an ending
     killed_at_end: bool = False
     log: str = ""
 
@@ -154,7 +156,11 @@
         """Finds faults of the gateway process: a bad exit status, a traceback, or a forced kill."""
         violations = []
         if self.killed_at_end:
-            violations.append("process: had not ended when it was killed")
+            stalled_s = self.stalled_s(self.terminated_at, math.inf)
+            violations.append(
+                f"process: had not ended when it was killed; since its SIGTERM this process stalled for "
+                f"{stalled_s:.2f} s; its log ends: {self.log[-LOG_END_LENGTH:]}"
+            )
         elif self.exit_status != 0:
             violations.append(f"process: exit status {self.exit_status}")
         if "Traceback" in self.log:
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -219,7 +219,7 @@
 
     async def terminate(self, gateway: SoakGateway, clients: SoakClients) -> None:
         """Sends SIGTERM, lets clients connect a while longer, and sends SIGKILL when the platform may."""
-        terminated_at = self.loop.time()
+        terminated_at = self.records.terminated_at = self.loop.time()
         gateway.send_signal(signal.SIGTERM)
         repeat_count = {Ending.TERM_TWICE: 1, Ending.TERM_FIVE_TIMES: 4}.get(self.schedule.ending, 0)
         for _ in range(repeat_count):
@@ -259,7 +259,7 @@
                     await asyncio.sleep(0.02)
             gateway.send_signal(signal.SIGTERM)
             assert gateway.process is not None
-            began = self.loop.time()
+            began = self.records.terminated_at = self.loop.time()
             while gateway.process.poll() is None and self.loop.time() - began < self.schedule.kill_after_s:
                 await asyncio.sleep(0.005)
             if gateway.process.poll() is None:
