Units of a call of an ended window that was not added are reported in the next

What callers saw: customers near their quotas got more than these where the counter rejected calls: units of calls in flight at the end of a window were in no total, so other gateways granted them again.

Cause: begin_window carries unreported units over, but a call in flight holds its units itself, and handle_failure returned early for an ended window.

Evidence: the new test failed before in 8 of 8 cases (four outcomes, two plans: 0 unreported of 3), passes now.

Fix: carry_over puts the units back as unreported, without refunds and without the part reserved for the waiting request, which reports its own.

--- a/glenchute/policy/admission/counter_sync.py
+++ b/glenchute/policy/admission/counter_sync.py
@@ -162,6 +162,8 @@
             call.window_counter.marker_not_added(call.marker)
         self.pacing.record_failure(now_ms, outcome is Outcome.REJECTED)
         if not is_current:
+            if not may_have_been_added:
+                self.carry_over(call)
             return
         if may_have_been_added:
             tenant.own_units_since_reply += call.units
@@ -171,6 +173,13 @@
         if outcome is Outcome.TIMEOUT:  # a late reply may still come
             self.calls.timed_out.setdefault(tenant.counter_key, deque()).append(call)
 
+    def carry_over(self, call: CounterCall) -> None:
+        """Reports in the current window what a call of an ended one carried and the counter did not add, like
+        units that no call had reported when the window ended. Refunds end with their window."""
+        tenant, units = call.tenant, call.units - call.reserved_units
+        if units > 0.0 and self.tenants.by_id.get(tenant.tenant_id) is tenant:
+            self.report_again(tenant, units)
+
     def report_again(self, tenant: Tenant, units: float) -> None:
         """Adds units of a call that the counter did not add to those that the next call reports. They are
         negative if the call subtracted more than it reported."""
--- a/tests/capture/mends.py
+++ b/tests/capture/mends.py
@@ -175,6 +175,15 @@
     patch.setattr(CounterSync, "handle_late_reply", handle_late_reply)
 
 
+def undo_carrying_over(patch: pytest.MonkeyPatch) -> None:
+    """Units of a call whose window had ended were lost if the counter did not add it."""
+
+    def carry_over(self: CounterSync, call: CounterCall) -> None:
+        pass
+
+    patch.setattr(CounterSync, "carry_over", carry_over)
+
+
 def undo_settled_objective(patch: pytest.MonkeyPatch) -> None:
     """The latency objective of a request of an unknown class was its own remaining time, and its responses
     counted in the estimates."""
@@ -222,6 +231,7 @@
             ),
         },
     ),
+    Mend("units_of_an_ended_window_are_carried_over", undo_carrying_over, {}),
     Mend(
         "a_call_that_was_not_added_is_reported_again",
         undo_reporting_again,
--- a/tests/policy/admission/test_units_reported_again.py
+++ b/tests/policy/admission/test_units_reported_again.py
@@ -24,6 +24,12 @@
     return rig, tenant
 
 
+def end_window(rig: EngineHarness, tenant: Tenant) -> None:
+    """Moves the time on into the tenant's next window."""
+    rig.now = tenant.window_start_ms + tenant.window_length_ms + 1.0
+    rig.gateway.quota.tenants.refresh(rig.now, tenant)
+
+
 @pytest.mark.parametrize("outcome", DID_NOT_RUN)
 def test_a_call_for_a_request_that_is_not_added_loses_no_units_it_carried(outcome: Outcome) -> None:
     """Guards against units beyond the quota at other gateways: 3 units were in no total ever after."""
@@ -60,6 +66,52 @@
     assert rig.gateway.quota.tenants.unreported["c"] is tenant
 
 
+@pytest.mark.parametrize("outcome", DID_NOT_RUN)
+@pytest.mark.parametrize("plan", ["rate", "hard"])
+def test_a_call_that_is_not_added_before_its_window_ends_is_reported_in_the_next(
+    plan: str, outcome: Outcome
+) -> None:
+    """Guards against units beyond the quota at other gateways: those of a call in flight at the end of a
+    window were in no total."""
+    rig, tenant = rig_with_unreported(plan, CHARGED_UNITS)
+    counter = rig.gateway.quota.counter
+    call = counter.call_for_request(rig.now, tenant, REQUEST)
+    assert call is not None
+    end_window(rig, tenant)
+    assert tenant.unreported_units == 0.0
+    assert counter.handle_reply(rig.now, CounterReply(call.key, 0.0, outcome, 1.0)) == "waits"
+    assert tenant.unreported_units == CHARGED_UNITS and tenant.counter_key != call.key
+    assert rig.gateway.quota.tenants.unreported["c"] is tenant
+
+
+@pytest.mark.parametrize("outcome", [Outcome.OK, Outcome.TIMEOUT])
+def test_a_call_that_may_have_been_added_before_its_window_ends_is_not_reported_again(
+    outcome: Outcome,
+) -> None:
+    rig, tenant = rig_with_unreported("rate", CHARGED_UNITS)
+    counter = rig.gateway.quota.counter
+    call = counter.call_for_request(rig.now, tenant, REQUEST)
+    assert call is not None
+    end_window(rig, tenant)
+    counter.handle_reply(rig.now, CounterReply(call.key, call.amount, outcome, 1.0))
+    assert tenant.unreported_units == 0.0
+
+
+def test_refunds_and_units_of_forgotten_tenants_end_with_their_window() -> None:
+    rig, tenant = rig_with_unreported("rate", -CHARGED_UNITS)
+    counter, tenants = rig.gateway.quota.counter, rig.gateway.quota.tenants
+    call = counter.make_call(rig.now, tenant)
+    end_window(rig, tenant)
+    counter.handle_reply(rig.now, CounterReply(call.key, 0.0, Outcome.REJECTED, 1.0))
+    assert tenant.unreported_units == 0.0
+    tenant.unreported_units = CHARGED_UNITS
+    call = counter.make_call(rig.now, tenant)
+    end_window(rig, tenant)
+    tenants.forget(tenant)
+    counter.handle_reply(rig.now, CounterReply(call.key, 0.0, Outcome.REJECTED, 1.0))
+    assert not tenants.unreported
+
+
 def test_a_rejected_report_is_sent_again_without_another_request() -> None:
     """Guards against units of a tenant that has no further request in the window: a tick that found nothing
     to report had taken the tenant off the list of those with units to report."""
