Units of requests whose counter calls were omitted outlast a rejected call

What callers saw: customers near their quotas got more than these while the counter was overloaded and rejected calls.

Cause: with a call fraction f a call reserves 1/f times its request's units, for those requests whose calls were omitted and which are not reported otherwise. If the call is rejected, the waiting request reports its own units, and nobody the rest.

Evidence: f = 0.25, one unit, call of 4 rejected: 1 unit reported. The new test failed before in four of six cases (one for each outcome that proves nothing was added), passes now; the other two hold that nothing is reported twice.

Fix: if the waiting request is admitted, what the call reserved beyond it is unreported again.

--- a/glenchute/policy/admission/counter_sync.py
+++ b/glenchute/policy/admission/counter_sync.py
@@ -251,6 +251,12 @@
         tenant.counter_others_units += others_units
         self.tenants.deduct_others_use(now_ms, tenant, max(0.0, others_units - known_units))
 
+    def report_omitted(self, own_units: float) -> None:
+        """Reports again what the last call, which was not added, reserved beyond the waiting request's own
+        units: it stands for requests that were admitted without a call, as calls were omitted."""
+        if self.replied_tenant is not None and (omitted_units := self.reserved_units - own_units) > 0.0:
+            self.report_again(self.replied_tenant, omitted_units)
+
     def refund_reserved(self, tenant: Tenant) -> None:
         """Takes back the units that the last call reserved for a request which is not sent after all. If the
         counter kept them, they would count as use: many gateways, each of which sees a tenant rarely, would
--- a/glenchute/policy/engine.py
+++ b/glenchute/policy/engine.py
@@ -237,6 +237,8 @@
         if pending := self.execution.requests.get(request_id or ""):
             pending.is_counted = reply.outcome not in DID_NOT_RUN
             self.admit_or_reject(now_ms, pending, is_answered, not is_answered)
+            if pending.is_charged and not pending.is_counted:
+                counter.report_omitted(pending.request.units)
         elif request_id and counter.replied_tenant and is_answered:
             counter.refund_reserved(counter.replied_tenant)  # the client of the request has disconnected
 
--- a/tests/capture/mends.py
+++ b/tests/capture/mends.py
@@ -184,6 +184,15 @@
     patch.setattr(CounterSync, "carry_over", carry_over)
 
 
+def undo_reporting_omitted(patch: pytest.MonkeyPatch) -> None:
+    """What a call reserved for requests whose calls were omitted was lost if the counter did not add it."""
+
+    def report_omitted(self: CounterSync, own_units: float) -> None:
+        pass
+
+    patch.setattr(CounterSync, "report_omitted", report_omitted)
+
+
 def undo_settled_objective(patch: pytest.MonkeyPatch) -> None:
     """The latency objective of a request of an unknown class was its own remaining time, and its responses
     counted in the estimates."""
@@ -232,6 +241,7 @@
         },
     ),
     Mend("units_of_an_ended_window_are_carried_over", undo_carrying_over, {}),
+    Mend("units_of_omitted_calls_are_reported_again", undo_reporting_omitted, {}),
     Mend(
         "a_call_that_was_not_added_is_reported_again",
         undo_reporting_again,
--- a/tests/policy/admission/test_units_reported_again.py
+++ b/tests/policy/admission/test_units_reported_again.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from glenchute.policy.actions import IncrementCounter
@@ -43,6 +45,28 @@
     assert tenant.unreported_units == CHARGED_UNITS + 1.0
 
 
+@pytest.mark.parametrize(
+    ("outcome", "local_units", "unreported_units"),
+    [(outcome, 9.0, 4.0) for outcome in DID_NOT_RUN]
+    + [(Outcome.TIMEOUT, 9.0, 0.0), (Outcome.REJECTED, 0.0, 0.0)],
+)
+def test_a_call_that_is_not_added_loses_no_units_of_requests_whose_calls_were_omitted(
+    outcome: Outcome, local_units: float, unreported_units: float
+) -> None:
+    """Guards against units beyond the quota at other gateways: what a call reserved for requests that were
+    admitted without one was in no total. Nothing is due if the call may have been added, or if the request
+    that waits is rejected, with whom these were."""
+    rig, tenant = rig_with_unreported("rate", 0.0)
+    counter = rig.gateway.quota.counter
+    counter.pacing.call_fraction, counter.rng = 0.25, Random(1)  # the seed's first draw makes the call
+    tenant.bucket_units = 1.5  # so little that the request waits for a total
+    call = actions_of_type(rig.handle_event(REQUEST), IncrementCounter)[0]
+    assert call.amount % 10.0 == 4.0
+    tenant.local_units = local_units
+    rig.handle_event(CounterReply(call.key, 0.0, outcome, 1.0))
+    assert tenant.unreported_units == unreported_units
+
+
 @pytest.mark.parametrize("units", [-5.0, -3.0, 0.0, 0.75])
 def test_refunds_that_a_ceiling_defers_are_kept(units: float) -> None:
     rig, tenant = rig_with_unreported("hard", units)
