benchmarks.readiness takes its percentiles as the load generator does

Its p90 was times[int(0.9 n) - 1], which for two times is the first of them and lies below the p50. It uses lab.load.percentile now.

--- a/benchmarks/readiness.py
+++ b/benchmarks/readiness.py
@@ -15,7 +15,6 @@
 import os
 import signal
 import socket
-import statistics
 import sys
 import tempfile
 import time
@@ -25,6 +24,7 @@
 import uvloop
 
 from benchmarks.machine import machine
+from lab.load import percentile
 from lab.nodes import Node, ServiceProfile
 from lab.peers import Client, DiscoveryPeer, RespPeer, reply_with
 from lab.site import SETTINGS, GatewayProcess, LabSite, free_port
@@ -132,9 +132,8 @@
     print(f"{rounds} times {KILLED} of {GATEWAYS} on {CORES} cores; seconds to the first PONG")
     print(f"the others served {counts[True]} requests meanwhile, and did not serve {counts[False]}")
     for case, times in start_s.items():
-        times.sort()
-        p50, p90 = statistics.median(times), times[int(0.9 * len(times)) - 1]
-        print(f"{case:26} n={len(times)} p50={p50:.2f} p90={p90:.2f} max={times[-1]:.2f}")
+        p50, p90 = percentile(times, 50), percentile(times, 90)
+        print(f"{case:26} n={len(times)} p50={p50:.2f} p90={p90:.2f} max={max(times):.2f}")
 
 
 if __name__ == "__main__":
