A list that members share is the one that a process hands over

What callers saw: with shared lists and replaced processes, a new process could withdraw servers in use, all of them if they had been replaced since its predecessor started, and reject requests until discovery said something new about them; or send to servers whose drain its predecessor knew.

Cause: handle_shared set the discovery client's version and left its list, and the one in ListConfirmation, as discovery or the start had given them. The handover takes the names from there, with the version of the members' rows.

Evidence: a client started with s0 and s1 (version 41) that gets s5 as new, s0 as removed and s1 as draining (version 50) handed over "version 50: s0, s1".

Fix: DiscoveryClient.adopt records version, list and confirmation together.

Tests: test_lists_that_members_share_are_handed_over and test_a_list_of_discovery_that_agrees_with_the_members_needs_no_confirmation failed before, pass now.

--- a/glenchute/clients/discovery.py
+++ b/glenchute/clients/discovery.py
@@ -152,6 +152,14 @@
         self.current_list.apply(update)
         return update
 
+    def adopt(self, update: EndpointUpdate) -> None:
+        """Records a list, or changes to the one in force, that another member has received from the discovery
+        service. The owner brings it into force."""
+        self.version = update.version
+        self.current_list.apply(update)
+        if self.confirmation is not None:
+            self.confirmation.apply(update.version, update.event)
+
     def change_address(self, address: Address) -> None:
         """Polls at another address from now on. The complete list is requested there, as versions are only
         comparable within one address; the list in force stays until it is received."""
--- a/glenchute/clients/membership/endpoint_sync.py
+++ b/glenchute/clients/membership/endpoint_sync.py
@@ -144,10 +144,11 @@
             if row.address and row.state == ACTIVE_RANK
         }
         version = self.shared_list.version
-        self.discovery.version = version
+        update = EndpointUpdate(version, EndpointList(EndpointListKind.CHANGES, entries), addresses)
+        self.discovery.adopt(update)
         self.drains.apply_discovery_list(version, False, entries)
         self.addresses |= addresses
-        self.apply_update(EndpointUpdate(version, EndpointList(EndpointListKind.CHANGES, entries), addresses))
+        self.apply_update(update)
 
     def receive_drains(self, rows: Sequence[ReceivedRow]) -> None:
         """Applies gossiped drains: their endpoints get no new requests unless discovery revokes the drain."""
--- a/tests/clients/test_withdrawn_endpoints.py
+++ b/tests/clients/test_withdrawn_endpoints.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 import pytest
 
 from glenchute.clients.discovery import DiscoveryClient
+from glenchute.clients.membership.endpoint_sync import EndpointSync
 from glenchute.core.types import EndpointUpdate
+from glenchute.policy.endpoints.list_confirmation import ListConfirmation
 from glenchute.policy.endpoints.polling import PollingSettings
 from glenchute.policy.events import Endpoint, EndpointList, EndpointListKind, EndpointState
 from glenchute.policy.lifecycle.handover import ActiveEndpoints
+from glenchute.policy.membership.endpoint_sharing import SharedEndpoint, SharedEndpointList
 
 ADDRESS = "127.0.0.1", 8500
 SOURCE = "127.0.0.1:8500"
@@ -24,8 +28,16 @@
 )
 
 
-def discovery_client(loop: asyncio.AbstractEventLoop, saved: EndpointUpdate | None) -> DiscoveryClient:
-    client = DiscoveryClient(loop, ADDRESS, lambda update: None, PollingSettings(1), 1)
+def shared_endpoint(name: str, state: int) -> SharedEndpoint:
+    return SharedEndpoint(50, name, "127.0.0.1:80", "a", 0, 1.0, 0.0, state)
+
+
+def discovery_client(
+    loop: asyncio.AbstractEventLoop,
+    saved: EndpointUpdate | None,
+    confirmation: ListConfirmation | None = None,
+) -> DiscoveryClient:
+    client = DiscoveryClient(loop, ADDRESS, lambda update: None, PollingSettings(1), 1, confirmation)
     client.start(saved, 0.3)
     return client
 
@@ -59,6 +71,52 @@
     asyncio.run(scenario())
 
 
+def test_lists_that_members_share_are_handed_over() -> None:
+    """Guards against a process that withdraws the servers in use from its saved list, as its predecessor had
+    them from other members and handed over the list that it had started with."""
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        predecessor = discovery_client(loop, SAVED)
+        shared_list = SharedEndpointList("g0", 0.0, random.Random(1))
+        sync = EndpointSync(shared_list, lambda: 0.0, lambda row: None, lambda to, message: None, list)
+        sync.attach_discovery(SAVED, predecessor)
+        applied: list[EndpointUpdate] = []
+        sync.apply_update = applied.append
+        shared_list.version = 50
+        sync.handle_shared([], [shared_endpoint("s5", 0), shared_endpoint("s0", 2), shared_endpoint("s1", 1)])
+        assert len(applied) == 1
+        handed = predecessor.active_endpoints()
+        assert handed == ActiveEndpoints(SOURCE, 50, frozenset({"s5"}))
+        saved = EndpointList(EndpointListKind.CACHED, (Endpoint("s5", "a"), Endpoint("s0", "a")))
+        successor = discovery_client(loop, EndpointUpdate(49, saved, {"s5": ADDRESS, "s0": ADDRESS}))
+        update = successor.withdraw_inactive(handed)
+        assert update is not None and [endpoint.address for endpoint in update.event.endpoints] == ["s0"]
+        predecessor.close()
+        successor.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_list_of_discovery_that_agrees_with_the_members_needs_no_confirmation() -> None:
+    """Guards against a list that is taken for unusual because it differs from one that is no longer in
+    force."""
+
+    async def scenario() -> None:
+        confirmation = ListConfirmation()
+        confirmation.apply(SAVED.version, SAVED.event)
+        client = discovery_client(asyncio.get_running_loop(), SAVED, confirmation)
+        names = ("s5", "s6", "s7")
+        shared = [Endpoint(name, "a") for name in names]
+        removed = [Endpoint(name, "a", state=EndpointState.REMOVED) for name in ("s0", "s1", "s2")]
+        changes = EndpointList(EndpointListKind.CHANGES, (*shared, *removed))
+        client.adopt(EndpointUpdate(50, changes, dict.fromkeys(names, ADDRESS)))
+        assert confirmation.accepts(51, EndpointList(EndpointListKind.FULL, tuple(shared)), serving=True)
+        client.close()
+
+    asyncio.run(scenario())
+
+
 def test_nothing_is_withdrawn_without_a_saved_list_or_after_an_answer_of_discovery() -> None:
     async def scenario() -> None:
         loop = asyncio.get_running_loop()
