Drains by members or by an unconfirmed list outlast a replacement

What callers saw: a process that took over within seconds of such a drain, or while discovery was down, sent to servers that its predecessor had left. While a list waited for its confirmation nothing was handed over, not even drains that discovery had confirmed before.

Cause: the handover took its names from discovery's list, without what members withhold, and only while the version to poll by was known, which an unconfirmed list clears.

Evidence: version 41, s0 and s1. A member's drain of s1: "s0, s1" handed over; an unconfirmed list with s1 terminating: nothing.

Fix: the version of the list in force is kept apart; withheld servers are not among the names, and the message says "settled": false. The successor withdraws them and asks for the complete list, which revokes a wrong drain too.

Test: test_endpoints_that_nobody_has_confirmed_as_withdrawn_are_handed_over_ as_such failed before in both cases, passes now.

--- a/glenchute/clients/discovery.py
+++ b/glenchute/clients/discovery.py
@@ -14,7 +14,7 @@
 import json
 import logging
 import random
-from collections.abc import Callable, Generator
+from collections.abc import Callable, Collection, Generator
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -82,6 +82,8 @@
         self.on_list = on_list
         # Version of the list in force; None: the next poll requests the complete list.
         self.version: int | None = None
+        # Version of the list in force at the present address, also where the complete list is needed next.
+        self.list_version: int | None = None
         self.current_list = CurrentList()
         self.connections: dict[int, HttpExchange] = {}
         self.connect_tasks: dict[int, asyncio.Task[None]] = {}
@@ -90,6 +92,8 @@
         self.scheduler = PollScheduler(settings, random.Random(seed))
         # Returns how long from now, in seconds, other members poll for this gateway.
         self.delegated_for_s: Callable[[], float] = lambda: 0.0
+        # Returns the endpoints of the list in force that other members report as not to be used any more.
+        self.withheld_endpoints: Callable[[], Collection[str]] = tuple
         self.watch = EndpointWatch(
             self.scheduler,
             lambda: self.delegated_for_s(),
@@ -114,7 +118,7 @@
         answer. `immediate`: the first poll has no delay.
         """
         if saved is not None:
-            self.version = saved.version
+            self.version = self.list_version = saved.version
             self.current_list.apply(saved)
         delay_s = 0.0 if immediate else self.scheduler.first_poll_delay_s(saved is not None)
         is_worth_waiting = delay_s < patience_s or saved is None
@@ -124,19 +128,22 @@
 
     def active_endpoints(self) -> ActiveEndpoints | None:
         """Returns the endpoints in use, for a successor process; None without a list of a known version."""
-        if self.version is None:
+        if self.list_version is None:
             return None
-        rows = self.current_list.rows.items()
-        names = frozenset(name for name, (endpoint, _) in rows if endpoint.state is EndpointState.ACTIVE)
-        return ActiveEndpoints(format_address(self.address), self.version, names)
+        rows, withheld = self.current_list.rows.items(), self.withheld_endpoints()
+        active = {name for name, (endpoint, _) in rows if endpoint.state is EndpointState.ACTIVE}
+        is_settled = self.version is not None and active.isdisjoint(withheld)
+        source = format_address(self.address)
+        return ActiveEndpoints(source, self.list_version, frozenset(active.difference(withheld)), is_settled)
 
     def withdraw_inactive(self, handed: ActiveEndpoints) -> EndpointUpdate | None:
         """Takes endpoints of the saved list out of use that a predecessor process could not use any more;
         returns the update for the caller to apply, None if there is nothing to do.
 
         What discovery has told the predecessor counts as known here too, even if discovery is down since.
-        The next poll still asks for the changes since the saved version, and thus for all of these. A list
-        that is older than the saved one, or of another address, withdraws nothing.
+        The next poll still asks for the changes since the saved version, and thus for all of these; what is
+        not settled may occur in no change, so then it asks for the complete list. A list that is older than
+        the saved one, or of another address, withdraws nothing.
         """
         is_comparable = handed.source == format_address(self.address) and self.version is not None
         if not is_comparable or self.first_answer.is_set() or handed.version < (self.version or 0):
@@ -150,12 +157,14 @@
             return None
         update = EndpointUpdate(self.version or 0, EndpointList(EndpointListKind.CHANGES, withdrawn))
         self.current_list.apply(update)
+        if not handed.is_settled:
+            self.version = None
         return update
 
     def adopt(self, update: EndpointUpdate) -> None:
         """Records a list, or changes to the one in force, that another member has received from the discovery
         service. The owner brings it into force."""
-        self.version = update.version
+        self.version = self.list_version = update.version
         self.current_list.apply(update)
         if self.confirmation is not None:
             self.confirmation.apply(update.version, update.event)
@@ -165,7 +174,7 @@
         comparable within one address; the list in force stays until it is received."""
         if address == self.address:
             return
-        self.address, self.version = address, None
+        self.address, self.version, self.list_version = address, None, None
         self._execute(self.watch.change_address(self.loop.time()))
         self._reset_timer()
 
@@ -332,7 +341,7 @@
             self.on_list(update)
         self.on_confirmed(update.version)
         is_empty_at_once = not has_changes and now - self.last_poll_at < EMPTY_ANSWER_PAUSE_S
-        self.version = update.version
+        self.version = self.list_version = update.version
         self.scheduler.record_answer()
         self.first_answer.set()
         # A change ends the watches of all gateways at the same time, so their next polls need random delays.
--- a/glenchute/clients/membership/endpoint_sync.py
+++ b/glenchute/clients/membership/endpoint_sync.py
@@ -56,6 +56,7 @@
         """Connects to the discovery client before its first poll, and adopts the cached list. Returns whether
         this gateway polls for all members, and thus has to poll at once."""
         discovery.on_confirmed = self.confirm_version
+        discovery.withheld_endpoints = self.drains.provisional.keys
         if cached is not None:
             self.apply_discovery(cached)
         if self.shared_list is None:
--- a/glenchute/policy/lifecycle/handover.py
+++ b/glenchute/policy/lifecycle/handover.py
@@ -57,6 +57,9 @@
     source: str  # discovery's address; versions are comparable within one address only
     version: int  # of the list
     names: frozenset[str]
+    # Whether discovery's confirmed list withdraws all others. Where an unconfirmed list or members do, only
+    # the complete list tells whether that was right.
+    is_settled: bool = True
 
 
 class HandoverState(NamedTuple):
@@ -95,8 +98,10 @@
         "stocks": rows,
     }
     if endpoints is not None and len(endpoints.names) <= MAX_ENDPOINTS:
-        source, version, names = endpoints
+        source, version, names, is_settled = endpoints
         message["endpoints"] = {"discovery": source, "version": version, "ready": sorted(names)}
+        if not is_settled:
+            message["endpoints"]["settled"] = False
     return json.dumps(message, allow_nan=False, separators=(",", ":")).encode() + b"\n"
 
 
@@ -164,13 +169,16 @@
     if not isinstance(raw, dict):
         raise HandoverError("endpoints are not an object")
     source, version, names = raw.get("discovery"), raw.get("version"), raw.get("ready")
+    is_settled = raw.get("settled", True)
     if not isinstance(source, str) or type(version) is not int:
         raise HandoverError("endpoints have no address or no version")
     if not isinstance(names, list) or len(names) > MAX_ENDPOINTS:
         raise HandoverError("list of endpoints is missing or too long")
     if not all(isinstance(name, str) for name in names):
         raise HandoverError("name of an endpoint is not a string")
-    return ActiveEndpoints(source, version, frozenset(names))
+    if not isinstance(is_settled, bool):
+        raise HandoverError("endpoints are neither settled nor unsettled")
+    return ActiveEndpoints(source, version, frozenset(names), is_settled)
 
 
 def decode_quota(row: Any) -> QuotaSnapshot:
--- a/tests/clients/test_withdrawn_endpoints.py
+++ b/tests/clients/test_withdrawn_endpoints.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from glenchute.clients.discovery import DiscoveryClient
+from glenchute.clients.discovery import DiscoveryClient, UnconfirmedListError
 from glenchute.clients.membership.endpoint_sync import EndpointSync
 from glenchute.core.types import EndpointUpdate
 from glenchute.policy.endpoints.list_confirmation import ListConfirmation
@@ -15,6 +15,8 @@
 from glenchute.policy.events import Endpoint, EndpointList, EndpointListKind, EndpointState
 from glenchute.policy.lifecycle.handover import ActiveEndpoints
 from glenchute.policy.membership.endpoint_sharing import SharedEndpoint, SharedEndpointList
+from glenchute.protocol.endpoint_list import decode_list
+from lab.peers import server_row
 
 ADDRESS = "127.0.0.1", 8500
 SOURCE = "127.0.0.1:8500"
@@ -98,6 +100,48 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("by_members", [True, False])
+def test_endpoints_that_nobody_has_confirmed_as_withdrawn_are_handed_over_as_such(by_members: bool) -> None:
+    """Guards against requests to a server that an unconfirmed list or members withdraw, by a process that
+    starts then, and against a server that stays withdrawn though that was wrong."""
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        confirmation = ListConfirmation()
+        confirmation.apply(SAVED.version, SAVED.event)
+        predecessor = discovery_client(loop, SAVED, confirmation)
+        if by_members:
+            sync = EndpointSync(None, lambda: 0.0, lambda row: None, lambda to, message: None, list)
+            sync.attach_discovery(SAVED, predecessor)
+            assert sync.drains.receive(0.0, "s1", 42, 1.0, 0.0, "g1")
+        else:
+            older = {"version": 3, "full": True, "servers": [server_row("s1", 81, "Terminating")]}
+            with pytest.raises(UnconfirmedListError):
+                predecessor._validate(200, lambda: decode_list(older))
+            assert predecessor.version is None  # the complete list is asked for again, to confirm it
+        handed = predecessor.active_endpoints()
+        assert handed == ActiveEndpoints(SOURCE, 41, frozenset({"s0"}), is_settled=False)
+        successor = discovery_client(loop, SAVED)
+        update = successor.withdraw_inactive(handed)
+        assert update is not None and [endpoint.address for endpoint in update.event.endpoints] == ["s1"]
+        assert successor.version is None  # the next poll asks for the complete list
+        assert successor.active_endpoints() == handed  # for a process that replaces this one by then
+        predecessor.close()
+        successor.close()
+
+    asyncio.run(scenario())
+
+
+def test_endpoints_of_another_address_are_not_handed_over_before_its_first_answer() -> None:
+    async def scenario() -> None:
+        client = discovery_client(asyncio.get_running_loop(), SAVED)
+        client.change_address(("127.0.0.1", 8501))
+        assert client.active_endpoints() is None
+        client.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_list_of_discovery_that_agrees_with_the_members_needs_no_confirmation() -> None:
     """Guards against a list that is taken for unusual because it differs from one that is no longer in
     force."""
--- a/tests/policy/lifecycle/test_handover.py
+++ b/tests/policy/lifecycle/test_handover.py
@@ -83,6 +83,8 @@
     raw = encode_handover("g", 0.5, [], ENDPOINTS)
     assert json.loads(raw)["endpoints"] == ENCODED_ENDPOINTS
     assert decode_handover("g", raw).endpoints == ENDPOINTS
+    unsettled = ENDPOINTS._replace(is_settled=False)
+    assert decode_handover("g", encode_handover("g", 0.5, [], unsettled)).endpoints == unsettled
     names = frozenset(str(number) for number in range(MAX_ENDPOINTS + 1))
     assert (
         decode_handover("g", encode_handover("g", 0.5, [], ENDPOINTS._replace(names=names))).endpoints is None
@@ -126,6 +128,7 @@
         (message_with(endpoints=ENCODED_ENDPOINTS | {"ready": {}}), "list of endpoints"),
         (message_with(endpoints=ENCODED_ENDPOINTS | {"ready": ["s"] * (MAX_ENDPOINTS + 1)}), "too long"),
         (message_with(endpoints=ENCODED_ENDPOINTS | {"ready": ["s0", 1]}), "not a string"),
+        (message_with(endpoints=ENCODED_ENDPOINTS | {"settled": 0}), "settled"),
         (message_with(share=0.9), "range"),
         (message_with(share=True), "range"),
         (message_with_value(0, ""), "name"),
