A backlog is compared with what the servers can do, not with the demand

Cause: the rate of completed work is the demand as long as servers have room. After 4 s without a response one response counts as 5.25 of its kind a second, so five requests in flight look like a second's work.

Evidence: an engine with three servers at two gateways, 20 s quiet, one response, then a request each 50 ms without a response: 5 of 12 admitted before, 12 of 12 now (the new test, which failed before).

Fix: the rate has the floor of the capacity estimate, one request at a time at each server of this gateway's share. Servers that do not respond still cause rejections (second test; the tests of the backlog are unchanged).

--- a/glenchute/policy/admission/backlog.py
+++ b/glenchute/policy/admission/backlog.py
@@ -48,10 +48,12 @@
         )
         self.completed_at_ms = now_ms
 
-    @property
-    def wait_ms(self) -> float:
-        """Milliseconds that the work in flight takes at the peak rate, which must not be 0."""
-        return self.in_flight_ms / self.peak_ms_per_s * 1000.0
+    def wait_ms(self, servers_per_gateway: float) -> float:
+        """Returns the milliseconds that the work in flight takes at the peak rate, which must not be 0, or at
+        the rate of this gateway's share of the servers with one request at a time at each of them, if that is
+        higher: with little traffic the peak shows the demand only."""
+        floor_ms_per_s = 1000.0 * servers_per_gateway
+        return self.in_flight_ms / max(self.peak_ms_per_s, floor_ms_per_s) * 1000.0
 
     def reset_after_stall(self, now_ms: float) -> None:
         """Restarts the measurement of the rate after a stall of this process, which makes it outdated."""
--- a/glenchute/policy/admission/overload.py
+++ b/glenchute/policy/admission/overload.py
@@ -39,7 +39,7 @@
         if self.backlog.peak_ms_per_s > 0 and is_busy:
             higher_fraction = higher_per_s / max(sum(capacity.demand_per_s.values()), 1e-9)
             max_wait_ms = objective_ms * (BACKLOG_WAIT_FRACTION - LOW_VALUE_REDUCTION * higher_fraction)
-            if self.backlog.wait_ms > max_wait_ms:
+            if self.backlog.wait_ms(capacity.servers_per_gateway) > max_wait_ms:
                 return False
         if capacity.capacity_per_s == math.inf:
             return True
--- a/tests/capture/mends.py
+++ b/tests/capture/mends.py
@@ -18,6 +18,7 @@
 
 import pytest
 
+from glenchute.policy.admission.backlog import Backlog
 from glenchute.policy.admission.counter_calls import CounterCall
 from glenchute.policy.admission.counter_sync import CounterSync
 from glenchute.policy.admission.tenant import Tenant
@@ -193,6 +194,15 @@
     patch.setattr(CounterSync, "report_omitted", report_omitted)
 
 
+def undo_backlog_floor(patch: pytest.MonkeyPatch) -> None:
+    """With little traffic the backlog was compared with the demand, as if the servers could do no more."""
+
+    def wait_ms(self: Backlog, servers_per_gateway: float) -> float:
+        return self.in_flight_ms / self.peak_ms_per_s * 1000.0
+
+    patch.setattr(Backlog, "wait_ms", wait_ms)
+
+
 def undo_settled_objective(patch: pytest.MonkeyPatch) -> None:
     """The latency objective of a request of an unknown class was its own remaining time, and its responses
     counted in the estimates."""
@@ -240,6 +250,7 @@
             ),
         },
     ),
+    Mend("a_backlog_is_compared_with_what_servers_can_do", undo_backlog_floor, {}),
     Mend("units_of_an_ended_window_are_carried_over", undo_carrying_over, {}),
     Mend("units_of_omitted_calls_are_reported_again", undo_reporting_omitted, {}),
     Mend(
--- a/tests/policy/test_recovery.py
+++ b/tests/policy/test_recovery.py
@@ -328,3 +328,37 @@
         rig.advance(250.0)
         rig.answer_calls()
     assert is_over(rig)
+
+
+def test_a_server_that_pauses_after_a_quiet_time_causes_no_rejections() -> None:
+    """Guards against requests rejected as overload though the servers have room: after a time with little
+    traffic the rate of completed work shows the demand, and not what the servers can do."""
+    rig = EngineHarness(make_endpoints(3))
+    rig.warm_up()
+    rig.advance(20_000.0)
+    name, _ = rig.ask()
+    rig.now += 20.0
+    rig.end_attempt(name, 0, Outcome.OK)
+    admitted = 0
+    for number in range(12):  # 0.6 s in which no response comes
+        _, actions = rig.ask(customer=f"c{number}")
+        admitted += bool(actions_of_type(actions, StartAttempt))
+        rig.advance(50.0)
+    assert admitted == 12
+
+
+def test_servers_that_do_not_respond_after_a_quiet_time_still_cause_rejections() -> None:
+    rig = EngineHarness(make_endpoints(3))
+    rig.warm_up()
+    rig.advance(20_000.0)
+    name, _ = rig.ask()
+    rig.now += 20.0
+    rig.end_attempt(name, 0, Outcome.OK)
+    # One request at a time at each of 1.5 servers for half of the latency objective of 1 s.
+    most_admitted = (
+        0.5 * 1000.0 * 1.5 / rig.gateway.pool.latency.expected_ms(rig.gateway.classes["read"], 1.0)
+    )
+    admitted = sum(
+        bool(actions_of_type(rig.ask(customer=f"c{number}")[1], StartAttempt)) for number in range(100)
+    )
+    assert admitted <= most_admitted + 1.0
