Reports are spread over a second when the counter is available again

Cause: during an outage only probes are made; at the first reply each tenant with unreported units is past its report gap, and the next tick calls for each.

Fix: each tenant's first report after an outage has its turn within REPORT_GAP_MS, by its phase. Requests that wait for a total call as before and take their tenant's units along.

--- a/glenchute/policy/admission/counter_sync.py
+++ b/glenchute/policy/admission/counter_sync.py
@@ -20,7 +20,7 @@
 from .epoch_markers import TOTAL_ROUNDING_UNITS, WindowCounter
 from .tenant import Tenant
 from .tenants import TenantTable
-from .windows import FILL_WINDOW_S, TENANT_IDLE_MS
+from .windows import FILL_WINDOW_S, TENANT_IDLE_MS, window_phase
 
 REPORT_GAP_MS = 1000.0  # shortest time between reports for a tenant whose bucket is at most half full
 CALM_REPORT_GAP_MS = 2000.0  # shortest time between reports for a tenant whose bucket is more than half full
@@ -32,6 +32,9 @@
 class CounterSync:
     """Makes the calls to the counter and applies its replies to the tenants."""
 
+    # When the counter was last available again. A class attribute: snapshots of older versions don't hold it.
+    available_since_ms = -math.inf
+
     def __init__(self, settings: Settings, rng: random.Random, tenants: TenantTable) -> None:
         self.settings = settings
         self.rng = rng
@@ -106,9 +109,15 @@
         if self.pacing.is_unavailable:
             is_early = now_ms < self.pacing.next_probe_ms
         else:
-            is_early = now_ms - tenant.last_call_ms < self.report_gap_ms(tenant)
+            is_early = now_ms < self.earliest_report_ms(tenant)
         return [] if is_early else [self.make_call(now_ms, tenant)]
 
+    def earliest_report_ms(self, tenant: Tenant) -> float:
+        """Returns when a tenant's next report may be made. All tenants have units to report when the counter
+        is available again, so these reports are spread evenly over `REPORT_GAP_MS`."""
+        turn_ms = self.available_since_ms + REPORT_GAP_MS * window_phase(tenant.tenant_id)
+        return max(tenant.last_call_ms + self.report_gap_ms(tenant), turn_ms)
+
     def report_gap_ms(self, tenant: Tenant) -> float:
         """Returns the shortest time between two reports for a tenant."""
         spread_units = tenant.unreported_units * tenant.gateway_spread
@@ -144,6 +153,7 @@
         if reply.outcome is not Outcome.OK:
             self.handle_failure(now_ms, call, reply.outcome, is_current)
             return call.request_id
+        self.record_available(now_ms)
         self.pacing.record_reply(is_late)
         if is_current:
             tenant.own_units_since_reply += call.units
@@ -153,6 +163,11 @@
         self.apply_total(now_ms, tenant, call.window_counter, reply.total, call.units, call.marker, 0.0)
         return call.request_id
 
+    def record_available(self, now_ms: float) -> None:
+        """Records a reply's time if it ends a time without replies."""
+        if self.pacing.is_unavailable:
+            self.available_since_ms = now_ms
+
     def handle_failure(self, now_ms: float, call: CounterCall, outcome: Outcome, is_current: bool) -> None:
         """Handles a call that had no reply or was rejected. Its units count as added unless the outcome
         proves that they were not: adding them twice would be worse than losing them."""
@@ -194,6 +209,7 @@
         call = calls.popleft()
         tenant = call.tenant
         if reply.outcome is Outcome.OK:
+            self.record_available(now_ms)
             self.pacing.consecutive_failures = 0
             later_units = sum(later.units for later in calls)
             self.apply_total(
--- a/tests/capture/mends.py
+++ b/tests/capture/mends.py
@@ -203,6 +203,15 @@
     patch.setattr(Backlog, "wait_ms", wait_ms)
 
 
+def undo_spread_reports(patch: pytest.MonkeyPatch) -> None:
+    """When the counter was available again, all tenants' units were reported at once."""
+
+    def earliest_report_ms(self: CounterSync, tenant: Tenant) -> float:
+        return tenant.last_call_ms + self.report_gap_ms(tenant)
+
+    patch.setattr(CounterSync, "earliest_report_ms", earliest_report_ms)
+
+
 def undo_settled_objective(patch: pytest.MonkeyPatch) -> None:
     """The latency objective of a request of an unknown class was its own remaining time, and its responses
     counted in the estimates."""
@@ -250,6 +259,23 @@
             ),
         },
     ),
+    Mend(
+        "reports_are_spread_when_the_counter_is_available_again",
+        undo_spread_reports,
+        {
+            "mid_life-000001.glcap": FirstDifference(
+                1331,
+                "TimerFired(token=0)",
+                [
+                    Change(
+                        "",
+                        [[4, [0, 1700000006162.0427]], [5, [8450108826468943943, 1.0, 60000.0]]],
+                        [[4, [0, 1700000006162.0427]]],
+                    )
+                ],
+            ),
+        },
+    ),
     Mend("a_backlog_is_compared_with_what_servers_can_do", undo_backlog_floor, {}),
     Mend("units_of_an_ended_window_are_carried_over", undo_carrying_over, {}),
     Mend("units_of_omitted_calls_are_reported_again", undo_reporting_omitted, {}),
