Writing of replies is split into its steps

ClientConnection.flush took the finished replies, wrote them, and judged whether the connection closes behind them, in one function of 35 lines. The first and the last are functions of their own now. No behaviour is meant to change: the tests of tests/listeners/resp2 pass unchanged.

--- a/glenchute/listeners/resp2/connection.py
+++ b/glenchute/listeners/resp2/connection.py
@@ -301,23 +301,10 @@
             return  # `process_commands` flushes when it has parsed all commands
         if self.queued_reply_bytes > MAX_QUEUED_REPLY_BYTES:
             self.schedule_turn()
-        ready: list[bytes] = []
-        while self.slots and self.is_reply_ready(self.slots[0]):
-            ready.append(self.slots.popleft().reply or b"")
+        ready = self.take_ready_replies()
         if ready:
-            written = b"".join(ready)
-            self.waiting_reply_bytes = max(0, self.waiting_reply_bytes - len(written))
-            if not self.slots:
-                # Some short replies were not counted, such as the end of a streamed value.
-                self.waiting_reply_bytes = 0
-            self.transport.write(written)
-            if (
-                not self.slots
-                and self.listener.closes_after_reply()
-                and not self.parser.has_unparsed()
-                and not self.has_unread_input()
-            ):
-                self.is_closing = True  # draining or shutting down, and no further input has been received
+            self.transport.write(ready)
+            self.is_closing |= self.must_close_after_reply()
         if self.is_closing and not self.slots:
             self.shut_write_side()
             return
@@ -332,6 +319,26 @@
         self.update_reading()
         self.update_memory()
 
+    def take_ready_replies(self) -> bytes:
+        """Removes the finished replies that are next in order, and returns their bytes."""
+        ready: list[bytes] = []
+        while self.slots and self.is_reply_ready(self.slots[0]):
+            ready.append(self.slots.popleft().reply or b"")
+        replies = b"".join(ready)
+        # Some short replies were not counted, such as the end of a streamed value.
+        self.waiting_reply_bytes = max(0, self.waiting_reply_bytes - len(replies)) if self.slots else 0
+        return replies
+
+    def must_close_after_reply(self) -> bool:
+        """Returns whether the connection closes now: while draining or shutting down, once all commands that
+        the client has sent are answered."""
+        return (
+            not self.slots
+            and self.listener.closes_after_reply()
+            and not self.parser.has_unparsed()
+            and not self.has_unread_input()
+        )
+
     def update_memory(self) -> None:
         """Reports the number of bytes that this connection buffers."""
         unsent = self.transport.get_write_buffer_size() if self.transport is not None else 0
