The simulation of shared connections has its term's name and shorter functions

lab/sim/piped.py is lab/sim/pipelined_world.py, PipedWorld is PipelinedWorld, and its place(), 55 lines, is split into choosing, connecting and appending. No behaviour is meant to change: tests/lab/test_swarm_pipelined.py (renamed too) passes with the same seeds and asserts.

--- a/lab/sim/piped.py
+++ b/lab/sim/pipelined_world.py
@@ -16,6 +16,7 @@
 from glenchute.policy.connections.pipeline_types import (
     AbortConnection,
     PipelineRules,
+    Placement,
     PlacementKind,
     placement_request,
 )
@@ -30,7 +31,7 @@
 from lab.sim.swarm import KINDS
 from lab.sim.world import DEADLINE_MARGIN_MS, DRAIN_GRACE_MS, NET_MS, AttemptContext, BrokenRule, Node, World
 
-PIPED_KINDS = (*KINDS, "stuck lines", "extra replies", "volley")
+PIPELINED_KINDS = (*KINDS, "stuck lines", "extra replies", "volley")
 MAX_CONNECTIONS = 5  # per gateway: few, so that they are shared
 RULES = PipelineRules(max_depth=4, max_queued_per_server=8, settle_ms=10.0, max_idle_ms=4000.0)
 COMMAND_BYTES = 10
@@ -100,7 +101,7 @@
         self.started_ms = node.started_ms if node is not None else 0.0
 
 
-class PipedWorld(World):
+class PipelinedWorld(World):
     """A site whose gateways use pipelined connections."""
 
     def __init__(self, *args: Any, **changes: Any) -> None:
@@ -215,14 +216,26 @@
 
     def place(self, attempt: SimulatedAttempt) -> None:
         """Places an attempt on the connection that the scheduler chooses, or delays or ends the attempt."""
-        number, incarnation, request, attempt_number, server, _ = attempt.context
-        if attempt.is_finished or not self.is_current(number, incarnation):
+        context = attempt.context
+        if attempt.is_finished or not self.is_current(context.gateway, context.incarnation):
             return
-        scheduler, cls = self.schedulers[number], request.cls
-        stop_at = self.endpoint_stop_times[number].get(server, math.inf)
+        stop_at = self.endpoint_stop_times[context.gateway].get(context.server, math.inf)
         if self.now > min(attempt.write_by, stop_at):
             self.finish(attempt, Outcome.UNREACHABLE)
             return
+        placement = self.choose_placement(attempt)
+        if placement.kind is PlacementKind.NONE:
+            self.finish(attempt, Outcome.UNREACHABLE)
+        elif placement.kind is PlacementKind.WAIT:
+            attempt.has_waited = True
+            self.schedule(placement.until_ms - self.now, self.place, attempt)
+        else:
+            self.append_to_pipeline(attempt, self.connection_of(attempt, placement))
+
+    def choose_placement(self, attempt: SimulatedAttempt) -> Placement:
+        """Returns what the gateway's scheduler does with an attempt now."""
+        number, _, request, attempt_number, server, _ = attempt.context
+        scheduler, cls = self.schedulers[number], request.cls
         may_retry = attempt_number + 1 < self.settings.max_attempts
         placement_terms = placement_request(
             cls,
@@ -235,7 +248,7 @@
             may_retry,
         )
         own_connections = [conn for key, conn in self.connections.items() if key[0] == number]
-        placement = scheduler.place(
+        return scheduler.place(
             self.now,
             server,
             attempt.attempt_id,
@@ -243,13 +256,10 @@
             lambda: len(own_connections) < MAX_CONNECTIONS,
             attempt.has_waited,
         )
-        if placement.kind is PlacementKind.NONE:
-            self.finish(attempt, Outcome.UNREACHABLE)
-            return
-        if placement.kind is PlacementKind.WAIT:
-            attempt.has_waited = True
-            self.schedule(placement.until_ms - self.now, self.place, attempt)
-            return
+
+    def connection_of(self, attempt: SimulatedAttempt, placement: Placement) -> SimulatedConnection:
+        """Returns the connection that a placement names; a new one starts to connect."""
+        number, incarnation, _, _, server, _ = attempt.context
         conn = self.connections.get((number, placement.connection_id))
         if placement.kind is PlacementKind.OPEN:
             conn = SimulatedConnection(number, incarnation, self.nodes.get(server), placement.connection_id)
@@ -259,13 +269,17 @@
             raise BrokenRule("connections", f"{placement} names an unknown connection")
         if placement.kind is PlacementKind.JOIN:
             self.joined += 1
+        return conn
+
+    def append_to_pipeline(self, attempt: SimulatedAttempt, conn: SimulatedConnection) -> None:
+        """Appends an attempt to a connection's pipeline, and checks its depth."""
         attempt.connection = conn
         attempt.command = conn.pipeline.append(attempt, b"x" * COMMAND_BYTES)
         self.max_depth_seen = max(self.max_depth_seen, len(conn.pipeline))
         if len(conn.pipeline) > RULES.max_depth:
             raise BrokenRule("depth", f"{len(conn.pipeline)} on connection {conn.connection_id}")
         self.schedule_flush(conn)
-        self.schedule_check(number)
+        self.schedule_check(attempt.context.gateway)
 
     def on_connected(self, conn: SimulatedConnection) -> None:
         """Ends connection establishment, with success if the node is alive."""
--- a/tests/lab/test_swarm_piped.py
+++ b/tests/lab/test_swarm_pipelined.py
@@ -17,8 +17,8 @@
 from glenchute.policy.connections.placement_choice import PlacementChooser
 from glenchute.policy.connections.stall_detector import StallDetector
 from glenchute.policy.events import Outcome
-from lab.sim import piped
-from lab.sim.piped import PIPED_KINDS, PipedWorld
+from lab.sim import pipelined_world
+from lab.sim.pipelined_world import PIPELINED_KINDS, PipelinedWorld
 from lab.sim.swarm import Fault, Script, draw_script, find_failure, run_script, search
 
 SEEDS = range(14)
@@ -64,7 +64,7 @@
 
 @bug("one answer")
 def crossed_replies_are_trusted(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(piped, "NETWORK_DELAY_MS", 0.0)
+    patch.setattr(pipelined_world, "NETWORK_DELAY_MS", 0.0)
     original = CommandPipeline.match_reply
 
     def match_reply(self: CommandPipeline[Any], now_ms: float) -> Any:
@@ -85,7 +85,7 @@
             return request._replace(retry_by_ms=request.expires_at_ms)
         return request
 
-    patch.setattr(piped, "placement_request", placement_request)
+    patch.setattr(pipelined_world, "placement_request", placement_request)
 
 
 @bug("head-of-line blocking")
@@ -105,13 +105,13 @@
 
 @bug("drains")
 def drains_are_ignored_when_writing(patch: pytest.MonkeyPatch) -> None:
-    original = PipedWorld.abort_if_blocked
+    original = PipelinedWorld.abort_if_blocked
 
-    def abort_if_blocked(self: PipedWorld, conn: Any) -> None:
+    def abort_if_blocked(self: PipelinedWorld, conn: Any) -> None:
         if any(self.now >= entry.item.write_by - 2.0 for entry in conn.pipeline.in_flight):
             original(self, conn)
 
-    patch.setattr(PipedWorld, "abort_if_blocked", abort_if_blocked)
+    patch.setattr(PipelinedWorld, "abort_if_blocked", abort_if_blocked)
 
 
 @bug("depth")
@@ -143,9 +143,9 @@
 def test_the_rules_hold_over_seeds_and_connections_are_shared() -> None:
     joined = aborted = 0
     for seed in SEEDS:
-        script = draw_script(seed, PIPED_KINDS)
-        world = run_script(script, make_world=PipedWorld)
-        assert isinstance(world, PipedWorld)
+        script = draw_script(seed, PIPELINED_KINDS)
+        world = run_script(script, make_world=PipelinedWorld)
+        assert isinstance(world, PipelinedWorld)
         joined, aborted = joined + world.joined, aborted + world.aborted_shared
         connections = [
             connection
@@ -161,7 +161,9 @@
 def test_each_fault_alone(kind: str) -> None:
     faults = tuple(Fault(500.0 + 1500.0 * n, kind, 0.9, n) for n in range(4))
     for seed in (2, 7):
-        failure = find_failure(Script(seed, (Fault(100.0, "burst", 0.5, 1), *faults)), make_world=PipedWorld)
+        failure = find_failure(
+            Script(seed, (Fault(100.0, "burst", 0.5, 1), *faults)), make_world=PipelinedWorld
+        )
         assert failure is None, failure
 
 
@@ -179,7 +181,7 @@
 
 def test_the_rules_hold_when_all_goes_wrong_at_once() -> None:
     for seed in range(8):
-        failure = find_failure(severe_script(seed), make_world=PipedWorld)
+        failure = find_failure(severe_script(seed), make_world=PipelinedWorld)
         assert failure is None, failure
 
 
@@ -187,9 +189,9 @@
 def test_an_injected_bug_is_found(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
     rule, inject = BUGS[name]
     inject(monkeypatch)
-    failures = (find_failure(severe_script(seed), make_world=PipedWorld) for seed in range(24))
+    failures = (find_failure(severe_script(seed), make_world=PipelinedWorld) for seed in range(24))
     failure = next((failure for failure in failures if failure is not None), None)
-    failure = failure or search(range(10), make_world=PipedWorld, kinds=PIPED_KINDS)
+    failure = failure or search(range(10), make_world=PipelinedWorld, kinds=PIPELINED_KINDS)
     assert failure is not None, f"{name} was not found"
     assert failure.rule == rule, failure
     print(f"{name}: seed {failure.script.seed}, {failure.detail}, {failure.script.faults}")
