--- a/tests/policy/test_recovery.py
+++ b/tests/policy/test_recovery.py
@@ -330,15 +330,21 @@
     assert is_over(rig)
 
 
-def test_a_server_that_pauses_after_a_quiet_time_causes_no_rejections() -> None:
-    """Guards against requests rejected as overload though the servers have room: after a time with little
-    traffic the rate of completed work shows the demand, and not what the servers can do."""
+def rig_after_a_quiet_time() -> EngineHarness:
+    """Returns an engine that knows its three servers, has had no request for 20 s, and then one response."""
     rig = EngineHarness(make_endpoints(3))
     rig.warm_up()
     rig.advance(20_000.0)
     name, _ = rig.ask()
     rig.now += 20.0
     rig.end_attempt(name, 0, Outcome.OK)
+    return rig
+
+
+def test_a_server_that_pauses_after_a_quiet_time_causes_no_rejections() -> None:
+    """Guards against requests rejected as overload though the servers have room: after a time with little
+    traffic the rate of completed work shows the demand, and not what the servers can do."""
+    rig = rig_after_a_quiet_time()
     admitted = 0
     for number in range(12):  # 0.6 s in which no response comes
         _, actions = rig.ask(customer=f"c{number}")
@@ -348,12 +354,7 @@
 
 
 def test_servers_that_do_not_respond_after_a_quiet_time_still_cause_rejections() -> None:
-    rig = EngineHarness(make_endpoints(3))
-    rig.warm_up()
-    rig.advance(20_000.0)
-    name, _ = rig.ask()
-    rig.now += 20.0
-    rig.end_attempt(name, 0, Outcome.OK)
+    rig = rig_after_a_quiet_time()
     # One request at a time at each of 1.5 servers for half of the latency objective of 1 s.
     most_admitted = (
         0.5 * 1000.0 * 1.5 / rig.gateway.pool.latency.expected_ms(rig.gateway.classes["read"], 1.0)
