Review: the gateway of a case ends with its script, however that ends

Cause: a script that was killed would have left its gateway running. Change: the stand-in site starts it with the project's own end_with_parent.

--- a/review/common_2/small_site.py
+++ b/review/common_2/small_site.py
@@ -27,6 +27,7 @@
 
 import hiredis  # noqa: E402
 
+from lab.child_processes import end_with_parent  # noqa: E402
 from lab.peers import Peer, server_row  # noqa: E402
 from lab.ports import free_port  # noqa: E402
 from lab.services import CounterService, DiscoveryService  # noqa: E402
@@ -171,7 +172,7 @@
         with (folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
                 ["/bin/sh", "-c", deploy["run"]], cwd=ROOT, env=environ, stdin=subprocess.DEVNULL,
-                stdout=log, stderr=log, start_new_session=True,
+                stdout=log, stderr=log, start_new_session=True, preexec_fn=end_with_parent,
             )  # fmt: skip
 
     def log(self) -> str:
