The end of a long value no longer waits for the server's load report

Where the connection ended in between, a whole value was cut off.

Cause: StreamedValue knew one end, that of the server's whole reply, and ended the client's value there. The client's reply is the value alone.

Now the value has an end of its own, at its line break: the client's part ends and the read permit is released there, and reading goes on for the trailer. A whole value is served however its connection ends. What was received behind the line break is still checked first, so a wrong length is detected as before; one that reaches into the trailer is told by the bulk string in the usage's place.

--- a/glenchute/protocol/resp2.py
+++ b/glenchute/protocol/resp2.py
@@ -122,6 +122,10 @@
         except hiredis.ProtocolError as error:
             raise ProtocolError(str(error)) from None
 
+    def unparsed(self) -> bytes:
+        """Returns the bytes that are not parsed, and keeps them."""
+        return self._raw[self._at :]
+
     def take_unparsed(self) -> bytes:
         """Returns and drops all bytes that are not parsed."""
         raw, self._raw, self._at = self._raw[self._at :], b"", 0
--- a/glenchute/protocol/streamed_reply.py
+++ b/glenchute/protocol/streamed_reply.py
@@ -8,6 +8,8 @@
 from . import resp2 as resp
 
 MAX_STREAMED_BYTES = 4 * 1024 * 1024  # the longest value that is forwarded to a client
+TRAILER_HEAD = b"*2\r\n"  # the trailer's two elements are parsed as an array of their own
+NULL_BULK = b"$-1\r\n"
 HEAD_PATTERN = re.compile(rb"\*3\r\n\$([1-9][0-9]{0,8})\r\n")
 
 
@@ -16,13 +18,25 @@
 
     The elements after the value are short; they are in `trailer` once `is_complete`. Bytes that are no such
     reply raise ProtocolError.
+
+    `is_value_complete`: the value has been received with its line break, and what followed so far may be the
+    trailer. A length prefix that is too large can reach to a line break inside the trailer, which then does
+    not begin with a usage: such a value is complete only with a complete trailer.
     """
 
-    __slots__ = ("_parser", "_tail", "is_complete", "length_bytes", "remaining_bytes", "trailer")
+    __slots__ = (
+        "_parser",
+        "_tail",
+        "is_complete",
+        "is_value_complete",
+        "length_bytes",
+        "remaining_bytes",
+        "trailer",
+    )
 
     def __init__(self, length: int) -> None:
         self.length_bytes = self.remaining_bytes = length
-        self.is_complete = False
+        self.is_complete = self.is_value_complete = False
         self.trailer: list[Any] = []
         self._tail = b""  # bytes received after the value, until its line break is complete
         self._parser: resp.Parser | None = None
@@ -55,11 +69,22 @@
                 raise resp.ProtocolError("a value that is longer than announced")
             if len(self._tail) < 2:
                 return value
-            # The elements after the value are parsed as an array of their own.
-            self._parser, data = resp.Parser(), b"*2\r\n" + self._tail[2:]
+            self._parser, data = resp.Parser(), TRAILER_HEAD + self._tail[2:]
         self._parser.feed(data)
         if not self.is_complete:
-            reply = self._parser.next_message()
-            if reply is not False:
-                self.trailer, self.is_complete = reply, True
+            self._parse_trailer(self._parser)
         return value
+
+    def _parse_trailer(self, parser: resp.Parser) -> None:
+        """Parses what has been received after the value, which may be nothing yet."""
+        reply = parser.next_message()
+        if reply is not False:
+            self.trailer, self.is_complete = reply, True
+        if self.is_complete or may_begin_with_usage(parser.unparsed().removeprefix(TRAILER_HEAD)):
+            self.is_value_complete = True
+
+
+def may_begin_with_usage(trailer: bytes) -> bool:
+    """Returns whether these first bytes after a value, perhaps none, may be those of a usage: an array or a
+    null."""
+    return trailer.startswith(b"*") or NULL_BULK.startswith(trailer[: len(NULL_BULK)])
--- a/glenchute/upstreams/streamed_value.py
+++ b/glenchute/upstreams/streamed_value.py
@@ -69,7 +69,8 @@
         self.is_core_notified = False
         self.has_failed = False
         self.is_discarded = False
-        self.has_ended = False
+        self.is_value_ended = False  # the value has been received completely
+        self.has_ended = False  # nothing more is received: the response is complete, or its connection closed
         self.is_paused = False  # true while the client does not read
         self.is_reading = True  # false while reading from the server is paused
         self.timer: asyncio.TimerHandle | None = None  # bounds the current wait
@@ -96,13 +97,18 @@
             self._notify_core()
         if self.is_discarded or self.has_ended:
             return
+        if self.reply.is_value_complete and not self.is_value_ended:
+            self._end_value()
         if self.reply.is_complete:
             self._finish()
             return
+        if self.is_value_ended:
+            self._set_timer(SERVER_SILENCE_TIMEOUT_S, self._give_up)
+            return
         if self.is_paused or self.sink is None:
             return
         if self.permits.rotate_after_chunk(self):
-            self._set_timer(SERVER_SILENCE_TIMEOUT_S, self.conn.fail_response)
+            self._set_timer(SERVER_SILENCE_TIMEOUT_S, self._give_up)
         else:
             self._pause_reading()
             self._grant_permits()
@@ -115,31 +121,51 @@
         self._cancel_timer()
         if self.attempt.timer is not None:
             self.attempt.timer.cancel()  # it limits only the time to the first bytes
-        self.duration_timer = self.loop.call_later(MAX_DURATION_S, self.conn.fail_response)
+        self.duration_timer = self.loop.call_later(MAX_DURATION_S, self._give_up)
         assert self.attempt.on_response_started is not None
         self.attempt.on_response_started(self)
-        if self.sink is None and not self.is_discarded:
+        if self.sink is None and not self.is_discarded and not self.reply.is_value_complete:
             self._pause_reading()
 
+    def _end_value(self) -> None:
+        """Ends the client's part of the stream, as the whole value has been received.
+
+        Reading goes on until the trailer is complete, for which no client has to wait.
+        """
+        self.is_value_ended = True
+        self._cancel_timer()
+        self._release_permit()
+        self._resume_reading()
+        if self.sink is not None:
+            self.sink.finish()
+
     def _finish(self) -> None:
-        """Ends the stream and the attempt, as the response is complete."""
+        """Ends the attempt, as the response is complete."""
         self.has_ended = True
         self.conn.streamed = None
         self._release()
-        self._resume_reading()
         reply = [b"", *self.reply.trailer]
         result = result_of(reply)
-        result.value = None  # the client has received it already
-        if self.sink is not None:
-            self.sink.finish()
+        result.value = None  # the client receives it from the stream
         self.conn.complete_response(self.attempt, result, self.reply.has_surplus)
 
+    def _give_up(self) -> None:
+        """Closes the connection of a server that takes too long, for the value or for what follows it."""
+        if self.is_value_ended:
+            self.attempt.result = AttemptResult(Outcome.OK)
+        self.conn.fail_response()
+
     def on_connection_lost(self) -> None:
-        """Aborts the stream, as the server's connection closed before the response was complete."""
+        """Ends the stream, as the server's connection closed before the response was complete.
+
+        A whole value is served all the same; otherwise the client's part of the stream is aborted.
+        """
         self.has_ended = True
         self.conn.streamed = None
         self._release()
-        if self.is_discarded:
+        if self.is_value_ended and self.attempt.result is None:
+            self.attempt.result = AttemptResult(Outcome.OK)
+        if self.is_discarded or self.is_value_ended:
             return
         if self.sink is not None:
             self.sink.abort()
@@ -154,7 +180,7 @@
         buffered, self.buffered = self.buffered, []
         for value in buffered:
             sink.write_chunk(value)
-        if self.has_ended:
+        if self.is_value_ended:
             sink.finish()
         elif not self.is_paused:
             self.request_read()
@@ -162,14 +188,14 @@
     def pause(self) -> None:
         """Pauses reading from the server, as the client does not read."""
         self.is_paused = True
-        if not self.has_ended:
+        if not self.is_value_ended:
             self._pause_reading()
             self._set_timer(CLIENT_BLOCKED_TIMEOUT_S, self._on_client_blocked)
 
     def resume(self) -> None:
         """Resumes reading from the server, as the client reads again."""
         self.is_paused = False
-        if not self.has_ended and self.sink is not None:
+        if not self.is_value_ended and self.sink is not None:
             self.request_read()
 
     def _on_client_blocked(self) -> None:
@@ -191,7 +217,7 @@
         """Reads on from the server with a permit, or waits for one."""
         if self.permits.acquire(self):
             self._resume_reading()
-            self._set_timer(SERVER_SILENCE_TIMEOUT_S, self.conn.fail_response)
+            self._set_timer(SERVER_SILENCE_TIMEOUT_S, self._give_up)
         else:
             self._pause_reading()
 
@@ -234,5 +260,9 @@
         if self.duration_timer is not None:
             self.duration_timer.cancel()
             self.duration_timer = None
+        self._release_permit()
+
+    def _release_permit(self) -> None:
+        """Releases the permit, or the place among those that wait for one."""
         self.permits.release(self)
         self._grant_permits()
--- a/tests/upstreams/test_streamed_value.py
+++ b/tests/upstreams/test_streamed_value.py
@@ -22,6 +22,7 @@
 from glenchute.protocol import resp2 as resp
 from glenchute.protocol.streamed_reply import MAX_STREAMED_BYTES, StreamedReply
 from glenchute.upstreams import streamed_value
+from tests.crossings import reset_connection
 from tests.loopback import (
     CUSTOMER,
     GET,
@@ -128,6 +129,22 @@
         reply.feed(b"abcd" + tail)
 
 
+@pytest.mark.parametrize("usage", [b"", b"*", b"*-1\r\n", b"*1\r\n", b"$", b"$-1\r\n", b"$-1\r\n$18\r\n"])
+def test_a_value_is_complete_before_its_trailer(usage: bytes) -> None:
+    reply = StreamedReply(4)
+    reply.feed(b"abcd\r")
+    assert not reply.is_value_complete
+    reply.feed(b"\n" + usage)
+    assert reply.is_value_complete and not reply.is_complete
+
+
+def test_a_length_that_reaches_into_the_trailer_is_no_complete_value() -> None:
+    """Guards against serving a value with bytes of the trailer, as its length prefix is too large."""
+    reply = StreamedReply(4 + len(b"\r\n*-1"))
+    reply.feed(b"abcd" + TAIL)
+    assert not reply.is_value_complete and not reply.is_complete
+
+
 # --- read permits ------------------------------------------------------------------------------------------
 
 
@@ -336,6 +353,80 @@
     run_scenario(scenario())
 
 
+def test_the_end_of_a_value_does_not_wait_for_the_load_report() -> None:
+    """Guards against holding back the line break behind a value until the server's trailer has come."""
+
+    async def scenario() -> None:
+        client_has_value = asyncio.Event()
+
+        async def answer(writer: asyncio.StreamWriter, name: bytes) -> bytes:
+            writer.write(head(len(VALUE)) + VALUE + b"\r\n")
+            await client_has_value.wait()
+            return TAIL[2:]
+
+        async with streaming_site(answer) as (gateway_site, script):
+            client, ids = await gateway_site.client(), generate_request_ids()
+            ask(client, ids)
+            async with asyncio.timeout(10.0):
+                assert await client.reply() == VALUE
+            assert outcomes(script) == []
+            client_has_value.set()
+            await wait_until(lambda: outcomes(script) == [Outcome.OK])
+            assert script.events_of(AttemptEnded)[0].active_requests == 7.0
+            await asyncio.sleep(0.05)
+            ask(client, ids)
+            assert await client.reply() == VALUE
+            assert len(gateway_site.servers[0].writers) == 1  # the connection was reused
+
+    run_scenario(scenario())
+
+
+@pytest.mark.parametrize("is_next", [True, False])
+@pytest.mark.parametrize("end", ["close", "reset", "silence"])
+def test_a_value_is_served_whole_though_its_trailer_never_comes(
+    end: str, is_next: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against cutting off a value that is whole, as the load report behind it does not come."""
+    monkeypatch.setattr(streamed_value, "SERVER_SILENCE_TIMEOUT_S", 0.2)
+
+    async def scenario() -> None:
+        long_ended, first_may_end = asyncio.Event(), asyncio.Event()
+
+        async def answer(writer: asyncio.StreamWriter, name: bytes) -> bytes | None:
+            if name == b"%016x" % 1:
+                await first_may_end.wait()
+                return SERVED
+            writer.write(head(len(VALUE)) + VALUE + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            if end == "close":
+                writer.close()
+            elif end == "reset":
+                await reset_connection(writer)
+            long_ended.set()
+            return None
+
+        async with streaming_site(answer) as (gateway_site, script):
+            client, ids = await gateway_site.client(), generate_request_ids()
+            if is_next:
+                first_may_end.set()
+            ask(client, ids)
+            ask(client, ids)
+            if is_next:
+                assert await client.reply() == b"value"
+                assert await client.reply() == VALUE
+            await long_ended.wait()
+            await wait_until(lambda: len(outcomes(script)) == 1 + is_next)
+            first_may_end.set()
+            if not is_next:
+                assert [await client.reply() for _ in range(2)] == [b"value", VALUE]
+            await wait_until(lambda: outcomes(script) == [Outcome.OK] * 2)
+            assert await client.ask(b"PING") == b"PONG"  # the connection goes on
+            await wait_until(lambda: not gateway_site.program.listener.open_ids)
+
+    run_scenario(scenario())
+
+
 @pytest.mark.parametrize("late", [False, True])
 @pytest.mark.parametrize("extra", [b"x", b"\r\n+OK\r\n"])
 def test_a_wrong_length_never_passes_for_a_complete_value(extra: bytes, late: bool) -> None:
