What has run behind a long value is answered when the value breaks off

Cause: once the head of a value is written, only its bytes or the end of the connection can follow, and it was written with the first KiB, whatever waited behind.

Now a value that is next in order with commands received behind it is buffered before its head is written, in memory that is reserved first (an eighth of memory_mb). It is written whole, or fails in its place and the replies behind it follow. Behind a value that is being written nothing is begun.

--- a/glenchute/cli/program.py
+++ b/glenchute/cli/program.py
@@ -347,6 +347,7 @@
         if self.handover is not None:
             self.handover.end_admission()
         log.info("shutdown: %d open requests were ended", self.gateway.close_all())
+        self.listener.fail_buffered_values()
         await self.flush_replies()
         if self.gateway.active_requests:
             log.error("shutdown: %d requests stay unanswered", len(self.gateway.active_requests))
--- a/glenchute/config/platform.py
+++ b/glenchute/config/platform.py
@@ -16,6 +16,7 @@
 from glenchute.policy.record import record
 from glenchute.policy.settings import Settings
 from glenchute.protocol.endpoint_list import EndpointListError, decode_list, parse_address
+from glenchute.protocol.streamed_reply import MAX_STREAMED_BYTES
 
 from .facts import ClassFacts, PlatformFacts
 from .policy_settings import IDEMPOTENCY_SCOPES, number, policy_settings, table
@@ -27,6 +28,8 @@
 DEFAULT_MEMORY_MB = 192.0
 MIN_STREAMED_VALUES = 4
 STREAMING_MEMORY_FRACTION = 0.25  # share of the memory for streamed values
+# Share of the memory for long values that are received completely before they are sent.
+BUFFERED_VALUES_MEMORY_FRACTION = 0.125
 MIN_CLIENT_BYTES = 1024 * 1024
 CLIENT_MEMORY_FRACTION = 0.2  # share of the memory for clients' commands and unread replies
 DEFAULT_CONNECT_TIMEOUT_MS = 250.0
@@ -142,6 +145,9 @@
         drain_grace_s=number(safety.get("drain_grace_ms"), DEFAULT_DRAIN_GRACE_MS) / 1000.0,
         max_connections=budget.server_connections,
         max_streams=max(MIN_STREAMED_VALUES, streamed_values),
+        max_buffered_value_bytes=max(
+            MAX_STREAMED_BYTES, int(memory_bytes(raw) * BUFFERED_VALUES_MEMORY_FRACTION)
+        ),
     )
 
 
--- a/glenchute/core/limits.py
+++ b/glenchute/core/limits.py
@@ -10,7 +10,7 @@
     """Timeouts in seconds, and the maximum number of concurrent connections and streamed values of a gateway.
 
     `drain_grace_s`: time after the start of a server's drain within which requests may still be written to
-    it.
+    it. `max_buffered_value_bytes`: memory for long values that are received completely before they are sent.
     """
 
     connect_timeout_s: float
@@ -18,6 +18,7 @@
     drain_grace_s: float
     max_connections: int
     max_streams: int = 64
+    max_buffered_value_bytes: int = 16 * 1024 * 1024
 
 
 @record(frozen=True, slots=True)
--- a/glenchute/core/types.py
+++ b/glenchute/core/types.py
@@ -78,6 +78,18 @@
     length_bytes: int
     has_failed: bool
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether the whole value has been received, so that it can no longer break off."""
+
+    def buffer_whole(self, on_end: Callable[[], None]) -> bool:
+        """Receives the whole value before `start`, once there is memory for it; returns whether there is now.
+        `on_end` is called once, when the value is whole or has failed, unless `start`, `fail` or `discard` is
+        called before."""
+
+    def fail(self) -> None:
+        """Drops a value that has not been started, and sets `has_failed`."""
+
     def start(self, sink: ResponseSink) -> None:
         """Writes the value to the sink, as fast as the client reads. Called once, when the reply is next in
         the connection's order."""
--- a/glenchute/listeners/resp2/connection.py
+++ b/glenchute/listeners/resp2/connection.py
@@ -19,6 +19,7 @@
 
 from .commands import CommandError
 from .reply_slot import ReplySlot
+from .value_buffering import ValueBuffering
 
 if TYPE_CHECKING:
     from .listener import Listener
@@ -46,6 +47,7 @@
     """One client connection; it is the `ResponseSink` of the streamed values written to it."""
 
     __slots__ = (
+        "buffering",
         "descriptor",
         "discarded_bytes",
         "error_count",
@@ -89,6 +91,7 @@
         self.error_count = 0
         self.has_partial_command = False  # an incomplete command has been received
         self.streaming: ResponseSource | None = None  # the value that is being written, if any
+        self.buffering: ValueBuffering | None = None  # set while the value that is next in order is buffered
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sets the buffer limits and registers the connection with the listener."""
@@ -130,6 +133,7 @@
         """Drops the pending replies, and reports to the gateway that the client has disconnected."""
         slots, self.slots = self.slots, deque()
         self.waiting_reply_bytes = 0
+        self.end_buffering()
         for slot in slots:
             slot.release()
             request, slot.active_request = slot.active_request, None
@@ -167,7 +171,11 @@
             self.process_commands()
 
     def process_commands(self) -> None:
-        """Handles complete commands while there is room for their replies, up to `MAX_COMMANDS_PER_TURN`."""
+        """Handles complete commands while there is room for their replies, up to `MAX_COMMANDS_PER_TURN`.
+
+        None is handled while a long value is next in order: if that breaks off, the connection must close,
+        and the client sends the commands again that have not been read.
+        """
         if self.is_parsing:
             return
         self.is_parsing, self.is_turn_scheduled = True, False
@@ -177,6 +185,7 @@
                 remaining
                 and not self.is_closing
                 and not self.is_write_blocked
+                and not self.has_long_value_next()
                 and len(self.slots) < MAX_PENDING_COMMANDS
             ):
                 if self.queued_reply_bytes > MAX_QUEUED_REPLY_BYTES or self.is_held_back():
@@ -261,6 +270,7 @@
             return
         self.listener.connection_slots.on_request(now, self)
         self.has_carried_request = True
+        slot.is_repeatable = call.class_name in self.listener.command_parser.idempotent_classes
         slot.reserve(call.request_id)
         self.listener.request_count += 1
         try:
@@ -308,8 +318,9 @@
         if self.is_closing and not self.slots:
             self.shut_write_side()
             return
-        if self.slots and self.slots[0].source is not None and self.streaming is None:
-            self.start_streaming(self.slots[0].source)
+        source = self.slots[0].source if self.slots else None
+        if source is not None and self.streaming is None and self.may_start_streaming(source):
+            self.start_streaming(source)
             return  # a value that was complete has called `flush` again already
         if self.listener.may_release_replies and self.slots and not self.is_write_blocked:
             self.listener.release_blocked_replies(self)
@@ -325,6 +336,8 @@
         while self.slots and self.is_reply_ready(self.slots[0]):
             ready.append(self.slots.popleft().reply or b"")
         replies = b"".join(ready)
+        if ready:
+            self.end_buffering()  # of a value that has failed
         # Some short replies were not counted, such as the end of a streamed value.
         self.waiting_reply_bytes = max(0, self.waiting_reply_bytes - len(replies)) if self.slots else 0
         return replies
@@ -353,9 +366,29 @@
             slot.reply, slot.source = resp.FAILED, None  # the stream failed before any byte of it was written
         return slot.reply is not None
 
+    def has_long_value_next(self) -> bool:
+        """Returns whether the reply that is next in order, or being written, is a streamed value."""
+        return bool(self.slots) and self.slots[0].source is not None
+
+    def may_start_streaming(self, source: ResponseSource) -> bool:
+        """Returns whether the value that is next in order may be written now. It is buffered first if
+        commands have been received behind it."""
+        if source.is_whole or (len(self.slots) == 1 and not self.parser.has_unparsed()):
+            return True
+        if self.buffering is None:
+            self.buffering = ValueBuffering(self, self.slots[0], source)
+        return self.buffering.is_over
+
+    def end_buffering(self) -> None:
+        """Ends the buffering of the value that is next in order, if it is buffered."""
+        buffering, self.buffering = self.buffering, None
+        if buffering is not None:
+            buffering.cancel()
+
     def start_streaming(self, source: ResponseSource) -> None:
         """Starts to write a streamed value, which is next in order, as its bytes are received."""
         assert self.transport is not None
+        self.end_buffering()
         self.streaming = source
         self.transport.set_write_buffer_limits(high=STREAM_BUFFER_BYTES)
         self.transport.write(b"$%d\r\n" % source.length_bytes)
@@ -448,6 +481,7 @@
         stop = not self.is_closing and (
             self.is_write_blocked
             or self.is_turn_scheduled
+            or self.has_long_value_next()
             or len(self.slots) >= MAX_PENDING_COMMANDS
             or is_held_back
         )
--- a/glenchute/listeners/resp2/listener.py
+++ b/glenchute/listeners/resp2/listener.py
@@ -279,6 +279,13 @@
         """Returns whether any connection has replies to write."""
         return any(client.has_unwritten_replies() for client in self.clients)
 
+    def fail_buffered_values(self) -> None:
+        """Lets values fail that are buffered and not whole, at the end of the process, so that the replies
+        behind them are written."""
+        for client in list(self.clients):
+            while client.buffering is not None:
+                client.buffering.fail()
+
     def close_idle(self) -> None:
         """Closes connections idle for longer than the limit, repeatedly while draining or shutting down."""
         if self.idle_close_timer is not None:
--- a/glenchute/listeners/resp2/reply_slot.py
+++ b/glenchute/listeners/resp2/reply_slot.py
@@ -25,11 +25,21 @@
 class ReplySlot:
     """The reply of one command, at its position among the replies of the connection."""
 
-    __slots__ = ("active_request", "client", "deadline", "is_reply_expected", "reply", "request_id", "source")
+    __slots__ = (
+        "active_request",
+        "client",
+        "deadline",
+        "is_repeatable",
+        "is_reply_expected",
+        "reply",
+        "request_id",
+        "source",
+    )
 
     def __init__(self, client: ClientConnection) -> None:
         self.client = client
         self.deadline = math.inf  # loop time of the request's deadline
+        self.is_repeatable = True  # whether the client may send the command again without a second effect
         self.active_request: ActiveRequest | None = None
         self.reply: bytes | None = None
         self.source: ResponseSource | None = None  # set for a streamed reply
--- a/glenchute/upstreams/connection.py
+++ b/glenchute/upstreams/connection.py
@@ -108,7 +108,9 @@
         reply, first_bytes = parsed
         tracker = self.pool.tracker
         try:
-            self.streamed = StreamedValue(self, attempt, reply, tracker.loop, tracker.read_permits)
+            self.streamed = StreamedValue(
+                self, attempt, reply, tracker.loop, tracker.read_permits, tracker.value_buffers
+            )
             self.streamed.feed(first_bytes)
         except resp2.ProtocolError:
             self.fail_response()
--- a/glenchute/upstreams/connection_tracker.py
+++ b/glenchute/upstreams/connection_tracker.py
@@ -10,6 +10,8 @@
 from glenchute.core.limits import UpstreamLimits
 from glenchute.policy.connections.hedged_connects import ConnectTimeEstimate
 from glenchute.policy.connections.stream_read_permits import StreamReadPermits
+from glenchute.policy.connections.value_buffer_budget import ValueBufferBudget
+from glenchute.protocol.streamed_reply import MAX_STREAMED_BYTES
 
 if TYPE_CHECKING:
     from .streamed_value import StreamedValue
@@ -57,11 +59,17 @@
         self.hedged_connects = 0  # total of hedged connects opened
         self.connect_times = ConnectTimeEstimate(limits.connect_timeout_s)
         self.read_permits: StreamReadPermits[StreamedValue] = StreamReadPermits(limits.max_streams)
+        self.value_buffers: ValueBufferBudget[StreamedValue] = ValueBufferBudget(
+            limits.max_buffered_value_bytes
+        )
 
     def set_process_share(self, share: float) -> None:
         """Limits this process to a fraction of the gateway's connections and streams from now on."""
         self.process_share = share
         self.read_permits.max_readers = max(1, int(self.limits.max_streams * share))
+        self.value_buffers.max_bytes = max(
+            MAX_STREAMED_BYTES, int(self.limits.max_buffered_value_bytes * share)
+        )
 
     def max_connections(self) -> float:
         """Returns the number of connections that this process may have."""
--- a/glenchute/upstreams/streamed_value.py
+++ b/glenchute/upstreams/streamed_value.py
@@ -15,11 +15,13 @@
 import asyncio
 import contextlib
 import socket
+from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
 from glenchute.core.types import AttemptResult, ResponseSink
 from glenchute.policy.connections.stream_read_permits import StreamReadPermits
+from glenchute.policy.connections.value_buffer_budget import ValueBufferBudget
 from glenchute.policy.events import Outcome
 from glenchute.protocol.streamed_reply import StreamedReply
 
@@ -60,12 +62,15 @@
         reply: StreamedReply,
         loop: asyncio.AbstractEventLoop,
         permits: StreamReadPermits[StreamedValue],
+        value_buffers: ValueBufferBudget[StreamedValue],
     ) -> None:
         self.conn, self.attempt, self.reply = conn, attempt, reply
-        self.loop, self.permits = loop, permits
+        self.loop, self.permits, self.value_buffers = loop, permits, value_buffers
         self.length_bytes = reply.length_bytes
         self.sink: ResponseSink | None = None
-        self.buffered: list[bytes] = []  # chunks received before there is a sink
+        self.buffered: deque[bytes] = deque()  # chunks received and not written yet
+        self.is_buffering = False  # the whole value is received before there is a sink
+        self.on_buffered: Callable[[], None] | None = None
         self.is_core_notified = False
         self.has_failed = False
         self.is_discarded = False
@@ -86,7 +91,7 @@
         """Relays or buffers bytes of the response. Raises `resp2.ProtocolError` if they are invalid in it."""
         value = self.reply.feed(data)
         if value:
-            if self.sink is not None:
+            if self.sink is not None and not self.buffered:
                 self.sink.write_chunk(value)
             else:
                 self.buffered.append(value)
@@ -105,6 +110,8 @@
         if self.is_value_ended:
             self._set_timer(SERVER_SILENCE_TIMEOUT_S, self._give_up)
             return
+        if self.is_buffering:
+            self._set_timer(SERVER_SILENCE_TIMEOUT_S, self._give_up)
         if self.is_paused or self.sink is None:
             return
         if self.permits.rotate_after_chunk(self):
@@ -124,7 +131,8 @@
         self.duration_timer = self.loop.call_later(MAX_DURATION_S, self._give_up)
         assert self.attempt.on_response_started is not None
         self.attempt.on_response_started(self)
-        if self.sink is None and not self.is_discarded and not self.reply.is_value_complete:
+        is_waiting = self.sink is None and not self.is_buffering and not self.is_discarded
+        if is_waiting and not self.is_whole:
             self._pause_reading()
 
     def _end_value(self) -> None:
@@ -136,8 +144,14 @@
         self._cancel_timer()
         self._release_permit()
         self._resume_reading()
-        if self.sink is not None:
-            self.sink.finish()
+        if self.sink is not None and not self.buffered:
+            self._finish_sink(self.sink)
+        self._end_buffering()
+
+    def _finish_sink(self, sink: ResponseSink) -> None:
+        """Ends the client's value, once."""
+        self.sink = None
+        sink.finish()
 
     def _finish(self) -> None:
         """Ends the attempt, as the response is complete."""
@@ -167,24 +181,87 @@
             self.attempt.result = AttemptResult(Outcome.OK)
         if self.is_discarded or self.is_value_ended:
             return
+        self._drop_buffered()
         if self.sink is not None:
             self.sink.abort()
         else:
-            self.has_failed, self.buffered = True, []
+            self.has_failed = True
+            self._end_buffering()
 
     # --- client side -------------------------------------------------------------------------------------
 
     def start(self, sink: ResponseSink) -> None:
         """Attaches the client's sink: writes the buffered chunks to it, and reads on from the server."""
         self.sink = sink
-        buffered, self.buffered = self.buffered, []
-        for value in buffered:
-            sink.write_chunk(value)
+        self.is_buffering, self.on_buffered = False, None
+        self._write_buffered()
+
+    def _write_buffered(self) -> None:
+        """Writes the buffered chunks while the client reads, and then reads on or ends the value."""
+        while self.buffered and self.sink is not None and not self.is_paused:
+            value = self.buffered.popleft()
+            self.value_buffers.release_bytes(self, len(value))
+            self.sink.write_chunk(value)
+        self._grant_value_buffers()
+        if self.buffered or self.sink is None:
+            return
+        self._release_value_buffer()
         if self.is_value_ended:
-            sink.finish()
+            self._finish_sink(self.sink)
         elif not self.is_paused:
             self.request_read()
 
+    # --- buffering of whole values -----------------------------------------------------------------------
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the whole value has been received."""
+        return self.reply.is_value_complete
+
+    def buffer_whole(self, on_end: Callable[[], None]) -> bool:
+        """Receives the whole value before it is started, once there is memory for it; returns whether there
+        is now."""
+        self.on_buffered = on_end
+        has_room = self.value_buffers.reserve(self, self.length_bytes)
+        if has_room:
+            self._read_into_buffer()
+        return has_room
+
+    def _read_into_buffer(self) -> None:
+        """Reads the value into the memory that is reserved for it."""
+        self.is_buffering = True
+        self._resume_reading()
+        self._set_timer(SERVER_SILENCE_TIMEOUT_S, self._give_up)
+
+    def _end_buffering(self) -> None:
+        """Reports that a value that was buffered is whole or has failed."""
+        self.is_buffering = False
+        on_end, self.on_buffered = self.on_buffered, None
+        if on_end is not None:
+            on_end()
+
+    def fail(self) -> None:
+        """Cancels the attempt of a value that has not been started, as it can't be awaited any longer."""
+        self.has_failed = True
+        self.discard()
+
+    def _drop_buffered(self) -> None:
+        """Drops the buffered chunks."""
+        self.buffered.clear()
+        self._release_value_buffer()
+
+    def _release_value_buffer(self) -> None:
+        """Releases the memory reserved for the value, or its place among those that wait for memory."""
+        self.value_buffers.release(self)
+        self._grant_value_buffers()
+
+    def _grant_value_buffers(self) -> None:
+        """Lets values that wait for memory be received, as far as there is room."""
+        while (stream := self.value_buffers.grant_next()) is not None:
+            stream._read_into_buffer()
+
+    # --- the client's pace -------------------------------------------------------------------------------
+
     def pause(self) -> None:
         """Pauses reading from the server, as the client does not read."""
         self.is_paused = True
@@ -195,7 +272,9 @@
     def resume(self) -> None:
         """Resumes reading from the server, as the client reads again."""
         self.is_paused = False
-        if not self.is_value_ended and self.sink is not None:
+        if self.buffered:
+            self.loop.call_soon(self._write_buffered)  # a source calls its sink from the event loop only
+        elif not self.is_value_ended and self.sink is not None:
             self.request_read()
 
     def _on_client_blocked(self) -> None:
@@ -207,7 +286,9 @@
 
     def discard(self) -> None:
         """Cancels the attempt and drops the buffered chunks, as the client has disconnected."""
-        self.is_discarded, self.sink, self.buffered = True, None, []
+        self.is_discarded, self.sink = True, None
+        self.is_buffering, self.on_buffered = False, None
+        self._drop_buffered()
         if not self.has_ended:
             self.attempt.stop(Outcome.CANCELLED)
 
