Streamed responses that have begun are no backlog of the servers

Cause: the work of an attempt counted as backlog until its client had read the last byte, though its server had done it; the capacity estimate already ends at the first bytes.

The work leaves the backlog when the response begins. Decisions change only where one is in flight: one record of the format 1 captures is listed as the mend's first difference, all others replay equal with it undone.

--- a/glenchute/capture/format_1_snapshot.py
+++ b/glenchute/capture/format_1_snapshot.py
@@ -276,6 +276,11 @@
     }
 
 
+def attempt_in_backlog(old: State) -> State:
+    """Adds that the work of an attempt counts as backlog, as it did until the attempt's end."""
+    return {**old, "is_in_backlog": True}
+
+
 def load_shedder(old: State) -> State:
     """Splits the old load shedder, which also held the capacity estimate and the backlog."""
     capacity = create_object(
@@ -386,7 +391,7 @@
     ("heathglade.records", "Customer"): Conversion(Tenant, TENANT),
     ("heathglade.records", "Server"): Conversion(Server, SERVER),
     ("heathglade.records", "Open"): Conversion(PendingRequest, PENDING_REQUEST),
-    ("heathglade.records", "Attempt"): Conversion(Attempt, ATTEMPT),
+    ("heathglade.records", "Attempt"): Conversion(Attempt, ATTEMPT, attempt_in_backlog),
     ("heathglade.policy", "Quota"): Conversion(QuotaAccounting, finish=quota_accounting),
     ("heathglade.policy", "Fleet"): Conversion(ServerPool, finish=server_pool),
     ("heathglade.policy", "Pressure"): Conversion(LoadShedder, finish=load_shedder),
--- a/glenchute/policy/request_execution.py
+++ b/glenchute/policy/request_execution.py
@@ -119,15 +119,22 @@
         self.pool.record_end(now_ms, server_event, pending.request_class, pending.request.units)
         if pending.tenant is not None:
             self.quota.record_attempt_end(pending.tenant, event.duration_ms, is_valid)
-        backlog = self.shedder.backlog
-        backlog.remove(attempt.expected_latency_ms)
-        if event.outcome is Outcome.OK:
-            backlog.record_completed(now_ms, attempt.expected_latency_ms)
+        self.end_work(now_ms, attempt, event.outcome)
         has_duration = event.outcome in (Outcome.OK, Outcome.TIMEOUT) and pending.request_class.is_configured
         if has_duration and is_valid:
             objective_ms = pending.request_class.latency_objective_ms
             self.shedder.capacity.record_latency(event.duration_ms, objective_ms)
 
+    def end_work(self, now_ms: float, attempt: Attempt, outcome: Outcome) -> None:
+        """Removes the work of an attempt that has ended from the backlog. That of a streamed response has
+        been removed when it began: its server had done it, and the rest takes as long as its client reads."""
+        if not attempt.is_in_backlog:
+            return
+        attempt.is_in_backlog = False
+        self.shedder.backlog.remove(attempt.expected_latency_ms)
+        if outcome is Outcome.OK:
+            self.shedder.backlog.record_completed(now_ms, attempt.expected_latency_ms)
+
     def cancel_attempts(self, pending: PendingRequest) -> None:
         """Cancels the attempts that are still in flight when the request has its response."""
         if pending.in_flight:
@@ -214,6 +221,7 @@
         self.requests.pop(request_id, None)
         if attempt := self.attempts.get((request_id, attempt_number)):
             attempt.response_started_ms = now_ms
+            self.end_work(now_ms, attempt, Outcome.OK)
 
     def abandon(self, request_id: str) -> None:
         """Drops a request whose client has disconnected."""
--- a/glenchute/policy/requests.py
+++ b/glenchute/policy/requests.py
@@ -48,6 +48,7 @@
     expected_latency_ms: float  # mean latency of such requests at the time of sending
     # When a streamed response began. The attempt's age for the capacity estimate ends here.
     response_started_ms: float = math.inf
+    is_in_backlog: bool = True  # whether its work counts as backlog
 
 
 @record(frozen=True, slots=True)
--- a/tests/capture/mends.py
+++ b/tests/capture/mends.py
@@ -33,7 +33,7 @@
     Request,
 )
 from glenchute.policy.request_execution import RequestExecution
-from glenchute.policy.requests import PendingRequest
+from glenchute.policy.requests import Attempt, PendingRequest
 from glenchute.policy.retries import hedging
 from glenchute.policy.settings import Idempotency, RequestClass
 from glenchute.simulator import serve
@@ -203,6 +203,23 @@
     patch.setattr(Backlog, "wait_ms", wait_ms)
 
 
+def undo_completed_work(patch: pytest.MonkeyPatch) -> None:
+    """The work of a streamed response that had begun counted as backlog until its client had read it."""
+
+    def start_response(self: RequestExecution, now_ms: float, request_id: str, attempt_number: int) -> None:
+        self.requests.pop(request_id, None)
+        if attempt := self.attempts.get((request_id, attempt_number)):
+            attempt.response_started_ms = now_ms
+
+    def end_work(self: RequestExecution, now_ms: float, attempt: Attempt, outcome: Outcome) -> None:
+        self.shedder.backlog.remove(attempt.expected_latency_ms)
+        if outcome is Outcome.OK:
+            self.shedder.backlog.record_completed(now_ms, attempt.expected_latency_ms)
+
+    patch.setattr(RequestExecution, "start_response", start_response)
+    patch.setattr(RequestExecution, "end_work", end_work)
+
+
 def undo_spread_reports(patch: pytest.MonkeyPatch) -> None:
     """When the counter was available again, all tenants' units were reported at once."""
 
@@ -277,6 +294,25 @@
         },
     ),
     Mend("a_backlog_is_compared_with_what_servers_can_do", undo_backlog_floor, {}),
+    Mend(
+        "streamed_responses_that_have_begun_are_no_backlog",
+        undo_completed_work,
+        {
+            "mid_life-000001.glcap": FirstDifference(
+                1076,
+                "Request(request_id='r302', class_name='read', plan='wide', tenant='c2wide', "
+                "time_left_ms=3000.0, units=1.0, gateway_spread=2, attempt_timeout_ms=0.0, "
+                "hedge_after_ms=40.0)",
+                [
+                    Change(
+                        "",
+                        [[2, ["r302", 500.0]]],
+                        [[0, ["r302", "s0", 0.0, 0.0]], [4, [65, 1700000004887.2466]]],
+                    )
+                ],
+            ),
+        },
+    ),
     Mend("units_of_an_ended_window_are_carried_over", undo_carrying_over, {}),
     Mend("units_of_omitted_calls_are_reported_again", undo_reporting_omitted, {}),
     Mend(
--- a/tests/policy/test_decisions.py
+++ b/tests/policy/test_decisions.py
@@ -10,7 +10,14 @@
 import pytest
 
 from glenchute.policy.actions import IncrementCounter, LogMessage, Reject, StartAttempt
-from glenchute.policy.events import AttemptEnded, Endpoint, EndpointList, EndpointListKind, Outcome
+from glenchute.policy.events import (
+    AttemptEnded,
+    Endpoint,
+    EndpointList,
+    EndpointListKind,
+    Outcome,
+    ResponseStarted,
+)
 from tests.rig import (
     SETTINGS,
     EngineHarness,
@@ -201,6 +208,23 @@
     assert overload(rig, 3.0, 100.0) <= 40
 
 
+def test_streamed_responses_that_have_begun_are_no_backlog() -> None:
+    """Guards against shedding requests because clients take their time to read long values."""
+    rig = EngineHarness(make_endpoints(4))
+    rig.warm_up()
+    for step in range(100):
+        name, actions = rig.ask(customer=f"c{step}", left=4000.0)
+        assert actions_of_type(actions, StartAttempt)
+        rig.advance(5.0)
+        rig.handle_event(ResponseStarted(name, 0))
+        rig.advance(5.0)
+        rig.answer_calls()
+    assert rig.gateway.shedder.backlog.in_flight_ms == 0.0
+    rig.end_attempt(name, 0, Outcome.OK, took=5.0)  # its work is not counted twice
+    assert rig.gateway.shedder.backlog.in_flight_ms == 0.0
+    assert actions_of_type(rig.ask(left=4000.0)[1], StartAttempt)
+
+
 def test_first_requests_of_a_gateway_are_not_taken_for_a_backlog() -> None:
     rig = EngineHarness(make_endpoints(10))
     served = served_requests(rig, 10, 20.0, plan="wide")
