Streams whose client or server pauses hold up no other long values

Cause: a stream kept its read permit while its client did not read, and while its server sent nothing, so permits that bound memory were held by streams that read nothing.

A stream whose client does not read is parked with one chunk, a third of what a reader may hold; a quarter of the permits is kept from parked streams. One whose server sends nothing for 50 ms releases its permit to one that waits, and acquires one again when the kernel has bytes for it. Only a stream that still keeps a permit is cut off after 5 s while others wait.

--- a/glenchute/listeners/resp2/connection.py
+++ b/glenchute/listeners/resp2/connection.py
@@ -31,7 +31,6 @@
 MAX_COMMAND_ERRORS = 8  # invalid commands after which a connection is closed
 MAX_LINGER_BYTES = 4 * 1024 * 1024  # input that is discarded while the connection closes
 MAX_UNUSED_LINGER_BYTES = 256 * 1024  # the same for a connection that carried no request
-STREAM_BUFFER_BYTES = 64 * 1024  # unsent bytes of a streamed value at which its source is paused
 # Unsent bytes of replies at which a client's commands are left unread, and at which they are read again.
 WRITE_BUFFER_BYTES = 128 * 1024
 WRITE_RESUME_BYTES = 64 * 1024
@@ -390,7 +389,7 @@
         assert self.transport is not None
         self.end_buffering()
         self.streaming = source
-        self.transport.set_write_buffer_limits(high=STREAM_BUFFER_BYTES)
+        self.transport.set_write_buffer_limits(high=0)  # its source pauses at the first byte that is not sent
         self.transport.write(b"$%d\r\n" % source.length_bytes)
         self.update_state()
         self.update_reading()
--- a/glenchute/upstreams/streamed_value.py
+++ b/glenchute/upstreams/streamed_value.py
@@ -6,8 +6,8 @@
 slows the server down.
 
 Every wait is bounded. A stream is aborted here if the server sends nothing although it is read from, if the
-whole value takes too long, or if the client does not read while other streams wait for a permit. Otherwise
-the listener limits how long a client may go without reading.
+whole value takes too long, or if the client does not read, keeps a permit and other streams wait for one.
+Otherwise the listener limits how long a client may go without reading.
 """
 
 from __future__ import annotations
@@ -19,6 +19,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from glenchute.core.socket_events import has_unread_input
 from glenchute.core.types import AttemptResult, ResponseSink
 from glenchute.policy.connections.stream_read_permits import StreamReadPermits
 from glenchute.policy.connections.value_buffer_budget import ValueBufferBudget
@@ -31,7 +32,10 @@
 # Fewer first bytes are held back for `RESPONSE_STALL_S`, as the length prefix may be wrong.
 MIN_FIRST_BYTES = 1024
 SERVER_SILENCE_TIMEOUT_S = 10.0
-CLIENT_BLOCKED_TIMEOUT_S = 5.0  # how long a client may go without reading while others wait for a permit
+CLIENT_BLOCKED_TIMEOUT_S = 5.0  # how long a client that keeps a permit may not read while others wait for one
+READ_TURN_S = (
+    0.05  # time without a chunk after which a stream releases its permit to one that waits for so long
+)
 MAX_DURATION_S = 120.0
 RECEIVE_BUFFER_BYTES = 32 * 1024  # Linux doubles it, so that one read returns at most twice this
 
@@ -78,6 +82,8 @@
         self.has_ended = False  # nothing more is received: the response is complete, or its connection closed
         self.is_paused = False  # true while the client does not read
         self.is_reading = True  # false while reading from the server is paused
+        self.last_chunk_at = loop.time()
+        self.reading_since = loop.time()  # time of the last permit or chunk
         self.timer: asyncio.TimerHandle | None = None  # bounds the current wait
         self.duration_timer: asyncio.TimerHandle | None = None
         sock = conn.transport.get_extra_info("socket") if conn.transport is not None else None
@@ -90,6 +96,7 @@
     def feed(self, data: bytes) -> None:
         """Relays or buffers bytes of the response. Raises `resp2.ProtocolError` if they are invalid in it."""
         value = self.reply.feed(data)
+        self.last_chunk_at = self.reading_since = self.loop.time()
         if value:
             if self.sink is not None and not self.buffered:
                 self.sink.write_chunk(value)
@@ -117,7 +124,7 @@
         if self.permits.rotate_after_chunk(self):
             self._set_timer(SERVER_SILENCE_TIMEOUT_S, self._give_up)
         else:
-            self._pause_reading()
+            self._wait_for_permit()
             self._grant_permits()
 
     def _notify_core(self) -> None:
@@ -267,7 +274,7 @@
         self.is_paused = True
         if not self.is_value_ended:
             self._pause_reading()
-            self._set_timer(CLIENT_BLOCKED_TIMEOUT_S, self._on_client_blocked)
+            self._park()
 
     def resume(self) -> None:
         """Resumes reading from the server, as the client reads again."""
@@ -278,11 +285,17 @@
             self.request_read()
 
     def _on_client_blocked(self) -> None:
-        """Aborts the stream of a client that does not read if other streams wait for a permit."""
-        if self.permits.waiters:
+        """Aborts the stream of a client that does not read if other streams wait for its permit."""
+        if not self._park() and self.permits.waiters:
             self.conn.fail_response()
-        else:
+
+    def _park(self) -> bool:
+        """Gives the permit back, as the client does not read; False if the stream keeps it for now."""
+        is_parked = self.permits.park(self)
+        if not is_parked:
             self._set_timer(CLIENT_BLOCKED_TIMEOUT_S, self._on_client_blocked)
+        self._grant_permits()
+        return is_parked
 
     def discard(self) -> None:
         """Cancels the attempt and drops the buffered chunks, as the client has disconnected."""
@@ -297,15 +310,53 @@
     def request_read(self) -> None:
         """Reads on from the server with a permit, or waits for one."""
         if self.permits.acquire(self):
-            self._resume_reading()
-            self._set_timer(SERVER_SILENCE_TIMEOUT_S, self._give_up)
+            self._read_on()
         else:
-            self._pause_reading()
+            self._wait_for_permit()
+
+    def _read_on(self) -> None:
+        """Reads on from the server. What it sent while this stream had no permit is received at once, so that
+        the time without a chunk counts from the last one."""
+        self._resume_reading()
+        self.reading_since = self.loop.time()
+        silence_s = self.reading_since - self.last_chunk_at
+        self._set_timer(max(READ_TURN_S, SERVER_SILENCE_TIMEOUT_S - silence_s), self._give_up)
+
+    def _wait_for_permit(self) -> None:
+        """Waits for a permit, and takes that of a stream that receives nothing."""
+        self._pause_reading()
+        self._set_timer(READ_TURN_S, self._take_idle_permit)
+
+    def _take_idle_permit(self) -> None:
+        """Has the stream that has received nothing for longest release its permit, if that is long enough."""
+        reader = self.permits.longest_without_chunk()
+        if reader is not None and self.loop.time() - reader.reading_since >= READ_TURN_S:
+            reader._wait_for_server()
+            self._grant_permits()
+        if self in self.permits.waiters:
+            self._set_timer(READ_TURN_S, self._take_idle_permit)
+
+    def _wait_for_server(self) -> None:
+        """Releases the permit until the server has sent something, or nobody else needs it."""
+        self.permits.release(self)
+        self._pause_reading()
+        self._set_timer(READ_TURN_S, self._check_server)
+
+    def _check_server(self) -> None:
+        """Reads on if the server has sent something; gives it up after a long silence."""
+        transport = self.conn.transport
+        has_data = transport is not None and has_unread_input(transport)
+        if has_data or (self.permits.has_free_permit() and not self.permits.waiters):
+            self.request_read()
+        elif self.loop.time() - self.last_chunk_at >= SERVER_SILENCE_TIMEOUT_S:
+            self._give_up()
+        else:
+            self._set_timer(READ_TURN_S, self._check_server)
 
     def _grant_permits(self) -> None:
         """Grants free permits to waiting streams."""
         while (stream := self.permits.grant_next()) is not None:
-            stream.request_read()
+            stream._read_on()
 
     def _pause_reading(self) -> None:
         """Pauses reading from the server."""
--- a/tests/upstreams/test_streamed_value.py
+++ b/tests/upstreams/test_streamed_value.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 import socket
 from collections.abc import AsyncIterator, Callable
@@ -17,7 +18,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from glenchute.policy.actions import Action, StartAttempt
-from glenchute.policy.connections.stream_read_permits import StreamReadPermits
+from glenchute.policy.connections.stream_read_permits import PARKED_PER_PERMIT, StreamReadPermits
 from glenchute.policy.events import AttemptEnded, Event, Outcome, Request, ResponseStarted
 from glenchute.protocol import resp2 as resp
 from glenchute.protocol.streamed_reply import MAX_STREAMED_BYTES, StreamedReply
@@ -149,7 +150,8 @@
 
 
 class ReadPermitsMachine(RuleBasedStateMachine):
-    """Streams acquire permits, receive chunks and end; checks the contract of `StreamReadPermits`."""
+    """Streams acquire permits, receive chunks, stop reading and end; checks the contract of
+    `StreamReadPermits`."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -157,6 +159,8 @@
         self.last_key = 0
         self.waiting: dict[int, int] = {}  # the streams without a permit, the longest waiting first
         self.reading: set[int] = set()
+        self.parked: set[int] = set()
+        self.blocked: set[int] = set()  # these do not read and keep their permit
 
     @rule()
     def acquire(self) -> None:
@@ -177,13 +181,53 @@
             self.waiting[key] = 0
         self.grant()
 
-    @precondition(lambda self: self.reading or self.waiting)
+    @precondition(lambda self: self.reading or self.waiting or self.blocked)
     @rule(pick=st.integers(0, 99))
-    def end(self, pick: int) -> None:
-        keys = sorted(self.reading | set(self.waiting))
+    def stop_reading(self, pick: int) -> None:
+        keys = sorted(self.reading | set(self.waiting) | self.blocked)
         key = keys[pick % len(keys)]
+        is_parked = self.permits.park(key)
+        if self.waiting.pop(key, None) is not None:
+            assert is_parked
+        elif is_parked:
+            self.parked.add(key)
+        if not is_parked:
+            assert len(self.parked) == 6, "a stream keeps its permit though it could be parked"
+        self.reading.discard(key)
+        self.blocked = self.blocked - {key} if is_parked else self.blocked | {key}
+        self.grant()
+
+    @precondition(lambda self: self.parked or self.blocked)
+    @rule(pick=st.integers(0, 99))
+    def read_again(self, pick: int) -> None:
+        keys = sorted(self.parked | self.blocked)
+        key = keys[pick % len(keys)]
+        if self.permits.acquire(key):
+            self.reading.add(key)
+        else:
+            assert key not in self.blocked, "a stream lost the permit that it had kept"
+            self.waiting[key] = 0
+        self.parked.discard(key)
+        self.blocked.discard(key)
+        self.grant()
+
+    @precondition(lambda self: self.reading)
+    @rule()
+    def one_that_receives_nothing_releases_its_permit(self) -> None:
+        key = self.permits.longest_without_chunk()
+        assert key in self.reading
         self.permits.release(key)
         self.reading.discard(key)
+        self.grant()
+
+    @precondition(lambda self: self.reading or self.waiting or self.parked or self.blocked)
+    @rule(pick=st.integers(0, 99))
+    def end(self, pick: int) -> None:
+        keys = sorted(self.reading | set(self.waiting) | self.parked | self.blocked)
+        key = keys[pick % len(keys)]
+        self.permits.release(key)
+        for group in (self.reading, self.parked, self.blocked):
+            group.discard(key)
         self.waiting.pop(key, None)
         self.grant()
 
@@ -195,9 +239,12 @@
 
     @invariant()
     def permits_are_bounded_and_in_use(self) -> None:
-        assert set(self.permits.readers) == self.reading and len(self.reading) <= 3
+        assert set(self.permits.readers) == self.reading
+        assert set(self.permits.parked) == self.parked and set(self.permits.blocked) == self.blocked
         assert list(self.permits.waiters) == list(self.waiting)
-        assert not self.waiting or len(self.reading) == 3, "a permit is free though a stream waits"
+        used = len(self.reading) + len(self.blocked) + math.ceil(len(self.parked) / PARKED_PER_PERMIT)
+        assert used <= 3 and math.ceil(len(self.parked) / PARKED_PER_PERMIT) <= 2
+        assert not self.waiting or used == 3, "a permit is free though a stream waits"
 
 
 ReadPermitsMachine.TestCase.settings = settings(
@@ -542,6 +589,104 @@
     run_scenario(scenario())
 
 
+async def small_client(gateway_site: Site) -> Client:
+    """Returns a client with a small receive buffer: otherwise the kernel would take the whole value without
+    the client reading."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect(("127.0.0.1", gateway_site.port))
+    return Client(*await asyncio.open_connection(sock=sock, limit=4096))
+
+
+def test_clients_that_do_not_read_hold_up_no_other_streams(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against holding back long values as clients that pause keep all read permits, and against
+    cutting these off for it."""
+    monkeypatch.setattr(streamed_value, "CLIENT_BLOCKED_TIMEOUT_S", 0.05)
+    size = MAX_STREAMED_BYTES
+
+    async def scenario() -> None:
+        value = body(size)
+
+        async def answer(writer: asyncio.StreamWriter, name: bytes) -> bytes:
+            return head(size) + value + TAIL
+
+        async with streaming_site(answer) as (gateway_site, script):
+            permits = gateway_site.program.servers.read_permits
+            permits.max_readers = 4
+            ids = generate_request_ids()
+            pausing_clients = [await small_client(gateway_site) for _ in range(8)]
+            for client in pausing_clients:
+                client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+                ask(client, ids)
+            await wait_until(lambda: len(permits.parked) == 8)
+            reading_clients = [await gateway_site.client() for _ in range(5)]
+            for client in reading_clients:
+                ask(client, ids)
+            async with asyncio.timeout(20.0):
+                assert await asyncio.gather(*(client.reply() for client in reading_clients)) == [value] * 5
+            assert len(permits.parked) == 8  # nobody was cut off
+            for client in pausing_clients:
+                client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+            assert await asyncio.gather(*(client.reply() for client in pausing_clients)) == [value] * 8
+            await wait_until(lambda: outcomes(script) == [Outcome.OK] * 13)
+            assert not permits.readers and not permits.parked and not permits.waiters
+
+    run_scenario(scenario())
+
+
+def test_servers_that_pause_hold_up_no_other_streams() -> None:
+    """Guards against holding back long values as streams whose servers send nothing keep all read permits."""
+    size = MAX_STREAMED_BYTES
+
+    async def scenario() -> None:
+        value = body(size)
+        may_go_on = asyncio.Event()
+
+        async def answer(writer: asyncio.StreamWriter, name: bytes) -> bytes:
+            if int(name, 16) <= 5:
+                writer.write(head(size) + value[:100_000])
+                await may_go_on.wait()
+                return value[100_000:] + TAIL
+            return head(size) + value + TAIL
+
+        async with streaming_site(answer) as (gateway_site, script):
+            gateway_site.program.servers.read_permits.max_readers = 2
+            ids = generate_request_ids()
+            slow_clients = [await gateway_site.client() for _ in range(5)]
+            for client in slow_clients:
+                ask(client, ids)
+            await wait_until(lambda: len(script.events_of(ResponseStarted)) == 5)
+            reading_clients = [await gateway_site.client() for _ in range(3)]
+            for client in reading_clients:
+                ask(client, ids)
+            async with asyncio.timeout(30.0):
+                assert await asyncio.gather(*(client.reply() for client in reading_clients)) == [value] * 3
+            may_go_on.set()
+            assert await asyncio.gather(*(client.reply() for client in slow_clients)) == [value] * 5
+
+    run_scenario(scenario())
+
+
+def test_a_silent_server_is_detected_though_its_stream_takes_turns(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(streamed_value, "SERVER_SILENCE_TIMEOUT_S", 0.4)
+
+    async def scenario() -> None:
+        async def answer(writer: asyncio.StreamWriter, name: bytes) -> bytes:
+            return ANSWER[:50_000]
+
+        async with streaming_site(answer) as (gateway_site, script):
+            gateway_site.program.servers.read_permits.max_readers = 1
+            ids = generate_request_ids()
+            clients = [await gateway_site.client() for _ in range(4)]
+            for client in clients:
+                ask(client, ids)
+            for client in clients:
+                assert 0 < len(await client.reader.read()) < len(VALUE)
+            await wait_until(lambda: outcomes(script) == [Outcome.ERROR] * 4)
+
+    run_scenario(scenario())
+
+
 def test_shutdown_does_not_wait_forever_for_a_stream() -> None:
     async def scenario() -> None:
         async def answer(writer: asyncio.StreamWriter, name: bytes) -> bytes:
