Slow readers do not lose served requests to clients without a request

One that has carried a request is evicted only after 5 s without reading; one with PINGs only after 0.5 s as before.

Before: test_late_readers_keep_their_slots_... fails (replies missing).

--- a/glenchute/policy/connections/client_slots.py
+++ b/glenchute/policy/connections/client_slots.py
@@ -16,7 +16,8 @@
 - A connection with a request in flight, or with a partially received command, is never evicted nor closed as
   idle. It is closed if the command takes longer than ``PARTIAL_COMMAND_TIMEOUT_S`` to arrive.
 - A connection whose client does not read is aborted after ``WRITE_BLOCKED_TIMEOUT_S``. It may be evicted for
-  a new connection after ``MIN_WRITE_BLOCKED_S``, short responses before streamed ones.
+  a new connection after ``MIN_UNREAD_RESPONSE_S``, as its responses are lost then, or after
+  ``MIN_WRITE_BLOCKED_S`` if it has carried no request; short responses before streamed ones.
 - A connection that was reused after a response is kept longer than one with a single request that has been
   idle for the same time.
 - A new connection is not evicted before ``MIN_FIRST_COMMAND_S``.
@@ -39,7 +40,8 @@
 MIN_FIRST_COMMAND_S = 0.1  # time for the first command while no slot is free: a round trip and some delay
 PARTIAL_COMMAND_TIMEOUT_S = 2.4  # a slow client may take 2 s to complete a command
 WRITE_BLOCKED_TIMEOUT_S = 30.0  # time without progress before the connection is aborted
-MIN_WRITE_BLOCKED_S = 0.5  # time without progress before the connection may be evicted
+MIN_WRITE_BLOCKED_S = 0.5  # time without progress before a connection without a request may be evicted
+MIN_UNREAD_RESPONSE_S = 5.0  # the same with responses to requests: a slow client may take seconds to read
 LINGER_TIMEOUT_S = 0.5  # time from the shutdown of the write side to the peer's close; input is discarded
 GAP_SMOOTHING = 0.3  # weight of the newest idle gap in a connection's exponential moving average
 GAP_BUCKETS = 14  # each is twice as wide as the one before; the last starts at 4 s
@@ -351,16 +353,30 @@
         In order of preference: the oldest without a request, one whose client does not read, the oldest with
         a single request, and the reused one with the longest expected time to its next request.
         """
-        for state, min_age_s in (
-            (ConnectionState.IDLE_UNUSED, 0.0),
-            (ConnectionState.AWAITING_COMMAND, MIN_FIRST_COMMAND_S),
-            (ConnectionState.WRITE_BLOCKED, MIN_WRITE_BLOCKED_S),
-            (ConnectionState.STREAM_BLOCKED, MIN_WRITE_BLOCKED_S),
-            (ConnectionState.IDLE_USED_ONCE, 0.0),
-        ):
-            if self.slots_by_state[state] and now - self._oldest(state).state_entered_s >= min_age_s:
-                return self._oldest(state)
-        return self._longest_idle_reused(now)
+        return (
+            self._oldest_of_age(now, ConnectionState.IDLE_UNUSED, 0.0)
+            or self._oldest_of_age(now, ConnectionState.AWAITING_COMMAND, MIN_FIRST_COMMAND_S)
+            or self._longest_blocked(now)
+            or self._oldest_of_age(now, ConnectionState.IDLE_USED_ONCE, 0.0)
+            or self._longest_idle_reused(now)
+        )
+
+    def _oldest_of_age(self, now: float, state: ConnectionState, min_age_s: float) -> ClientSlot[Key] | None:
+        """Returns the slot that has been in this state the longest, if that is long enough."""
+        if self.slots_by_state[state] and now - self._oldest(state).state_entered_s >= min_age_s:
+            return self._oldest(state)
+        return None
+
+    def _longest_blocked(self, now: float) -> ClientSlot[Key] | None:
+        """Returns the slot whose client has not read for longest, of those that may be evicted for it."""
+        for state in BLOCKED_STATES:
+            for slot in self.slots_by_state[state].values():
+                age_s = now - slot.state_entered_s
+                if age_s < MIN_WRITE_BLOCKED_S:
+                    break
+                if not slot.has_carried_request or age_s >= MIN_UNREAD_RESPONSE_S:
+                    return slot
+        return None
 
     def _close(self, now: float, slot: ClientSlot[Key], reason: CloseReason) -> CloseConnection[Key]:
         """Counts a close, and removes the slot or lets it linger."""
--- a/tests/listeners/resp2/test_unread_replies.py
+++ b/tests/listeners/resp2/test_unread_replies.py
@@ -212,6 +212,41 @@
     run_scenario(scenario())
 
 
+def test_late_readers_keep_their_slots_while_others_take_their_time_to_write(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against dropping served requests of slow readers for connections with half a command."""
+    monkeypatch.setattr(client_slots, "MIN_WRITE_BLOCKED_S", 0.02)
+    commands = 8
+
+    async def reply_with_word(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+        return b"*3\r\n$%d\r\n%b\r\n*-1\r\n*-1\r\n" % (len(WORD), WORD)
+
+    async def scenario() -> None:
+        async with site(reply_with_word, decisions=ScriptedEngine(send_to("s0")), sockets=96) as gateway_site:
+            slots = gateway_site.program.listener.connection_slots
+            with sockets(gateway_site, 2) as late:
+                for number, sock in enumerate(late):
+                    names = [b"%d-%d" % (number, index) for index in range(commands)]
+                    sock.sendall(b"".join(encode_command(b"CALL.GET", CUSTOMER, name, GET) for name in names))
+                await wait_until(lambda: len(slots.blocked()) == 2)
+                await asyncio.sleep(0.05)
+                with sockets(gateway_site, slots.max_connections) as writers:
+                    for sock in writers:
+                        sock.sendall(b"*4\r\n$8\r\nCALL")
+                    await wait_until(
+                        lambda: (
+                            slots.closed_counts[CloseReason.NO_SLOT]
+                            or slots.closed_counts[CloseReason.UNREAD]
+                        )
+                    )
+                    replies = await asyncio.gather(*(read_replies(sock, commands) for sock in late))
+                assert replies == [[WORD] * commands] * 2
+            assert slots.closed_counts[CloseReason.UNREAD] == 0
+
+    run_scenario(scenario())
+
+
 def test_a_rejected_client_that_keeps_writing_is_aborted() -> None:
     """Guards against unlimited time spent on discarding what rejected clients send."""
 
--- a/tests/policy/connections/test_client_slots.py
+++ b/tests/policy/connections/test_client_slots.py
@@ -13,10 +13,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
 from glenchute.policy.connections.client_slots import (
+    BLOCKED_STATES,
     LINGER_TIMEOUT_S,
     MAX_FIRST_COMMAND_S,
     MAX_IDLE_S,
     MIN_FIRST_COMMAND_S,
+    MIN_UNREAD_RESPONSE_S,
     MIN_WRITE_BLOCKED_S,
     PARTIAL_COMMAND_TIMEOUT_S,
     PRESSURED_SWEEP_INTERVAL_S,
@@ -400,6 +402,27 @@
         assert math.isclose(requests, 10.0 * rate, rel_tol=0.2)
 
 
+@pytest.mark.parametrize("state", BLOCKED_STATES)
+def test_responses_that_a_slow_client_has_not_read_are_not_dropped_for_a_new_connection(
+    state: ConnectionState,
+) -> None:
+    """Guards against losing served requests, as their client takes seconds to read, for connections that have
+    not sent one."""
+    slots: ConnectionSlots[str] = ConnectionSlots(3, 3, 2)
+    add_all(slots, 0.0, "slow", "once", "partial")
+    for key in ("slow", "once"):
+        serve_request(slots, 0.0, key)
+    slots.set_state(0.0, "slow", state)
+    slots.set_state(0.0, "partial", ConnectionState.PARTIAL_COMMAND)
+    now = MIN_UNREAD_RESPONSE_S - 0.1
+    assert [close.key for close in slots.add(now, "first")] == ["once"]
+    slots.set_state(now, "first", ConnectionState.PARTIAL_COMMAND)
+    closes = slots.add(now, "second")
+    assert [(close.key, close.reason) for close in closes] == [("second", CloseReason.NO_SLOT)]
+    closes = slots.add(MIN_UNREAD_RESPONSE_S, "third")
+    assert [(close.key, close.reason) for close in closes] == [("slow", CloseReason.UNREAD)]
+
+
 def test_clients_that_do_not_read_are_evicted_before_idle_ones_short_responses_first() -> None:
     """Write-blocked connections are evicted only after `MIN_WRITE_BLOCKED_S` without progress."""
     slots: ConnectionSlots[str] = ConnectionSlots(4, 3, 2)
