The time of a command that waits on its connection counts from its arrival

Connections know it now, also for bytes that wait in the kernel (FIONREAD every 0.1 s while reading is paused); a command with no time left is rejected, as no attempt has run.

--- a/glenchute/listeners/resp2/connection.py
+++ b/glenchute/listeners/resp2/connection.py
@@ -12,11 +12,12 @@
 from collections import deque
 from typing import TYPE_CHECKING, Any
 
-from glenchute.core.socket_events import has_unread_input
+from glenchute.core.socket_events import has_unread_input, unread_bytes
 from glenchute.core.types import ResponseSource
 from glenchute.policy.connections.client_slots import ABORT_REASONS, CloseReason, ConnectionState
 from glenchute.protocol import resp2 as resp
 
+from .arrival_times import ArrivalTimes
 from .commands import CommandError
 from .reply_slot import ReplySlot
 from .value_buffering import ValueBuffering
@@ -28,6 +29,7 @@
 
 MAX_PENDING_COMMANDS = 64  # per connection, without a written reply; further commands are left unread
 MAX_COMMANDS_PER_TURN = 16  # per connection, before other connections get their turn
+MIN_TIME_LEFT_MS = 1.0  # of a request's time, less of which is not enough to forward it
 MAX_COMMAND_ERRORS = 8  # invalid commands after which a connection is closed
 MAX_LINGER_BYTES = 4 * 1024 * 1024  # input that is discarded while the connection closes
 MAX_UNUSED_LINGER_BYTES = 256 * 1024  # the same for a connection that carried no request
@@ -46,6 +48,7 @@
     """One client connection; it is the `ResponseSink` of the streamed values written to it."""
 
     __slots__ = (
+        "arrivals",
         "buffering",
         "descriptor",
         "discarded_bytes",
@@ -72,6 +75,7 @@
     def __init__(self, listener: Listener) -> None:
         self.listener = listener
         self.parser = resp.Parser()
+        self.arrivals = ArrivalTimes()
         self.slots: deque[ReplySlot] = deque()
         self.transport: asyncio.Transport | None = None
         self.is_closing = False  # no more commands are accepted; closes once all replies are written
@@ -160,6 +164,7 @@
                 self.transport.abort()
             return
         self.parser.feed(data)
+        self.arrivals.record_read(self.listener.loop.time(), len(data))
         if self.is_turn_scheduled:
             return
         is_turn_used_up = self.listener.queued_reply_bytes > MAX_TURN_REPLY_BYTES
@@ -264,7 +269,8 @@
             # Servers would treat two requests with one id as one request.
             raise CommandError("this request id is in use")
         now = self.listener.loop.time()
-        if not self.listener.lifecycle.admits_requests(now):
+        call.time_left_ms -= 1000.0 * (now - self.arrivals.last_byte_at(self.parser.unparsed_bytes))
+        if call.time_left_ms < MIN_TIME_LEFT_MS or not self.listener.lifecycle.admits_requests(now):
             slot.reply = resp.encode_busy(0.0)
             return
         self.listener.connection_slots.on_request(now, self)
@@ -520,6 +526,11 @@
         self.update_reading()
         self.update_memory()
 
+    def record_unread(self, since: float) -> None:
+        """Records the arrival of bytes that have not been read, of which none were there at `since`."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.arrivals.record_unread(since, unread_bytes(self.transport))
+
     def has_unread_input(self) -> bool:
         """Returns whether the kernel holds unread bytes or the end of the stream."""
         return self.transport is not None and has_unread_input(self.transport)
--- a/glenchute/listeners/resp2/listener.py
+++ b/glenchute/listeners/resp2/listener.py
@@ -29,6 +29,7 @@
 ACCEPT_BACKLOG = 512  # connections that the kernel queues until they are accepted
 # The kernel's send buffer per client, which could otherwise grow to megabytes for a slow reader.
 SEND_BUFFER_BYTES = 128 * 1024
+UNREAD_CHECK_INTERVAL_S = 0.1  # the time told to servers may exceed a client's by 0.15 s
 MAX_TURN_S = 0.002  # time for the scheduled connections in one iteration of the event loop
 REPORT_INTERVAL_S = 10.0
 # The time before a finished reply's deadline from which unfinished requests ahead of it may be abandoned.
@@ -73,6 +74,7 @@
         self.last_report = "", loop.time()  # the line last logged, and when
         self.paused_clients: set[ClientConnection] = set()
         self.closed_check_timer: asyncio.TimerHandle | None = None
+        self.unread_checked_at = 0.0  # time of the last look at what paused clients have sent
         self.lifecycle = ProcessLifecycle(command_parser.bounds.max_deadline_ms / 1000.0)
         self.idle_close_timer: asyncio.TimerHandle | None = None
         self.sweep_timer = loop.call_later(self.connection_slots.next_sweep_s(), self.sweep)
@@ -144,6 +146,7 @@
         """Polls for the end of a connection that is not read from, which would go unnoticed otherwise."""
         self.paused_clients.add(client)
         if self.closed_check_timer is None:
+            self.unread_checked_at = self.loop.time()
             self.closed_check_timer = self.loop.call_later(PAUSED_POLL_INTERVAL_S, self.check_paused)
 
     def check_paused(self) -> None:
@@ -153,9 +156,18 @@
         for client in [client for client in self.paused_clients if client.is_closed_by_peer]:
             if client.transport is not None:
                 client.transport.abort()
+        self.record_unread()
         if self.paused_clients:
             self.closed_check_timer = self.loop.call_later(PAUSED_POLL_INTERVAL_S, self.check_paused)
 
+    def record_unread(self) -> None:
+        """Records when commands of paused clients arrive, as their time counts from then."""
+        now = self.loop.time()
+        if now - self.unread_checked_at >= UNREAD_CHECK_INTERVAL_S:
+            for client in self.paused_clients:
+                client.record_unread(self.unread_checked_at)
+            self.unread_checked_at = now
+
     def update_memory(self, client: ClientConnection, buffered_bytes: int) -> None:
         """Updates how many bytes a connection buffers, and schedules `relieve_memory` past the limit."""
         self.client_memory.update(client, buffered_bytes)
--- a/glenchute/protocol/resp2.py
+++ b/glenchute/protocol/resp2.py
@@ -136,6 +136,11 @@
         """Returns the size of the buffer: of the bytes not parsed yet, and of parsed ones before them."""
         return len(self._raw)
 
+    @property
+    def unparsed_bytes(self) -> int:
+        """Returns the number of bytes after the last message."""
+        return len(self._raw) - self._at
+
     def has_unparsed(self) -> bool:
         """Returns whether there are bytes after the last message."""
         return self._at < len(self._raw)
