A connection whose replies have not been sent is not closed as idle

Its replies were in the connection's buffer, but less than the 128 KiB at which a client counts as one that does not read; so the connection was idle, was closed as such with few slots free, and aborted 0.5 s later.

A connection that is chosen as idle or for a new one and has unsent bytes is now kept, and counts as blocked until they are sent; one with half a command gets its error and the time of one that does not read.

Before: both cases of test_a_connection_with_unsent_replies_is_not_idle fail, replies missing.

--- a/glenchute/listeners/resp2/connection.py
+++ b/glenchute/listeners/resp2/connection.py
@@ -549,7 +549,8 @@
     def close_for(self, reason: CloseReason) -> bool:
         """Closes the connection as `ConnectionSlots` decided.
 
-        Returns False, and keeps it, if unread input may be a command or a command waits for its turn.
+        Returns False, and keeps it, if unread input may be a command, a command waits for its turn, or
+        replies have not been sent.
         """
         if self.transport is None:
             return True
@@ -557,17 +558,23 @@
             self.transport.abort()
         elif reason is CloseReason.NO_SLOT:
             self.close_on_protocol_error(resp.ProtocolError("too many connections"))
-        elif self.is_turn_scheduled or (
-            reason is not CloseReason.PARTIAL_COMMAND and self.has_unread_input()
-        ):
-            self.listener.connection_slots.revive(self.listener.loop.time(), self)
-            return False
-        elif reason is CloseReason.PARTIAL_COMMAND:
+        elif reason is CloseReason.PARTIAL_COMMAND and not self.is_turn_scheduled:
+            if self.transport.get_write_buffer_size():
+                self.revive()  # a lingering connection would be aborted before its replies are sent
             self.close_on_protocol_error(resp.ProtocolError("the end of a command did not come"))
+        elif self.is_turn_scheduled or self.has_unread_input() or self.transport.get_write_buffer_size():
+            self.revive()
+            if self.transport.get_write_buffer_size():
+                self.block_until_sent()
+            return False
         else:
             self.close_when_answered()
         return True
 
+    def revive(self) -> None:
+        """Keeps a connection that `ConnectionSlots` let linger."""
+        self.listener.connection_slots.revive(self.listener.loop.time(), self)
+
     def close_if_idle(self, since: float) -> None:
         """Closes the connection if it has been idle since `since` (loop time) or longer.
 
--- a/tests/listeners/resp2/test_unread_replies.py
+++ b/tests/listeners/resp2/test_unread_replies.py
@@ -247,6 +247,45 @@
     run_scenario(scenario())
 
 
+@pytest.mark.parametrize("half_command", [b"", b"*4\r\n$8\r\nCALL"])
+def test_a_connection_with_unsent_replies_is_not_idle(
+    half_command: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against aborting a connection whose buffer is not full enough to count as blocked, with replies
+    that its client has not read yet."""
+    monkeypatch.setattr(client_slots, "MAX_IDLE_S", 0.02)
+    monkeypatch.setattr(client_slots, "PARTIAL_COMMAND_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(client_slots, "LINGER_TIMEOUT_S", 0.05)
+
+    word = b"x" * 16_000
+
+    async def reply_with_word(words: list[bytes], writer: asyncio.StreamWriter) -> bytes:
+        return b"*3\r\n$%d\r\n%b\r\n*-1\r\n*-1\r\n" % (len(word), word)
+
+    async def scenario() -> None:
+        async with site(reply_with_word, decisions=ScriptedEngine(send_to("s0"))) as gateway_site:
+            listener = gateway_site.program.listener
+            with sockets(gateway_site, 1) as (sock,):
+                commands = 0
+
+                def unsent_bytes() -> int:
+                    transports = [client.transport for client in listener.clients if not client.slots]
+                    return sum(each.get_write_buffer_size() for each in transports if each is not None)
+
+                while not unsent_bytes():
+                    sock.sendall(encode_command(b"CALL.GET", CUSTOMER, b"%d" % commands, GET))
+                    commands += 1
+                    await wait_until(lambda: all(client.has_carried_request for client in listener.clients))
+                    await wait_until(lambda: not any(client.slots for client in listener.clients))
+                    await asyncio.sleep(0.01)
+                sock.sendall(half_command)
+                await asyncio.sleep(0.3)  # longer than a connection may idle and linger
+                replies = await read_replies(sock, commands)
+                assert replies[:commands] == [word] * commands  # an error may follow
+
+    run_scenario(scenario())
+
+
 def test_a_rejected_client_that_keeps_writing_is_aborted() -> None:
     """Guards against unlimited time spent on discarding what rejected clients send."""
 
