The end of a streamed value counts as a response, not as a failure

Seen while the end of long values was mended: an attempt that ended OK without a value, as its client had it already, was noted as the servers' last failure, so a gateway whose servers give long values only would take them for an outage when it doubts a list. Nobody has observed it. The new test failed before (last_response_at was that of the start).

--- a/glenchute/core/executor.py
+++ b/glenchute/core/executor.py
@@ -366,9 +366,10 @@
         duration_ms = request.time_to_first_byte_ms
         if duration_ms is None:
             duration_ms = 1000.0 * (self.loop.time() - attempt.started_at)
-        if result.outcome is Outcome.OK and result.value is not None:
+        if result.outcome is Outcome.OK:
             self.last_response_at = self.loop.time()
-            self.respond(request.request_id, Served(result.value))
+            if result.value is not None:  # otherwise it has been streamed
+                self.respond(request.request_id, Served(result.value))
         else:
             self.last_failure_at = self.loop.time()
         queued, active = parse_load_report(result.load_report)
--- a/tests/upstreams/test_streamed_value.py
+++ b/tests/upstreams/test_streamed_value.py
@@ -302,6 +302,22 @@
     run_scenario(scenario())
 
 
+def test_a_streamed_value_is_a_response_of_its_server() -> None:
+    """Guards against taking servers that give long values only for ones that do not respond."""
+
+    async def scenario() -> None:
+        async with streaming_site(answer_completely) as (gateway_site, script):
+            client, ids = await gateway_site.client(), generate_request_ids()
+            started_at = gateway_site.program.gateway.last_response_at
+            ask(client, ids)
+            assert await client.reply() == VALUE
+            await wait_until(lambda: outcomes(script) == [Outcome.OK])
+            gateway = gateway_site.program.gateway
+            assert gateway.last_response_at > started_at > gateway.last_failure_at
+
+    run_scenario(scenario())
+
+
 def test_replies_stay_in_order_around_a_streamed_one() -> None:
     async def scenario() -> None:
         gates = {b"%016x" % n: asyncio.Event() for n in (1, 2, 3)}
