Failing buffered values at a shutdown takes a bounded number of steps

The loop ended only once a connection buffered nothing any more. By reading: no order of events is known in which it would not, but a shutdown must not depend on that. Tests of buffered values at a shutdown pass as before.

--- a/glenchute/listeners/resp2/listener.py
+++ b/glenchute/listeners/resp2/listener.py
@@ -295,8 +295,9 @@
         """Lets values fail that are buffered and not whole, at the end of the process, so that the replies
         behind them are written."""
         for client in list(self.clients):
-            while client.buffering is not None:
-                client.buffering.fail()
+            for _ in range(len(client.slots)):  # the value behind one that fails may be buffered next
+                if client.buffering is not None:
+                    client.buffering.fail()
 
     def close_idle(self) -> None:
         """Closes connections idle for longer than the limit, repeatedly while draining or shutting down."""
