--- a/lab/soak/long_value_records.py
+++ b/lab/soak/long_value_records.py
@@ -9,9 +9,10 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from lab.soak.records import TOLERANCE_S, ending_faults
+
 MAX_HOLD_S = 2.0  # what a server has given must not be held back for so long
 TOLD_SLACK_S = 0.15  # by which the time told to a server may exceed what is left to the client
-TOLERANCE_S = 0.05  # the protocol page allows this much on each time limit that is measured on sockets
 
 
 @dataclass(slots=True)
@@ -106,11 +107,7 @@
 
     def process_faults(self) -> list[str]:
         """Finds a bad exit status, a traceback and too much memory."""
-        violations = []
-        if self.exit_status != 0:
-            violations.append(f"process: exit status {self.exit_status}")
-        if "Traceback" in self.log:
-            violations.append(f"process: a traceback: {self.log[self.log.index('Traceback') :][-300:]}")
+        violations = ending_faults(self.exit_status, self.log)
         if self.peak_mb > self.memory_mb:
             violations.append(f"process: {self.peak_mb:.0f} MB of {self.memory_mb:.0f}")
         return violations
--- a/lab/soak/records.py
+++ b/lab/soak/records.py
@@ -18,6 +18,14 @@
 TOLERANCE_S = 0.05  # the protocol page allows this much on each time limit that is measured on sockets
 
 
+def ending_faults(exit_status: int | None, log: str) -> list[str]:
+    """Finds a bad exit status of the gateway, and a traceback in its log."""
+    violations = [] if exit_status == 0 else [f"process: exit status {exit_status}"]
+    if "Traceback" in log:
+        violations.append(f"process: a traceback: {log[log.index('Traceback') :][-300:]}")
+    return violations
+
+
 @dataclass(slots=True)
 class RequestRecord:
     """A request as its client sees it."""
@@ -161,11 +169,7 @@
                 f"process: had not ended when it was killed; since its SIGTERM this process stalled for "
                 f"{stalled_s:.2f} s; its log ends: {self.log[-LOG_END_LENGTH:]}"
             )
-        elif self.exit_status != 0:
-            violations.append(f"process: exit status {self.exit_status}")
-        if "Traceback" in self.log:
-            violations.append(f"process: a traceback: {self.log[self.log.index('Traceback') :][-300:]}")
-        return violations
+        return violations + ending_faults(0 if self.killed_at_end else self.exit_status, self.log)
 
     def summary(self) -> str:
         """Counts requests by their answer."""
--- a/tests/upstreams/test_streamed_value.py
+++ b/tests/upstreams/test_streamed_value.py
@@ -587,11 +587,7 @@
         async with streaming_site(answer) as (gateway_site, script):
             gateway_site.program.servers.read_permits.max_readers = 1
             ids = generate_request_ids()
-            sock = socket.socket()
-            # A small buffer: otherwise the kernel would take the whole value without the client reading.
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            sock.connect(("127.0.0.1", gateway_site.port))
-            blocked_client = Client(*await asyncio.open_connection(sock=sock))
+            blocked_client = await small_client(gateway_site)
             blocked_client.writer.transport.pause_reading()  # type: ignore[attr-defined]
             ask(blocked_client, ids)
             await wait_until(lambda: script.events_of(ResponseStarted))
